--- /dev/null
+++ b/src/main/java/org/magnoliavale/Finding.java
@@ -0,0 +1,18 @@
+package org.magnoliavale;
+
+/**
+ * One thing wrong with a configuration text, with its place.
+ *
+ * @param file name of the text, for example a file path
+ * @param line line number from 1, or 0 when the finding concerns the whole text
+ * @param section section name, or empty
+ * @param key key name, or empty when the finding concerns a whole section
+ * @param message what is wrong, in one sentence
+ */
+public record Finding(String file, int line, String section, String key, String message) {
+  @Override
+  public String toString() {
+    String keyPart = key.isEmpty() ? "" : " " + key;
+    return file + ":" + line + " [" + section + "]" + keyPart + ": " + message;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/command/CheckCommand.java
@@ -0,0 +1,38 @@
+package org.magnoliavale.internal.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+import org.magnoliavale.Finding;
+import org.magnoliavale.internal.document.DocumentReader;
+import org.magnoliavale.internal.document.DocumentSchema;
+import org.magnoliavale.internal.ini.IniText;
+import org.magnoliavale.internal.settings.SettingsReader;
+
+/** Checks settings files and documents without starting anything. */
+@Parameters(commandDescription = "Check settings files and documents")
+final class CheckCommand implements Command {
+  @Parameter(description = "FILE...", required = true)
+  private List<String> files = new ArrayList<>();
+
+  @Override
+  public int run() {
+    List<Finding> findings = new ArrayList<>();
+    for (String file : files) {
+      String text = Files.read(file);
+      findings.addAll(
+          isDocument(file, text)
+              ? DocumentReader.check(file, text)
+              : SettingsReader.check(file, text));
+    }
+    findings.forEach(System.out::println);
+    return findings.isEmpty() ? SUCCESS : FAILURE;
+  }
+
+  /** A text is a document if its sections are of kinds that only a document has. */
+  private static boolean isDocument(String file, String text) {
+    return IniText.parse(file, text, new ArrayList<>()).sections().stream()
+        .anyMatch(section -> DocumentSchema.SCHEMA.section(section.kind()).isPresent());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/command/Main.java
@@ -0,0 +1,98 @@
+package org.magnoliavale.internal.command;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.magnoliavale.Finding;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.logging.Logs;
+
+/**
+ * The command line. Exit codes: 0 success, 1 something checked is wrong or a call was refused, 2
+ * wrong command line, 3 internal fault.
+ */
+public final class Main {
+  private static final int INTERNAL_FAULT = 3;
+
+  private static final class Options {
+    @Parameter(
+        names = {"--help", "-h"},
+        help = true,
+        description = "Print this help")
+    private boolean help;
+
+    @Parameter(names = "--version", help = true, description = "Print the version")
+    private boolean version;
+  }
+
+  private Main() {}
+
+  /** Runs the program and ends the process with its exit code. */
+  public static void main(String[] arguments) {
+    int exitCode = run(arguments);
+    System.out.flush();
+    Logs.close();
+    System.exit(exitCode);
+  }
+
+  static int run(String[] arguments) {
+    Options options = new Options();
+    Map<String, Command> commands = commands();
+    JCommander.Builder builder = JCommander.newBuilder().programName("magnoliavale");
+    builder.addObject(options);
+    commands.forEach(builder::addCommand);
+    JCommander parser = builder.build();
+    try {
+      parser.parse(arguments);
+    } catch (ParameterException e) {
+      System.err.println("magnoliavale: " + e.getMessage().lines().findFirst().orElse(""));
+      return Command.USAGE;
+    }
+    if (options.version) {
+      System.out.println("magnoliavale " + version());
+      return Command.SUCCESS;
+    }
+    Command command = commands.get(parser.getParsedCommand());
+    if (options.help || command == null) {
+      parser.usage();
+      return options.help ? Command.SUCCESS : Command.USAGE;
+    }
+    return run(command);
+  }
+
+  private static Map<String, Command> commands() {
+    Map<String, Command> commands = new LinkedHashMap<>();
+    commands.put("serve", new ServeCommand());
+    commands.put("check", new CheckCommand());
+    commands.put("document", new DocumentCommand());
+    commands.put("status", new QueryCommand("/status"));
+    commands.put("placement", new QueryCommand("/placement"));
+    commands.put("explain", new ExplainCommand());
+    commands.put("stand-in", new StandInCommand());
+    commands.put("demo-check", new DemoCheckCommand());
+    return commands;
+  }
+
+  private static int run(Command command) {
+    try {
+      return command.run();
+    } catch (MagnoliavaleException e) {
+      for (Finding finding : e.findings()) {
+        System.err.println(finding);
+      }
+      System.err.println("magnoliavale: " + e.code().code() + ": " + e.getMessage());
+      return Command.FAILURE;
+    } catch (Exception e) {
+      Logs.of("command").error("Command failed.", e);
+      System.err.println("magnoliavale: " + e);
+      return INTERNAL_FAULT;
+    }
+  }
+
+  private static String version() {
+    String version = Main.class.getPackage().getImplementationVersion();
+    return version == null ? "development" : version;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/command/QueryCommand.java
@@ -0,0 +1,25 @@
+package org.magnoliavale.internal.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.Map;
+
+/** Prints what an instance believes. */
+@Parameters(commandDescription = "Print what an instance believes")
+final class QueryCommand implements Command {
+  @Parameter(names = "--operator", required = true, description = "Operator address of an instance")
+  private String operator;
+
+  private final String path;
+
+  QueryCommand(String path) {
+    this.path = path;
+  }
+
+  @Override
+  public int run() {
+    try (OperatorConnection connection = OperatorConnection.to(operator)) {
+      return connection.callAndPrint("GET", path, Map.of(), "");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/command/StandInCommand.java
@@ -0,0 +1,133 @@
+package org.magnoliavale.internal.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.eclipse.jetty.client.HttpClient;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.document.Document;
+import org.magnoliavale.internal.document.DocumentReader;
+import org.magnoliavale.internal.document.Endpoint;
+import org.magnoliavale.internal.http.HttpClients;
+import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.identifier.PoolId;
+import org.magnoliavale.internal.ini.Values;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.standin.EngineStandIn;
+import org.magnoliavale.internal.standin.ListedInstances;
+import org.magnoliavale.internal.standin.PlatformLimits;
+import org.magnoliavale.internal.standin.PlatformStandIn;
+import org.magnoliavale.internal.standin.ServiceStandIn;
+
+/** Runs stand-ins of outside systems for demos: the platform, or a document's endpoints. */
+@Parameters(commandDescription = "Run stand-ins for demos: platform, endpoints")
+final class StandInCommand implements Command {
+  private static final Duration WEIGHT_TIMEOUT = Duration.ofMinutes(2);
+  private static final int WEIGHT_CONNECTIONS = 256;
+  private static final long ADAPTER_LOAD_MS = 10;
+  private static final long LIST_LAG_MS = 1_000;
+
+  @Parameter(description = "platform|endpoints", required = true)
+  private List<String> kind = new ArrayList<>();
+
+  @Parameter(names = "--address", description = "Where the platform stand-in listens")
+  private String address = "127.0.0.1:7000";
+
+  @Parameter(
+      names = "--instance",
+      description = "ID=CALLER-ADDRESS=PEER-ADDRESS of an instance that the list may show")
+  private List<String> instances = new ArrayList<>();
+
+  @Parameter(names = "--reads-per-second", description = "Table reads a second")
+  private double readsPerSecond = 2_000;
+
+  @Parameter(names = "--writes-per-second", description = "Table writes a second")
+  private double writesPerSecond = 400;
+
+  @Parameter(names = "--loads-per-second", description = "Weight loads a second")
+  private double loadsPerSecond = 1;
+
+  @Parameter(names = "--loads-at-once", description = "Weight loads at full speed at once")
+  private int loadsAtOnce = 9;
+
+  @Parameter(names = "--document", description = "Document whose endpoints are stood in for")
+  private String documentFile;
+
+  @Parameter(names = "--platform", description = "Address of the platform, for weights")
+  private String platform = "127.0.0.1:7000";
+
+  @Override
+  public int run() throws InterruptedException {
+    Logs.install("info");
+    List<Service> services =
+        switch (kind.getFirst()) {
+          case "platform" -> List.of(platformStandIn());
+          case "endpoints" -> endpointStandIns();
+          default -> List.of();
+        };
+    if (services.isEmpty()) {
+      System.err.println("magnoliavale: no such stand-in: " + kind.getFirst());
+      return USAGE;
+    }
+    services.forEach(Service::start);
+    new CountDownLatch(1).await();
+    return SUCCESS;
+  }
+
+  private Service platformStandIn() {
+    List<ListedInstances.Watched> watched = new ArrayList<>();
+    for (String instance : instances) {
+      String[] parts = instance.split("=");
+      watched.add(new ListedInstances.Watched(parts[0], parts[1], parts[2]));
+    }
+    return new PlatformStandIn(
+        Values.address(address),
+        new PlatformLimits(readsPerSecond, writesPerSecond, loadsPerSecond, loadsAtOnce),
+        new ListedInstances(watched, LIST_LAG_MS));
+  }
+
+  private List<Service> endpointStandIns() {
+    Document document = DocumentReader.read(documentFile, Files.read(documentFile), 1);
+    EngineStandIn.WeightLoader weights = weightLoader(Values.address(platform));
+    Map<PoolId, ServiceStandIn.Runs> runs = new HashMap<>();
+    List<Service> services = new ArrayList<>();
+    for (Endpoint endpoint : document.endpoints().values()) {
+      boolean engine = document.pools().get(endpoint.pool()).engines();
+      services.add(
+          engine
+              ? EngineStandIn.of(endpoint, weights)
+              : ServiceStandIn.of(
+                  endpoint,
+                  runs.computeIfAbsent(endpoint.pool(), ignored -> new ServiceStandIn.Runs())));
+    }
+    return services;
+  }
+
+  private static EngineStandIn.WeightLoader weightLoader(InetSocketAddress platform) {
+    HttpClient http =
+        HttpClients.create("weights", WEIGHT_CONNECTIONS, WEIGHT_TIMEOUT, WEIGHT_TIMEOUT);
+    HttpClients.start(http);
+    JsonClient client = JsonClient.of(http);
+    return artifact -> {
+      if (artifact.contains(":")) {
+        sleep(ADAPTER_LOAD_MS);
+      } else {
+        client.get(platform, "/weights", WEIGHT_TIMEOUT);
+      }
+    };
+  }
+
+  private static void sleep(long milliseconds) {
+    try {
+      Thread.sleep(milliseconds);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one class for each subcommand. */
+package org.magnoliavale.internal.command;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/control/ControlLoop.java
@@ -0,0 +1,170 @@
+package org.magnoliavale.internal.control;
+
+import java.time.InstantSource;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.jboss.logging.Logger;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.engine.EngineControl;
+import org.magnoliavale.internal.engine.OrderAnswer;
+import org.magnoliavale.internal.identifier.PoolId;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.platform.Table;
+import org.magnoliavale.internal.platform.TableCall;
+import org.magnoliavale.internal.routing.ResidencyView;
+
+/**
+ * The one thread that owns the control state. It feeds events to the core and has its actions done
+ * on other threads, whose outcomes come back as events.
+ */
+public final class ControlLoop implements Service {
+  private static final long TICK_MS = 50;
+  private static final long STOP_TIMEOUT_MS = 3_000;
+  private static final long QUERY_TIMEOUT_MS = 2_000;
+
+  private sealed interface Item {
+    record Event(ControlEvent event) implements Item {}
+
+    record Query(Runnable task) implements Item {}
+  }
+
+  private final ControlCore core;
+  private final Table table;
+  private final EngineControl engines;
+  private final InstantSource clock;
+  private final Consumer<ResidencyView> publisher;
+  private final BlockingQueue<Item> queue = new LinkedBlockingQueue<>();
+  private final Thread thread;
+  private volatile boolean running;
+
+  /** Returns a loop that is not started yet; {@code publisher} gets each residency view. */
+  public ControlLoop(
+      ControlCore core,
+      Table table,
+      EngineControl engines,
+      InstantSource clock,
+      Consumer<ResidencyView> publisher) {
+    this.core = core;
+    this.table = table;
+    this.engines = engines;
+    this.clock = clock;
+    this.publisher = publisher;
+    this.thread = Thread.ofPlatform().name("control").unstarted(this::run);
+  }
+
+  @Override
+  public void start() {
+    running = true;
+    thread.start();
+  }
+
+  @Override
+  public void stop() {
+    post(new ControlEvent.StopRequested());
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STOP_TIMEOUT_MS);
+    while (!heldPoolsAreGone() && System.nanoTime() < end) {
+      pause();
+    }
+    running = false;
+    try {
+      thread.join(STOP_TIMEOUT_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Hands an event to the control thread. */
+  public void post(ControlEvent event) {
+    queue.add(new Item.Event(event));
+  }
+
+  /** Asks the control thread a question and waits for its answer. */
+  public <T> T query(Function<ControlCore, T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    queue.add(new Item.Query(() -> answer.complete(question.apply(core))));
+    try {
+      return answer.get(QUERY_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IllegalStateException("the control thread does not answer", e);
+    }
+  }
+
+  /** Returns the events that wait for the control thread. */
+  public int backlog() {
+    return queue.size();
+  }
+
+  private boolean heldPoolsAreGone() {
+    return query(state -> state.heldPools(clock.millis())).isEmpty();
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(TICK_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void run() {
+    long nextTick = clock.millis();
+    while (running) {
+      try {
+        long wait = Math.max(0, nextTick - clock.millis());
+        Item item = queue.poll(wait, TimeUnit.MILLISECONDS);
+        switch (item) {
+          case null -> {
+            nextTick = clock.millis() + TICK_MS;
+            handle(new ControlEvent.Tick());
+          }
+          case Item.Event(ControlEvent event) -> handle(event);
+          case Item.Query(Runnable task) -> task.run();
+        }
+      } catch (InterruptedException e) {
+        return;
+      } catch (RuntimeException e) {
+        Logs.of("control").error("Control event failed.", e);
+      }
+    }
+  }
+
+  private void handle(ControlEvent event) {
+    core.handle(event, clock.millis()).forEach(this::perform);
+  }
+
+  private void perform(ControlAction action) {
+    switch (action) {
+      case ControlAction.CallTable(PoolId pool, var kind, TableCall call) ->
+          Thread.startVirtualThread(
+              () -> post(new ControlEvent.TableAnswered(pool, kind, call.make(table))));
+      case ControlAction.SendOrder order -> Thread.startVirtualThread(() -> send(order));
+      case ControlAction.Publish(ResidencyView view) -> publisher.accept(view);
+      case ControlAction.Log(String part, String line) -> logger(part).info(line);
+    }
+  }
+
+  private void send(ControlAction.SendOrder action) {
+    // The process may have been paused since the decision, so the clock is read again.
+    boolean late = clock.millis() >= action.order().notAfterMs();
+    OrderAnswer answer =
+        late
+            ? new OrderAnswer.NotSent("too late")
+            : engines.send(action.endpoint(), action.order());
+    post(
+        new ControlEvent.OrderAnswered(
+            action.pool(), action.endpoint().id(), action.order().transmission(), answer));
+  }
+
+  private static Logger logger(String part) {
+    return Logs.of(part);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/control/ReportPoller.java
@@ -0,0 +1,92 @@
+package org.magnoliavale.internal.control;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.document.Document;
+import org.magnoliavale.internal.document.Endpoint;
+import org.magnoliavale.internal.engine.EngineControl;
+import org.magnoliavale.internal.engine.EngineReport;
+import org.magnoliavale.internal.identifier.EndpointId;
+import org.magnoliavale.internal.routing.EndpointLoads;
+
+/** Reads each endpoint's report again and again and passes it to routing and to control. */
+public final class ReportPoller implements Service {
+  private final EngineControl engines;
+  private final EndpointLoads loads;
+  private final ControlLoop control;
+  private final InstantSource clock;
+  private final Duration interval;
+  private final Map<EndpointId, Thread> threads = new ConcurrentHashMap<>();
+  private volatile Document document = Document.EMPTY;
+  private volatile boolean stopped;
+
+  /** Returns a poller that polls nothing until it is given a document. */
+  public ReportPoller(
+      EngineControl engines,
+      EndpointLoads loads,
+      ControlLoop control,
+      InstantSource clock,
+      Duration interval) {
+    this.engines = engines;
+    this.loads = loads;
+    this.control = control;
+    this.clock = clock;
+    this.interval = interval;
+  }
+
+  @Override
+  public void start() {
+    // Polling begins with the first document.
+  }
+
+  @Override
+  public void stop() {
+    stopped = true;
+    threads.values().forEach(Thread::interrupt);
+  }
+
+  /** Polls the endpoints of a document from now on. */
+  public synchronized void follow(Document newDocument) {
+    document = newDocument;
+    Set<EndpointId> wanted = newDocument.endpoints().keySet();
+    for (EndpointId endpoint : wanted) {
+      threads.computeIfAbsent(
+          endpoint, id -> Thread.ofVirtual().name("report-" + id).start(() -> pollLoop(id)));
+    }
+    threads.keySet().retainAll(wanted);
+  }
+
+  private void pollLoop(EndpointId id) {
+    try {
+      // Spreads the polls of many endpoints over the interval.
+      Thread.sleep(ThreadLocalRandom.current().nextLong(interval.toMillis() + 1));
+      while (!stopped) {
+        Endpoint endpoint = document.endpoints().get(id);
+        if (endpoint == null) {
+          return;
+        }
+        poll(endpoint);
+        Thread.sleep(interval);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void poll(Endpoint endpoint) {
+    long askedAt = clock.millis();
+    Optional<EngineReport> report = engines.report(endpoint);
+    if (report.isPresent()) {
+      loads.of(endpoint.id()).report(report.get(), System.nanoTime());
+      control.post(new ControlEvent.ReportRead(endpoint.id(), report.get(), askedAt));
+    } else {
+      control.post(new ControlEvent.ReportMissed(endpoint.id()));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/document/DocumentStore.java
@@ -0,0 +1,195 @@
+package org.magnoliavale.internal.document;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.jboss.logging.Logger;
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.Finding;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.json.Json;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.platform.Row;
+import org.magnoliavale.internal.platform.Table;
+import org.magnoliavale.internal.platform.TableAnswer;
+import org.magnoliavale.internal.platform.Transaction;
+
+/**
+ * The document in the platform's table.
+ *
+ * <p>Every change writes the head row, so that racing changes are put in order by the table. A
+ * change whose answer was lost is recognised in the head by its id when it is tried again.
+ */
+public final class DocumentStore {
+  private static final Logger LOG = Logs.of("document");
+  private static final String ROOT = "document/";
+  private static final String HEAD = ROOT + "head";
+  private static final String SECTION = ROOT + "section/";
+  private static final String CHANGE = "document-change/";
+  private static final int TRIES = 6;
+  private static final int REMEMBERED_CHANGES = 64;
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+
+  private record Snapshot(long headRow, DocumentHead head, DocumentText text) {}
+
+  private final Table table;
+  private final InstantSource clock;
+
+  private DocumentStore(Table table, InstantSource clock) {
+    this.table = table;
+    this.clock = clock;
+  }
+
+  /** Returns a store over {@code table}. */
+  public static DocumentStore of(Table table, InstantSource clock) {
+    return new DocumentStore(table, clock);
+  }
+
+  /** Returns the version that the table holds, or nothing if the table does not answer. */
+  public Optional<Long> readVersion() {
+    return switch (table.read(List.of(HEAD))) {
+      case TableAnswer.Done done -> Optional.of(headOf(done).version());
+      case TableAnswer.Refused ignored -> Optional.empty();
+      case TableAnswer.Unknown ignored -> Optional.empty();
+      case TableAnswer.Unavailable ignored -> Optional.empty();
+    };
+  }
+
+  /** Returns the whole document that the table holds, or nothing if the table does not answer. */
+  public Optional<DocumentText> readText() {
+    return readSnapshot().map(Snapshot::text);
+  }
+
+  /** Returns the accepted changes, oldest first. */
+  public List<DocumentChange> history() {
+    if (!(table.scan(CHANGE) instanceof TableAnswer.Done(List<Row> rows))) {
+      throw unavailable();
+    }
+    return rows.stream().map(row -> parse(row, DocumentChange.class)).toList();
+  }
+
+  /**
+   * Applies an edit and returns the document that contains it.
+   *
+   * @throws MagnoliavaleException with all findings if the document would be invalid, with the
+   *     current revision if a section changed since it was read, or if the editor does not own a
+   *     section; in all these cases nothing is changed
+   */
+  public DocumentText apply(DocumentEdit edit) {
+    for (int attempt = 0; attempt < TRIES; attempt++) {
+      Snapshot before = readSnapshot().orElseThrow(DocumentStore::unavailable);
+      if (before.head().changeIds().contains(edit.changeId())) {
+        return before.text();
+      }
+      DocumentText after = check(edit, before);
+      TableAnswer answer = table.commit(transaction(edit, before, after));
+      if (answer instanceof TableAnswer.Done) {
+        LOG.infof(
+            "Change accepted. version=%d by=%s sections=%s change=%s",
+            after.version(), edit.editor().displayName(), edit.headings(), edit.changeId());
+        return after;
+      }
+      // Refused: another change came first. Unknown: the next read shows whether it took effect.
+      LOG.infof("Change not yet accepted. change=%s answer=%s", edit.changeId(), answer);
+    }
+    throw unavailable();
+  }
+
+  private DocumentText check(DocumentEdit edit, Snapshot before) {
+    EditRules.checkOwners(edit, before.text());
+    EditRules.checkRevisions(edit, before.text());
+    long version = before.head().version() + 1;
+    List<StoredSection> written = new ArrayList<>();
+    for (StoredSection section : edit.written()) {
+      written.add(new StoredSection(section.heading(), version, section.text()));
+    }
+    DocumentText after = before.text().with(version, written);
+    for (String heading : edit.deleted()) {
+      after = after.without(version, heading);
+    }
+    List<Finding> findings = DocumentReader.check("document", after.text());
+    if (!findings.isEmpty()) {
+      throw MagnoliavaleException.ofFindings(findings);
+    }
+    return after;
+  }
+
+  private Transaction transaction(DocumentEdit edit, Snapshot before, DocumentText after) {
+    Map<String, Long> revisions = new TreeMap<>();
+    after.sections().forEach(section -> revisions.put(section.heading(), section.revision()));
+    List<String> changeIds = new ArrayList<>(before.head().changeIds());
+    changeIds.add(edit.changeId());
+    int surplus = Math.max(0, changeIds.size() - REMEMBERED_CHANGES);
+    DocumentHead head =
+        new DocumentHead(after.version(), revisions, changeIds.subList(surplus, changeIds.size()));
+    Transaction.Builder transaction = Transaction.builder().require(HEAD, before.headRow());
+    transaction.write(HEAD, Json.text(head));
+    for (StoredSection section : edit.written()) {
+      StoredSection stored = after.section(section.heading()).orElseThrow();
+      transaction.write(SECTION + stored.heading(), Json.text(stored));
+    }
+    edit.deleted().forEach(heading -> transaction.delete(SECTION + heading));
+    DocumentChange change =
+        new DocumentChange(
+            after.version(),
+            edit.headings(),
+            edit.editor().displayName(),
+            edit.changeId(),
+            clock.millis());
+    return transaction
+        .write(CHANGE + "%012d".formatted(after.version()), Json.text(change))
+        .build();
+  }
+
+  private Optional<Snapshot> readSnapshot() {
+    for (int attempt = 0; attempt < TRIES; attempt++) {
+      if (table.scan(ROOT) instanceof TableAnswer.Done done) {
+        DocumentHead head = headOf(done);
+        List<StoredSection> sections = sectionsOf(done);
+        if (agrees(head, sections)) {
+          DocumentText text = new DocumentText(head.version(), sections);
+          return Optional.of(new Snapshot(done.version(HEAD), head, text));
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static List<StoredSection> sectionsOf(TableAnswer.Done done) {
+    return done.rows().stream()
+        .filter(row -> row.key().startsWith(SECTION))
+        .map(row -> parse(row, StoredSection.class))
+        .toList();
+  }
+
+  /** A scan may see rows of two commits; the head tells which ones belong together. */
+  private static boolean agrees(DocumentHead head, List<StoredSection> sections) {
+    Map<String, Long> found = new TreeMap<>();
+    sections.forEach(section -> found.put(section.heading(), section.revision()));
+    return found.equals(head.revisions());
+  }
+
+  private static DocumentHead headOf(TableAnswer.Done done) {
+    return done.row(HEAD).map(row -> parse(row, DocumentHead.class)).orElse(DocumentHead.NONE);
+  }
+
+  private static <T> T parse(Row row, Class<T> type) {
+    try {
+      return Json.read(row.value(), type);
+    } catch (IOException e) {
+      throw MagnoliavaleException.of(
+          ErrorCode.INTERNAL, "row " + row.key() + " is malformed: " + e.getMessage());
+    }
+  }
+
+  private static MagnoliavaleException unavailable() {
+    return MagnoliavaleException.of(
+            ErrorCode.PLATFORM_UNAVAILABLE, "the platform's table does not answer")
+        .withRetryAfter(RETRY_AFTER);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/document/FitRules.java
@@ -0,0 +1,55 @@
+package org.magnoliavale.internal.document;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.magnoliavale.Finding;
+
+/** Checks that every model of a pool fits into the memory of its endpoints at once. */
+final class FitRules {
+  private FitRules() {}
+
+  static void check(String file, Document document, List<Finding> findings) {
+    for (Pool pool : document.pools().values()) {
+      if (pool.engines()) {
+        checkPool(file, document, pool, findings);
+      }
+    }
+  }
+
+  /** Packs the models, largest first, into the endpoint with the most room. */
+  private static void checkPool(String file, Document document, Pool pool, List<Finding> findings) {
+    List<Long> room = new ArrayList<>();
+    for (Endpoint endpoint : document.endpointsOf(pool.id())) {
+      if (!endpoint.leaving()) {
+        room.add(endpoint.placeableBytes());
+      }
+    }
+    List<Model> models = new ArrayList<>(document.modelsOf(pool.id()));
+    models.sort(Comparator.comparingLong(Model::bytesWithAdapters).reversed());
+    long shortfall = 0;
+    for (Model model : models) {
+      for (int replica = 0; replica < model.minimumReplicas(); replica++) {
+        shortfall += pack(model.bytesWithAdapters(), room);
+      }
+    }
+    if (shortfall > 0) {
+      String message = "models do not fit its endpoints; " + shortfall + " bytes are missing";
+      findings.add(new Finding(file, 0, "pool " + pool.id(), "", message));
+    }
+  }
+
+  private static long pack(long bytes, List<Long> room) {
+    int best = -1;
+    for (int i = 0; i < room.size(); i++) {
+      if (best < 0 || room.get(i) > room.get(best)) {
+        best = i;
+      }
+    }
+    if (best < 0 || room.get(best) < bytes) {
+      return best < 0 ? bytes : bytes - room.get(best);
+    }
+    room.set(best, room.get(best) - bytes);
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/document/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration document: its sections, checks, storage and history. */
+package org.magnoliavale.internal.document;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/engine/HttpEngineControl.java
@@ -0,0 +1,67 @@
+package org.magnoliavale.internal.engine;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import org.magnoliavale.internal.document.Endpoint;
+import org.magnoliavale.internal.http.JsonAnswer;
+import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.json.Json;
+
+/** Orders and reports over HTTP. */
+public final class HttpEngineControl implements EngineControl {
+  /** Path of the report. */
+  public static final String REPORT_PATH = "/engine/report";
+
+  /** Path that takes orders. */
+  public static final String ORDERS_PATH = "/engine/orders";
+
+  private static final int OK = 200;
+  private static final int ACCEPTED = 202;
+  private static final int CLIENT_ERROR = 400;
+
+  private final JsonClient client;
+  private final Duration timeout;
+
+  private HttpEngineControl(JsonClient client, Duration timeout) {
+    this.client = client;
+    this.timeout = timeout;
+  }
+
+  /** Returns a control that waits at most {@code timeout} for an answer. */
+  public static HttpEngineControl of(JsonClient client, Duration timeout) {
+    return new HttpEngineControl(client, timeout);
+  }
+
+  @Override
+  public Optional<EngineReport> report(Endpoint endpoint) {
+    JsonAnswer answer = client.get(endpoint.address(), REPORT_PATH, timeout);
+    if (answer instanceof JsonAnswer.Answered(int status, byte[] body) && status == OK) {
+      try {
+        return Optional.of(Json.read(body, EngineReport.class));
+      } catch (IOException e) {
+        return Optional.empty();
+      }
+    }
+    return Optional.empty();
+  }
+
+  @Override
+  public OrderAnswer send(Endpoint endpoint, EngineOrder order) {
+    return switch (client.post(endpoint.address(), ORDERS_PATH, order, timeout)) {
+      case JsonAnswer.Answered(int status, byte[] ignored) -> answered(status);
+      case JsonAnswer.Lost(String reason) -> new OrderAnswer.Unknown(reason);
+      case JsonAnswer.NotSent(String reason) -> new OrderAnswer.NotSent(reason);
+    };
+  }
+
+  private static OrderAnswer answered(int status) {
+    if (status == OK || status == ACCEPTED) {
+      return new OrderAnswer.Accepted();
+    }
+    boolean refused = status >= CLIENT_ERROR && status < 500;
+    return refused
+        ? new OrderAnswer.Refused("status " + status)
+        : new OrderAnswer.Unknown("status " + status);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/http/JsonClient.java
@@ -0,0 +1,85 @@
+package org.magnoliavale.internal.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpMethod;
+import org.magnoliavale.internal.json.Json;
+
+/**
+ * Short JSON calls of the control side. A call blocks until it is answered or its time is over, and
+ * its answer says whether anything can have reached the other end.
+ */
+public final class JsonClient {
+  private final HttpClient client;
+
+  private JsonClient(HttpClient client) {
+    this.client = client;
+  }
+
+  /** Returns a client that sends through a started {@code client}. */
+  public static JsonClient of(HttpClient client) {
+    return new JsonClient(client);
+  }
+
+  /** Sends a GET. */
+  public JsonAnswer get(InetSocketAddress address, String path, Duration timeout) {
+    return send(request(HttpMethod.GET.asString(), address, path), timeout);
+  }
+
+  /** Sends a POST with {@code body} as JSON. */
+  public JsonAnswer post(InetSocketAddress address, String path, Object body, Duration timeout) {
+    Request request = request(HttpMethod.POST.asString(), address, path);
+    request.body(new BytesRequestContent("application/json", Json.bytes(body)));
+    return send(request, timeout);
+  }
+
+  /** Sends any method with headers and a body that is already encoded. */
+  public JsonAnswer send(
+      String method,
+      InetSocketAddress address,
+      String path,
+      Map<String, String> headers,
+      byte[] body,
+      Duration timeout) {
+    Request request = request(method, address, path);
+    request.headers(fields -> headers.forEach(fields::put));
+    if (body.length > 0) {
+      request.body(new BytesRequestContent("application/json", body));
+    }
+    return send(request, timeout);
+  }
+
+  private Request request(String method, InetSocketAddress address, String path) {
+    return client.newRequest("http://" + HttpAddresses.text(address) + path).method(method);
+  }
+
+  private static JsonAnswer send(Request request, Duration timeout) {
+    AtomicBoolean begun = new AtomicBoolean();
+    request.onRequestBegin(ignored -> begun.set(true));
+    request.timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    try {
+      ContentResponse response = request.send();
+      return new JsonAnswer.Answered(response.getStatus(), response.getContent());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return failed(begun.get(), e);
+    } catch (ExecutionException | TimeoutException e) {
+      return failed(begun.get(), e);
+    }
+  }
+
+  private static JsonAnswer failed(boolean begun, Exception failure) {
+    Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+    String reason = cause.getClass().getSimpleName();
+    return begun ? new JsonAnswer.Lost(reason) : new JsonAnswer.NotSent(reason);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/identifier/AdapterId.java
@@ -0,0 +1,19 @@
+package org.magnoliavale.internal.identifier;
+
+/** Names an adapter of a model. */
+public record AdapterId(String value) implements Comparable<AdapterId> {
+  /** Checks the name. */
+  public AdapterId {
+    IdentifierRules.check("AdapterId", value);
+  }
+
+  @Override
+  public int compareTo(AdapterId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/identifier/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for names. */
+package org.magnoliavale.internal.identifier;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/ini/Schema.java
@@ -0,0 +1,81 @@
+package org.magnoliavale.internal.ini;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliavale.Finding;
+import org.magnoliavale.internal.identifier.IdentifierRules;
+
+/**
+ * The sections and keys that a configuration text may hold.
+ *
+ * @param sections one definition a kind of section
+ */
+public record Schema(List<SectionDefinition> sections) {
+  /** Takes a copy of the definitions. */
+  public Schema {
+    sections = List.copyOf(sections);
+  }
+
+  /** Returns the definition of a kind of section. */
+  public Optional<SectionDefinition> section(String kind) {
+    return sections.stream().filter(section -> section.kind().equals(kind)).findFirst();
+  }
+
+  /** Checks every section and key of {@code text} and adds what is wrong to {@code findings}. */
+  public List<CheckedSection> check(IniText text, List<Finding> findings) {
+    List<CheckedSection> checked = new ArrayList<>();
+    Set<String> headings = new HashSet<>();
+    for (IniSection section : text.sections()) {
+      Findings place = new Findings(text.file(), section, findings);
+      if (!headings.add(section.heading())) {
+        place.add("section stands twice");
+      }
+      Optional<SectionDefinition> definition = section(section.kind());
+      if (definition.isEmpty()) {
+        place.add("unknown kind of section '" + section.kind() + "'");
+        continue;
+      }
+      checkSection(definition.get(), section, place);
+      checked.add(new CheckedSection(definition.get(), section, place));
+    }
+    return checked;
+  }
+
+  private static void checkSection(
+      SectionDefinition definition, IniSection section, Findings place) {
+    if (definition.named() && !IdentifierRules.isValid(section.name())) {
+      place.add("heading must be [" + section.kind() + " NAME]");
+    }
+    if (!definition.named() && !section.name().isEmpty()) {
+      place.add("heading must be [" + section.kind() + "] without a name");
+    }
+    Set<String> seen = new HashSet<>();
+    for (IniEntry entry : section.entries()) {
+      checkEntry(definition, entry, seen, place);
+    }
+    for (KeyDefinition key : definition.keys()) {
+      if (key.defaultIfAny().isEmpty() && section.entry(key.name()).isEmpty()) {
+        place.addAtKey(section.line(), key.name(), "key is missing; it has no default");
+      }
+    }
+  }
+
+  private static void checkEntry(
+      SectionDefinition definition, IniEntry entry, Set<String> seen, Findings place) {
+    Optional<KeyDefinition> key = definition.key(entry.key());
+    if (key.isEmpty()) {
+      place.addAtKey(entry.line(), entry.key(), "unknown key");
+      return;
+    }
+    if (!seen.add(entry.key())) {
+      place.addAtKey(entry.line(), entry.key(), "key stands twice");
+    }
+    String fault = key.get().type().fault(entry.value());
+    if (fault != null) {
+      place.addAtKey(entry.line(), entry.key(), fault);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/ini/ValueType.java
@@ -0,0 +1,86 @@
+package org.magnoliavale.internal.ini;
+
+import java.util.List;
+import java.util.regex.Pattern;
+import org.magnoliavale.internal.identifier.IdentifierRules;
+
+/** The types that a key's value may have. Each checks a text and says what it expects. */
+public sealed interface ValueType {
+  /** A whole number within a range, ends included. */
+  record WholeNumber(long minimum, long maximum) implements ValueType {}
+
+  /** A decimal number within a range, ends included. */
+  record Decimal(double minimum, double maximum) implements ValueType {}
+
+  /** {@code true} or {@code false}. */
+  record Flag() implements ValueType {}
+
+  /** A name by the rules of identifiers. */
+  record Name() implements ValueType {}
+
+  /** Names separated by commas, possibly none. */
+  record Names() implements ValueType {}
+
+  /** {@code address:port} with a numeric address. */
+  record Address() implements ValueType {}
+
+  /** Addresses separated by commas, possibly none. */
+  record Addresses() implements ValueType {}
+
+  /** One of a few words. */
+  record Choice(List<String> words) implements ValueType {}
+
+  /** Any text that matches a pattern. */
+  record Text(String expectation, Pattern pattern) implements ValueType {}
+
+  /** Returns null if {@code value} is of this type, else what was expected. */
+  default String fault(String value) {
+    boolean valid =
+        switch (this) {
+          case WholeNumber(long minimum, long maximum) -> isWholeNumber(value, minimum, maximum);
+          case Decimal(double minimum, double maximum) -> isDecimal(value, minimum, maximum);
+          case Flag() -> value.equals("true") || value.equals("false");
+          case Name() -> IdentifierRules.isValid(value);
+          case Names() -> Values.split(value).stream().allMatch(IdentifierRules::isValid);
+          case Address() -> Values.isAddress(value);
+          case Addresses() -> Values.split(value).stream().allMatch(Values::isAddress);
+          case Choice(List<String> words) -> words.contains(value);
+          case Text(String ignored, Pattern pattern) -> pattern.matcher(value).matches();
+        };
+    return valid ? null : "expected " + expectation() + ", but was '" + value + "'";
+  }
+
+  /** Returns what a value must look like, for findings and the reference page. */
+  default String expectation() {
+    return switch (this) {
+      case WholeNumber(long minimum, long maximum) ->
+          "a whole number from " + minimum + " to " + maximum;
+      case Decimal(double minimum, double maximum) -> "a number from " + minimum + " to " + maximum;
+      case Flag() -> "true or false";
+      case Name() -> "a name";
+      case Names() -> "names separated by commas";
+      case Address() -> "a numeric address and port";
+      case Addresses() -> "numeric addresses and ports separated by commas";
+      case Choice(List<String> words) -> "one of " + String.join(", ", words);
+      case Text(String expectation, Pattern ignored) -> expectation;
+    };
+  }
+
+  private static boolean isWholeNumber(String value, long minimum, long maximum) {
+    try {
+      long number = Long.parseLong(value);
+      return number >= minimum && number <= maximum;
+    } catch (NumberFormatException e) {
+      return false;
+    }
+  }
+
+  private static boolean isDecimal(String value, double minimum, double maximum) {
+    try {
+      double number = Double.parseDouble(value);
+      return number >= minimum && number <= maximum;
+    } catch (NumberFormatException e) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/ini/package-info.java
@@ -0,0 +1,2 @@
+/** Checked INI texts: schema, findings with their places, and reference pages. */
+package org.magnoliavale.internal.ini;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/instance/Instance.java
@@ -0,0 +1,264 @@
+package org.magnoliavale.internal.instance;
+
+import com.codahale.metrics.Gauge;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Server;
+import org.jboss.logging.Logger;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.control.ControlCore;
+import org.magnoliavale.internal.control.ControlEvent;
+import org.magnoliavale.internal.control.ControlLoop;
+import org.magnoliavale.internal.control.ControlOptions;
+import org.magnoliavale.internal.control.ReportPoller;
+import org.magnoliavale.internal.document.Document;
+import org.magnoliavale.internal.document.DocumentFollower;
+import org.magnoliavale.internal.document.DocumentHolder;
+import org.magnoliavale.internal.document.DocumentStore;
+import org.magnoliavale.internal.engine.EngineControl;
+import org.magnoliavale.internal.engine.HttpEngineControl;
+import org.magnoliavale.internal.http.HttpClients;
+import org.magnoliavale.internal.http.HttpServers;
+import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.lease.LeaseTimes;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.metrics.InstanceMetrics;
+import org.magnoliavale.internal.operator.DocumentCalls;
+import org.magnoliavale.internal.operator.OperatorHandler;
+import org.magnoliavale.internal.operator.StatusSource;
+import org.magnoliavale.internal.placement.Planner;
+import org.magnoliavale.internal.platform.HttpPlatform;
+import org.magnoliavale.internal.routing.EndpointLoads;
+import org.magnoliavale.internal.routing.Router;
+import org.magnoliavale.internal.routing.RoutingSnapshot;
+import org.magnoliavale.internal.routing.SnapshotBuilder;
+import org.magnoliavale.internal.settings.Settings;
+import org.magnoliavale.internal.traffic.CallerHandler;
+import org.magnoliavale.internal.traffic.DecisionMemory;
+import org.magnoliavale.internal.traffic.DemandCounter;
+import org.magnoliavale.internal.traffic.EndpointClient;
+import org.magnoliavale.internal.traffic.Forwarder;
+import org.magnoliavale.internal.traffic.OrderDesk;
+import org.magnoliavale.internal.traffic.Readiness;
+import org.magnoliavale.internal.traffic.RequestGate;
+import org.magnoliavale.internal.traffic.RetryBudget;
+import org.magnoliavale.internal.traffic.Routing;
+
+/** One instance: puts its parts together, starts them, and stops them gracefully. */
+public final class Instance implements Service, StatusSource {
+  private static final Logger LOG = Logs.of("instance");
+  private static final int CONTROL_CONNECTIONS = 64;
+  private static final Duration ENGINE_CONTROL_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration DEMAND_INTERVAL = Duration.ofSeconds(1);
+
+  private final Settings settings;
+  private final InstantSource clock;
+  private final String incarnation;
+  private final HttpClient controlClient;
+  private final EndpointClient endpointClient;
+  private final DocumentHolder documents = DocumentHolder.create();
+  private final DocumentFollower follower;
+  private final EndpointLoads loads = new EndpointLoads();
+  private final SnapshotBuilder snapshots;
+  private final ControlLoop control;
+  private final ReportPoller poller;
+  private final DemandCounter demand = new DemandCounter();
+  private final RequestGate gate;
+  private final Readiness readiness = new Readiness();
+  private final Server callerServer;
+  private final Server operatorServer;
+  private final InstanceMetrics metrics = new InstanceMetrics();
+  private volatile RoutingSnapshot snapshot = RoutingSnapshot.EMPTY;
+  private volatile boolean stopped;
+  private int callerPort;
+  private int operatorPort;
+
+  private Instance(InstanceOptions options) {
+    settings = options.settings();
+    clock = options.clock();
+    incarnation = settings.instance().id() + "/" + UUID.randomUUID().toString().substring(0, 8);
+    controlClient =
+        HttpClients.create(
+            "control",
+            CONTROL_CONNECTIONS,
+            settings.engine().connectTimeout(),
+            settings.engine().idleConnection());
+    JsonClient json = JsonClient.of(controlClient);
+    HttpPlatform platform =
+        HttpPlatform.of(json, settings.platform().address(), settings.platform().timeout());
+    DocumentStore store = DocumentStore.of(platform, clock);
+    follower =
+        new DocumentFollower(
+            store, documents, settings.platform().documentPoll(), this::liveInstances);
+    EngineControl engines = HttpEngineControl.of(json, ENGINE_CONTROL_TIMEOUT);
+    snapshots = new SnapshotBuilder(loads, settings.instance().dataCentre());
+    control =
+        new ControlLoop(
+            new ControlCore(controlOptions(), newRandom()),
+            platform,
+            engines,
+            clock,
+            view -> snapshot = snapshots.build(view));
+    poller = new ReportPoller(engines, loads, control, clock, settings.engine().reportInterval());
+    endpointClient = EndpointClient.of(settings.engine());
+    gate = new RequestGate(settings.caller().maximumRequests());
+    DecisionMemory decisions = new DecisionMemory();
+    Routing routing =
+        new Routing(
+            Router.of(options.routingPolicy()),
+            () -> snapshot,
+            ThreadLocalRandom::current,
+            decisions);
+    Forwarder forwarder =
+        new Forwarder(endpointClient, settings.engine(), routing, new RetryBudget());
+    callerServer = callerServer(forwarder);
+    DocumentCalls documentCalls =
+        new DocumentCalls(store, documents, settings.operator().administratorTokenHash());
+    operatorServer =
+        HttpServers.create(
+            "operator",
+            settings.operator().address(),
+            settings.caller().maximumHeaderBytes(),
+            settings.caller().idleTimeout(),
+            new OperatorHandler(documentCalls, metrics, decisions, this));
+    documents.addListener(text -> documentInForce(text.toDocument()));
+    registerMetrics();
+  }
+
+  /** Returns an instance that is not started yet. */
+  public static Instance create(InstanceOptions options) {
+    return new Instance(options);
+  }
+
+  private ControlOptions controlOptions() {
+    LeaseTimes times = LeaseTimes.of(settings.platform().lease(), settings.platform().clockDrift());
+    return new ControlOptions(
+        incarnation, times, settings.platform().clockDrift().toMillis(), new Planner());
+  }
+
+  private static RandomGenerator newRandom() {
+    return RandomGeneratorFactory.of("L64X128MixRandom").create();
+  }
+
+  private Server callerServer(Forwarder forwarder) {
+    OrderDesk orders = new SingleAttemptDesk(forwarder);
+    return HttpServers.create(
+        "caller",
+        settings.caller().address(),
+        settings.caller().maximumHeaderBytes(),
+        settings.caller().idleTimeout(),
+        new CallerHandler(settings.caller(), forwarder, orders, demand, gate, readiness));
+  }
+
+  private void registerMetrics() {
+    metrics.registry().register("requests_in_progress", (Gauge<Integer>) gate::inProgress);
+    metrics.registry().register("document_version", (Gauge<Long>) documents::version);
+    metrics.registry().register("control_backlog", (Gauge<Integer>) control::backlog);
+  }
+
+  private void documentInForce(Document document) {
+    control.post(new ControlEvent.DocumentInForce(document));
+    poller.follow(document);
+    readiness.set(!stopped);
+  }
+
+  private int liveInstances() {
+    return 1;
+  }
+
+  @Override
+  public void start() {
+    HttpClients.start(controlClient);
+    endpointClient.start();
+    control.start();
+    operatorPort = HttpServers.start(operatorServer);
+    callerPort = HttpServers.start(callerServer);
+    poller.start();
+    follower.start();
+    Thread.ofVirtual().name("demand").start(this::demandLoop);
+    LOG.infof(
+        "Started. incarnation=%s caller=%d operator=%d", incarnation, callerPort, operatorPort);
+  }
+
+  @Override
+  public void stop() {
+    LOG.infof("Stopping. requests=%d", gate.inProgress());
+    stopped = true;
+    readiness.set(false);
+    sleep(settings.caller().drainWait());
+    gate.close();
+    boolean finished = awaitRequests();
+    LOG.infof("Drained. finished=%s", finished);
+    follower.stop();
+    control.stop();
+    poller.stop();
+    HttpServers.stop(callerServer);
+    HttpServers.stop(operatorServer);
+    endpointClient.stop();
+    HttpClients.stop(controlClient);
+    LOG.info("Stopped.");
+  }
+
+  private boolean awaitRequests() {
+    try {
+      return gate.awaitEmpty(settings.caller().drainTimeout());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private void demandLoop() {
+    while (!stopped) {
+      sleep(DEMAND_INTERVAL);
+      TreeMap<org.magnoliavale.internal.identifier.ModelId, Double> rates = new TreeMap<>();
+      double seconds = DEMAND_INTERVAL.toMillis() / 1_000.0;
+      demand.drain().forEach((model, count) -> rates.put(model, count / seconds));
+      control.post(new ControlEvent.DemandMeasured(rates));
+    }
+  }
+
+  private static void sleep(Duration duration) {
+    try {
+      Thread.sleep(duration);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Returns the port for callers. */
+  public int callerPort() {
+    return callerPort;
+  }
+
+  /** Returns the port for operators. */
+  public int operatorPort() {
+    return operatorPort;
+  }
+
+  @Override
+  public Object status() {
+    List<String> held =
+        control.query(
+            core -> core.heldPools(clock.millis()).stream().map(Object::toString).toList());
+    return new InstanceStatus(
+        incarnation,
+        documents.version(),
+        readiness.isReady(),
+        gate.inProgress(),
+        snapshot.instances(),
+        held);
+  }
+
+  @Override
+  public Object placement() {
+    return PlacementStatus.of(snapshot);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/instance/package-info.java
@@ -0,0 +1,2 @@
+/** Puts the parts of an instance together, starts and stops them. */
+package org.magnoliavale.internal.instance;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/json/package-info.java
@@ -0,0 +1,2 @@
+/** The one JSON mapper. */
+package org.magnoliavale.internal.json;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Leases in the platform's table. */
+package org.magnoliavale.internal.lease;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/logging/AsynchronousHandler.java
@@ -0,0 +1,86 @@
+package org.magnoliavale.internal.logging;
+
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines on a thread of its own, so that traffic never waits for the log.
+ *
+ * <p>The queue is bounded. Lines that do not fit are dropped and counted, and the count is logged.
+ */
+final class AsynchronousHandler extends Handler {
+  private static final int QUEUE_CAPACITY = 65_536;
+  private static final int BUFFER_BYTES = 65_536;
+  private static final long CLOSE_TIMEOUT_MS = 2_000;
+
+  private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
+  private final LongAdder dropped = new LongAdder();
+  private final OutputStream output;
+  private final Thread writer;
+  private volatile boolean closed;
+
+  AsynchronousHandler(OutputStream output) {
+    this.output = new BufferedOutputStream(output, BUFFER_BYTES);
+    setFormatter(new LineFormatter());
+    writer = Thread.ofPlatform().daemon().name("log-writer").start(this::writeLoop);
+  }
+
+  @Override
+  public void publish(LogRecord record) {
+    if (!isLoggable(record)) {
+      return;
+    }
+    if (!queue.offer(record)) {
+      dropped.increment();
+    }
+  }
+
+  @Override
+  public void flush() {
+    // The writer flushes whenever the queue runs empty.
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    try {
+      writer.join(CLOSE_TIMEOUT_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void writeLoop() {
+    try {
+      while (!closed || !queue.isEmpty()) {
+        LogRecord record = queue.poll(100, TimeUnit.MILLISECONDS);
+        if (record != null) {
+          write(record);
+        }
+        if (queue.isEmpty()) {
+          output.flush();
+        }
+      }
+      output.flush();
+    } catch (InterruptedException | IOException e) {
+      // Nothing is left to report to when the log itself can't be written.
+      closed = true;
+    }
+  }
+
+  private void write(LogRecord record) throws IOException {
+    long lost = dropped.sumThenReset();
+    if (lost > 0) {
+      output.write(("log: dropped lines=" + lost + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+    output.write(getFormatter().format(record).getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Set-up and format of the log. */
+package org.magnoliavale.internal.logging;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/metrics/InstanceMetrics.java
@@ -0,0 +1,62 @@
+package org.magnoliavale.internal.metrics;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.prometheus.client.CollectorRegistry;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.exporter.common.TextFormat;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/** The metrics of one instance and their two forms on the operator port. */
+public final class InstanceMetrics {
+  private final MetricRegistry registry = new MetricRegistry();
+  private final CollectorRegistry exposition = new CollectorRegistry();
+  private final JsonMapper mapper =
+      JsonMapper.builder()
+          .addModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false))
+          .build();
+
+  /** Returns empty metrics. */
+  public InstanceMetrics() {
+    new DropwizardExports(registry).register(exposition);
+  }
+
+  /** Returns the registry, for gauges. */
+  public MetricRegistry registry() {
+    return registry;
+  }
+
+  /** Returns the counter with this name. */
+  public Counter counter(String name) {
+    return registry.counter(name);
+  }
+
+  /** Returns the meter with this name. */
+  public Meter meter(String name) {
+    return registry.meter(name);
+  }
+
+  /** Returns the timer with this name. */
+  public Timer timer(String name) {
+    return registry.timer(name);
+  }
+
+  /** Returns all metrics as JSON. */
+  public byte[] json() throws IOException {
+    return mapper.writeValueAsBytes(registry);
+  }
+
+  /** Returns all metrics in the usual text exposition. */
+  public byte[] text() throws IOException {
+    StringWriter output = new StringWriter();
+    TextFormat.write004(output, exposition.metricFamilySamples());
+    return output.toString().getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/operator/OperatorHandler.java
@@ -0,0 +1,64 @@
+package org.magnoliavale.internal.operator;
+
+import java.io.IOException;
+import java.util.Map;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.http.BlockingHandler;
+import org.magnoliavale.internal.http.Replies;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.metrics.InstanceMetrics;
+import org.magnoliavale.internal.traffic.DecisionMemory;
+
+/** Answers everything that comes in on the port for operators. */
+public final class OperatorHandler extends BlockingHandler {
+  private static final String DOCUMENT_ROOT = "/document";
+  private static final String EXPLAIN_ROOT = "/explain/";
+  private static final int OK = 200;
+
+  private final DocumentCalls documents;
+  private final InstanceMetrics metrics;
+  private final DecisionMemory decisions;
+  private final StatusSource status;
+
+  /** Returns a handler over an instance's parts. */
+  public OperatorHandler(
+      DocumentCalls documents,
+      InstanceMetrics metrics,
+      DecisionMemory decisions,
+      StatusSource status) {
+    super(Logs.of("operator"));
+    this.documents = documents;
+    this.metrics = metrics;
+    this.decisions = decisions;
+    this.status = status;
+  }
+
+  @Override
+  protected void respond(Request request, Response response, Callback callback) throws IOException {
+    String path = Request.getPathInContext(request);
+    if (path.equals(DOCUMENT_ROOT) || path.startsWith(DOCUMENT_ROOT + "/")) {
+      documents.respond(request, response, callback);
+      return;
+    }
+    if (path.startsWith(EXPLAIN_ROOT)) {
+      String requestId = path.substring(EXPLAIN_ROOT.length());
+      Map<String, Object> body =
+          Map.of("request", requestId, "decisions", decisions.explain(requestId));
+      Replies.json(response, callback, body);
+      return;
+    }
+    switch (path) {
+      case "/metrics" ->
+          Replies.write(response, callback, OK, "text/plain; version=0.0.4", metrics.text());
+      case "/metrics.json" ->
+          Replies.write(response, callback, OK, "application/json", metrics.json());
+      case "/status" -> Replies.json(response, callback, status.status());
+      case "/placement" -> Replies.json(response, callback, status.placement());
+      default -> throw MagnoliavaleException.of(ErrorCode.NOT_FOUND, "no such path: " + path);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The port for operators. */
+package org.magnoliavale.internal.operator;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/placement/LoadEstimate.java
@@ -0,0 +1,67 @@
+package org.magnoliavale.internal.placement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.magnoliavale.internal.document.Model;
+import org.magnoliavale.internal.identifier.EndpointId;
+
+/**
+ * Estimates how much demand each endpoint gets when each model's demand is spread over its replicas
+ * in proportion to their speed.
+ */
+final class LoadEstimate {
+  /** Share of its speed up to which an endpoint answers nearly everything in time. */
+  static final double COMFORTABLE_SHARE = 0.8;
+
+  private final PlacementInput input;
+  private final Map<EndpointId, Double> requestsPerSecond = new HashMap<>();
+
+  private LoadEstimate(PlacementInput input) {
+    this.input = input;
+  }
+
+  static LoadEstimate of(Workspace workspace) {
+    LoadEstimate estimate = new LoadEstimate(workspace.input());
+    for (Model model : workspace.input().models()) {
+      estimate.spread(model, workspace.holders(model.weights()), 1);
+    }
+    return estimate;
+  }
+
+  /** Adds ({@code sign} 1) or takes away ({@code sign} -1) a model's demand on its holders. */
+  void spread(Model model, List<Workspace.Place> holders, int sign) {
+    double demand = input.demandOf(model.id());
+    double speed = holders.stream().mapToDouble(LoadEstimate::speed).sum();
+    if (demand == 0 || speed == 0) {
+      return;
+    }
+    for (Workspace.Place place : holders) {
+      double share = sign * demand * speed(place) / speed;
+      requestsPerSecond.merge(place.id(), share, Double::sum);
+    }
+  }
+
+  /** Returns an endpoint's use as a share of its speed. */
+  double utilisation(Workspace.Place place) {
+    return requestsPerSecond.getOrDefault(place.id(), 0.0) / capacity(place);
+  }
+
+  /** Returns the requests a second beyond what the endpoint answers in time. */
+  double excess(Workspace.Place place) {
+    double load = requestsPerSecond.getOrDefault(place.id(), 0.0);
+    return Math.max(0, load - COMFORTABLE_SHARE * capacity(place));
+  }
+
+  double excess(List<Workspace.Place> places) {
+    return places.stream().mapToDouble(this::excess).sum();
+  }
+
+  private double capacity(Workspace.Place place) {
+    return speed(place) / input.tokensPerRequest();
+  }
+
+  private static double speed(Workspace.Place place) {
+    return place.placed().endpoint().tokensPerSecond();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/placement/Planner.java
@@ -0,0 +1,206 @@
+package org.magnoliavale.internal.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.magnoliavale.internal.document.Model;
+import org.magnoliavale.internal.identifier.AdapterId;
+import org.magnoliavale.internal.identifier.ArtifactId;
+import org.magnoliavale.internal.placement.Move.Reason;
+import org.magnoliavale.internal.placement.Workspace.Place;
+
+/**
+ * The placement policy that instances run.
+ *
+ * <p>In this order: every model gets the replicas it must have, those without any first; adapters
+ * follow their models; what the document does not want any more goes, once its successor is ready;
+ * leaving endpoints are emptied once every model is ready elsewhere; and replicas are added where
+ * they answer more requests in time than a move costs. A surplus replica stays until its memory is
+ * needed, so that demand that comes and goes moves nothing.
+ */
+public final class Planner implements PlacementPolicy {
+  /** Time over which a further replica must pay for its move, in seconds. */
+  private static final double HORIZON_SECONDS = 60;
+
+  private static final int MAXIMUM_DEMAND_MOVES = 4;
+
+  @Override
+  public List<Move> plan(PlacementInput input) {
+    Workspace workspace = new Workspace(input);
+    removeUnwanted(workspace);
+    restoreReplicas(workspace);
+    loadAdapters(workspace);
+    emptyLeavingEndpoints(workspace);
+    followDemand(workspace);
+    return workspace.moves();
+  }
+
+  private static void removeUnwanted(Workspace workspace) {
+    for (Place place : workspace.places()) {
+      for (ArtifactId artifact : place.placed().artifacts().keySet()) {
+        if (place.holds(artifact) && isSuperseded(workspace, artifact)) {
+          workspace.unload(artifact, place, Reason.NOT_WANTED);
+        }
+      }
+    }
+  }
+
+  /** An old version stays until the wanted one is ready somewhere. */
+  private static boolean isSuperseded(Workspace workspace, ArtifactId artifact) {
+    Optional<Model> model = workspace.model(artifact.model());
+    if (model.isEmpty()) {
+      return true;
+    }
+    boolean wantedVersion = artifact.version() == model.get().version();
+    if (!wantedVersion) {
+      return workspace.readyHolders(model.get().weights()) >= model.get().minimumReplicas();
+    }
+    return artifact.adapter() != null && !model.get().adapters().contains(artifact.adapter());
+  }
+
+  private static void restoreReplicas(Workspace workspace) {
+    List<Model> missing = new ArrayList<>();
+    for (Model model : workspace.input().models()) {
+      if (workspace.holders(model.weights()).size() < model.minimumReplicas()) {
+        missing.add(model);
+      }
+    }
+    missing.sort(
+        Comparator.<Model>comparingInt(model -> workspace.holders(model.weights()).size())
+            .thenComparing(
+                Comparator.<Model>comparingDouble(model -> workspace.input().demandOf(model.id()))
+                    .reversed())
+            .thenComparing(Comparator.comparingLong(Model::bytesWithAdapters).reversed())
+            .thenComparing(Model::id));
+    for (Model model : missing) {
+      int lacking = model.minimumReplicas() - workspace.holders(model.weights()).size();
+      for (int i = 0; i < lacking; i++) {
+        restoreReplica(workspace, model);
+      }
+    }
+  }
+
+  private static void restoreReplica(Workspace workspace, Model model) {
+    Optional<Place> place = bestPlace(workspace, model);
+    if (place.isPresent()) {
+      workspace.load(model.weights(), place.get(), model.bytes(), Reason.MISSING_REPLICA);
+      return;
+    }
+    if (!RoomMaker.makeRoom(workspace, model)) {
+      workspace.decline(
+          model.weights(), Reason.NO_ROOM, "needs " + model.bytesWithAdapters() + " bytes");
+    }
+  }
+
+  /** Returns the least used endpoint with room for a model and its adapters. */
+  private static Optional<Place> bestPlace(Workspace workspace, Model model) {
+    LoadEstimate estimate = LoadEstimate.of(workspace);
+    return workspace.usable().stream()
+        .filter(place -> !occupiedBy(place, model.weights()))
+        .filter(place -> place.freeBytes() >= model.bytesWithAdapters())
+        .min(
+            Comparator.<Place>comparingDouble(estimate::utilisation)
+                .thenComparing(Comparator.comparingLong(Place::freeBytes).reversed())
+                .thenComparing(Place::id));
+  }
+
+  private static boolean occupiedBy(Place place, ArtifactId artifact) {
+    return place.holds(artifact) || place.placed().artifacts().containsKey(artifact);
+  }
+
+  private static void loadAdapters(Workspace workspace) {
+    for (Model model : workspace.input().models()) {
+      for (Place place : workspace.holders(model.weights())) {
+        if (place.isReady(model.weights())) {
+          loadAdapters(workspace, model, place);
+        }
+      }
+    }
+  }
+
+  private static void loadAdapters(Workspace workspace, Model model, Place place) {
+    for (AdapterId adapter : model.adapters()) {
+      ArtifactId artifact = new ArtifactId(model.id(), model.version(), adapter);
+      if (occupiedBy(place, artifact)) {
+        continue;
+      }
+      if (place.unoccupiedBytes() >= model.adapterBytes()) {
+        workspace.load(artifact, place, model.adapterBytes(), Reason.MISSING_ADAPTER);
+      } else {
+        workspace.decline(artifact, Reason.NO_ROOM, "at " + place.id());
+      }
+    }
+  }
+
+  private static void emptyLeavingEndpoints(Workspace workspace) {
+    for (Place place : workspace.places()) {
+      if (!place.placed().endpoint().leaving()) {
+        continue;
+      }
+      for (ArtifactId artifact : place.placed().artifacts().keySet()) {
+        boolean served = workspace.readyHolders(artifact) > 0;
+        if (artifact.adapter() == null && place.holds(artifact) && served) {
+          workspace.unload(artifact, place, Reason.ENDPOINT_LEAVING);
+        }
+      }
+    }
+  }
+
+  private static void followDemand(Workspace workspace) {
+    LoadEstimate estimate = LoadEstimate.of(workspace);
+    double price = workspace.input().pool().movePrice();
+    List<Model> byDemand = new ArrayList<>(workspace.input().models());
+    byDemand.sort(
+        Comparator.<Model>comparingDouble(model -> workspace.input().demandOf(model.id()))
+            .reversed()
+            .thenComparing(Model::id));
+    int moved = 0;
+    for (Model model : byDemand) {
+      if (moved == MAXIMUM_DEMAND_MOVES || workspace.input().demandOf(model.id()) == 0) {
+        return;
+      }
+      if (addReplica(workspace, estimate, model, price)) {
+        moved++;
+      }
+    }
+  }
+
+  private static boolean addReplica(
+      Workspace workspace, LoadEstimate estimate, Model model, double price) {
+    List<Place> holders = workspace.holders(model.weights());
+    boolean settled =
+        !holders.isEmpty() && holders.stream().allMatch(place -> place.isReady(model.weights()));
+    // A replica on its way is waited for before the next is considered.
+    if (!settled || estimate.excess(holders) == 0) {
+      return false;
+    }
+    Optional<Place> place = bestPlace(workspace, model);
+    if (place.isEmpty()) {
+      return RoomMaker.evictSurplus(workspace, estimate, model, price);
+    }
+    double gain = gain(estimate, model, holders, place.get());
+    if (gain <= price) {
+      workspace.decline(
+          model.weights(), Reason.PRICE, "gain=%.1f price=%.1f".formatted(gain, price));
+      return false;
+    }
+    workspace.load(model.weights(), place.get(), model.bytes(), Reason.DEMAND);
+    estimate.spread(model, holders, -1);
+    estimate.spread(model, workspace.holders(model.weights()), 1);
+    return true;
+  }
+
+  /** Returns the requests that one more replica answers in time over the horizon. */
+  static double gain(LoadEstimate estimate, Model model, List<Place> holders, Place added) {
+    List<Place> after = new ArrayList<>(holders);
+    after.add(added);
+    double before = estimate.excess(after);
+    estimate.spread(model, holders, -1);
+    estimate.spread(model, after, 1);
+    double remaining = estimate.excess(after);
+    estimate.spread(model, after, -1);
+    estimate.spread(model, holders, 1);
+    return (before - remaining) * HORIZON_SECONDS;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/placement/Workspace.java
@@ -0,0 +1,156 @@
+package org.magnoliavale.internal.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliavale.internal.document.Model;
+import org.magnoliavale.internal.identifier.ArtifactId;
+import org.magnoliavale.internal.identifier.EndpointId;
+import org.magnoliavale.internal.identifier.ModelId;
+
+/** The state of one placement round while its moves are being collected. */
+final class Workspace {
+  /** An endpoint with the moves of this round applied to it. */
+  static final class Place {
+    private final PlacedEndpoint placed;
+    private final Set<ArtifactId> added = new HashSet<>();
+    private final Set<ArtifactId> removed = new HashSet<>();
+    private long freeBytes;
+    private long adapterDebtBytes;
+
+    Place(PlacedEndpoint placed) {
+      this.placed = placed;
+      this.freeBytes = placed.freeBytes();
+    }
+
+    EndpointId id() {
+      return placed.endpoint().id();
+    }
+
+    PlacedEndpoint placed() {
+      return placed;
+    }
+
+    /** Returns the memory that a model may take: adapters that are yet to come keep theirs. */
+    long freeBytes() {
+      return freeBytes - adapterDebtBytes;
+    }
+
+    /** Returns the memory that nothing occupies yet. */
+    long unoccupiedBytes() {
+      return freeBytes;
+    }
+
+    boolean holds(ArtifactId artifact) {
+      return added.contains(artifact) || placed.holds(artifact) && !removed.contains(artifact);
+    }
+
+    boolean isReady(ArtifactId artifact) {
+      return placed.isReady(artifact) && !removed.contains(artifact);
+    }
+  }
+
+  private final PlacementInput input;
+  private final List<Place> places = new ArrayList<>();
+  private final List<Place> usable = new ArrayList<>();
+  private final Map<ModelId, Model> models = new HashMap<>();
+  private final Map<ArtifactId, List<Place>> holders = new HashMap<>();
+  private final List<Move> moves = new ArrayList<>();
+
+  Workspace(PlacementInput input) {
+    this.input = input;
+    input.models().forEach(model -> models.put(model.id(), model));
+    for (PlacedEndpoint placed : input.endpoints()) {
+      Place place = new Place(placed);
+      places.add(place);
+      if (placed.usable()) {
+        usable.add(place);
+      }
+      for (ArtifactId artifact : placed.artifacts().keySet()) {
+        if (placed.holds(artifact)) {
+          holders.computeIfAbsent(artifact, ignored -> new ArrayList<>()).add(place);
+          place.adapterDebtBytes += adapterDebt(artifact, place);
+        }
+      }
+    }
+  }
+
+  /** Returns the memory of a resident model's adapters that are not here yet. */
+  private long adapterDebt(ArtifactId weights, Place place) {
+    Model model = models.get(weights.model());
+    if (weights.adapter() != null || model == null || model.version() != weights.version()) {
+      return 0;
+    }
+    long missing =
+        model.adapters().stream()
+            .map(adapter -> new ArtifactId(model.id(), model.version(), adapter))
+            .filter(adapter -> !place.placed().artifacts().containsKey(adapter))
+            .count();
+    return missing * model.adapterBytes();
+  }
+
+  PlacementInput input() {
+    return input;
+  }
+
+  List<Place> places() {
+    return places;
+  }
+
+  List<Place> usable() {
+    return usable;
+  }
+
+  Optional<Model> model(ModelId id) {
+    return Optional.ofNullable(models.get(id));
+  }
+
+  List<Move> moves() {
+    return List.copyOf(moves);
+  }
+
+  /** Returns the usable endpoints that hold an artifact, moves of this round included. */
+  List<Place> holders(ArtifactId artifact) {
+    List<Place> found = new ArrayList<>();
+    for (Place place : holders.getOrDefault(artifact, List.of())) {
+      if (place.placed().usable() && place.holds(artifact)) {
+        found.add(place);
+      }
+    }
+    return found;
+  }
+
+  /** Returns how many usable endpoints have an artifact ready, moves of this round included. */
+  long readyHolders(ArtifactId artifact) {
+    return holders(artifact).stream().filter(place -> place.isReady(artifact)).count();
+  }
+
+  void load(ArtifactId artifact, Place place, long bytes, Move.Reason reason) {
+    place.added.add(artifact);
+    place.freeBytes -= bytes;
+    place.adapterDebtBytes += artifact.adapter() == null ? adapterDebt(artifact, place) : -bytes;
+    holders.computeIfAbsent(artifact, ignored -> new ArrayList<>()).add(place);
+    moves.add(new Move.Load(artifact, place.id(), bytes, reason));
+  }
+
+  /** Removes an artifact, and its adapters with it. The bytes come free only in a later round. */
+  void unload(ArtifactId artifact, Place place, Move.Reason reason) {
+    for (ArtifactId other : place.placed().artifacts().keySet()) {
+      boolean dependent = other.adapter() != null && other.weights().equals(artifact);
+      if (dependent && place.holds(other)) {
+        place.removed.add(other);
+        moves.add(new Move.Unload(other, place.id(), reason));
+      }
+    }
+    place.removed.add(artifact);
+    moves.add(new Move.Unload(artifact, place.id(), reason));
+  }
+
+  void decline(ArtifactId artifact, Move.Reason reason, String detail) {
+    moves.add(new Move.Declined(artifact, reason, detail));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which model belongs on which endpoint. */
+package org.magnoliavale.internal.placement;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/platform/HttpPlatform.java
@@ -0,0 +1,96 @@
+package org.magnoliavale.internal.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.magnoliavale.internal.http.JsonAnswer;
+import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.json.Json;
+
+/** The platform's table and instance list over HTTP. */
+public final class HttpPlatform implements Table, InstanceList {
+  private record Keys(List<String> keys) {}
+
+  private record Prefix(String prefix) {}
+
+  private record Rows(List<Row> rows) {}
+
+  private record Instances(List<ListedInstance> instances) {}
+
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int SERVICE_UNAVAILABLE = 503;
+
+  private final JsonClient client;
+  private final InetSocketAddress address;
+  private final Duration timeout;
+
+  private HttpPlatform(JsonClient client, InetSocketAddress address, Duration timeout) {
+    this.client = client;
+    this.address = address;
+    this.timeout = timeout;
+  }
+
+  /** Returns a client of the platform at {@code address}. */
+  public static HttpPlatform of(JsonClient client, InetSocketAddress address, Duration timeout) {
+    return new HttpPlatform(client, address, timeout);
+  }
+
+  @Override
+  public TableAnswer commit(Transaction transaction) {
+    return answerOf(client.post(address, "/table/commit", transaction, timeout));
+  }
+
+  @Override
+  public TableAnswer read(List<String> keys) {
+    return answerOf(client.post(address, "/table/read", new Keys(keys), timeout));
+  }
+
+  @Override
+  public TableAnswer scan(String prefix) {
+    return answerOf(client.post(address, "/table/scan", new Prefix(prefix), timeout));
+  }
+
+  @Override
+  public Optional<List<ListedInstance>> read() {
+    return switch (client.get(address, "/instances", timeout)) {
+      case JsonAnswer.Answered(int status, byte[] body) when status == OK -> instances(body);
+      case JsonAnswer.Answered ignored -> Optional.empty();
+      case JsonAnswer.Lost ignored -> Optional.empty();
+      case JsonAnswer.NotSent ignored -> Optional.empty();
+    };
+  }
+
+  private static TableAnswer answerOf(JsonAnswer answer) {
+    return switch (answer) {
+      case JsonAnswer.Answered(int status, byte[] body) -> answered(status, body);
+      case JsonAnswer.Lost(String reason) -> new TableAnswer.Unknown(reason);
+      case JsonAnswer.NotSent(String reason) -> new TableAnswer.Unavailable(reason);
+    };
+  }
+
+  private static TableAnswer answered(int status, byte[] body) {
+    try {
+      return switch (status) {
+        case OK -> new TableAnswer.Done(Json.read(body, Rows.class).rows());
+        case CONFLICT -> new TableAnswer.Refused(Json.read(body, Rows.class).rows());
+        case TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE ->
+            new TableAnswer.Unavailable("status " + status);
+        default -> new TableAnswer.Unknown("status " + status);
+      };
+    } catch (IOException e) {
+      return new TableAnswer.Unknown("malformed answer: " + e.getMessage());
+    }
+  }
+
+  private static Optional<List<ListedInstance>> instances(byte[] body) {
+    try {
+      return Optional.of(List.copyOf(Json.read(body, Instances.class).instances()));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/platform/TableCall.java
@@ -0,0 +1,24 @@
+package org.magnoliavale.internal.platform;
+
+import java.util.List;
+
+/** A call that a decision asks to be made to the table. */
+public sealed interface TableCall {
+  /** Reads rows. */
+  record Read(List<String> keys) implements TableCall {}
+
+  /** Reads all rows with a prefix. */
+  record Scan(String prefix) implements TableCall {}
+
+  /** Applies a transaction. */
+  record Commit(Transaction transaction) implements TableCall {}
+
+  /** Makes the call. */
+  default TableAnswer make(Table table) {
+    return switch (this) {
+      case Read(List<String> keys) -> table.read(keys);
+      case Scan(String prefix) -> table.scan(prefix);
+      case Commit(Transaction transaction) -> table.commit(transaction);
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/routing/ModelName.java
@@ -0,0 +1,52 @@
+package org.magnoliavale.internal.routing;
+
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.identifier.AdapterId;
+import org.magnoliavale.internal.identifier.ArtifactId;
+import org.magnoliavale.internal.identifier.ModelId;
+
+/**
+ * How a caller names a model: {@code model}, {@code model:adapter}, either with {@code @version}
+ * after the model.
+ *
+ * @param model the model
+ * @param version the version asked for, 0 for any
+ * @param adapter the adapter asked for, or null
+ */
+public record ModelName(ModelId model, int version, AdapterId adapter) {
+  /**
+   * Parses a caller's text.
+   *
+   * @throws MagnoliavaleException if it is not of that form
+   */
+  public static ModelName parse(String text) {
+    try {
+      int colon = text.indexOf(':');
+      String weights = colon < 0 ? text : text.substring(0, colon);
+      AdapterId adapter = colon < 0 ? null : new AdapterId(text.substring(colon + 1));
+      int at = weights.indexOf('@');
+      if (at < 0) {
+        return new ModelName(new ModelId(weights), 0, adapter);
+      }
+      int version = Integer.parseInt(weights.substring(at + 1));
+      return new ModelName(new ModelId(weights.substring(0, at)), version, adapter);
+    } catch (IllegalArgumentException e) {
+      throw MagnoliavaleException.of(
+          ErrorCode.INVALID_REQUEST, "model must be MODEL[@VERSION][:ADAPTER], but was " + text);
+    }
+  }
+
+  /**
+   * Returns the artifact that serves this name at an endpoint that holds {@code residentVersion}.
+   */
+  public ArtifactId artifact(int residentVersion) {
+    return new ArtifactId(model, residentVersion, adapter);
+  }
+
+  @Override
+  public String toString() {
+    String weights = version == 0 ? model.value() : model + "@" + version;
+    return adapter == null ? weights : weights + ":" + adapter;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/routing/Router.java
@@ -0,0 +1,167 @@
+package org.magnoliavale.internal.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import java.util.random.RandomGenerator;
+import org.magnoliavale.internal.identifier.EndpointId;
+
+/**
+ * Chooses the endpoint for one attempt. It does no I/O and reads no clock; the random generator
+ * comes from outside.
+ */
+public final class Router {
+  private static final double MICROSECONDS_PER_SECOND = 1e6;
+
+  private final RoutingPolicy policy;
+
+  private Router(RoutingPolicy policy) {
+    this.policy = policy;
+  }
+
+  /** Returns a router that follows {@code policy}. */
+  public static Router of(RoutingPolicy policy) {
+    return new Router(policy);
+  }
+
+  /**
+   * Chooses among the endpoints that hold a model.
+   *
+   * @param avoided endpoints that this request has failed on
+   * @param nowNanos monotonic time
+   */
+  public Optional<RouteDecision> chooseModel(
+      RoutingSnapshot snapshot,
+      ModelName name,
+      Set<EndpointId> avoided,
+      long nowNanos,
+      RandomGenerator random) {
+    List<Candidate> holders = snapshot.models().getOrDefault(name.model(), List.of());
+    List<Candidate> fitting = new ArrayList<>(holders.size());
+    for (Candidate candidate : holders) {
+      if (serves(candidate, name)) {
+        fitting.add(candidate);
+      }
+    }
+    if (name.version() == 0) {
+      fitting = newestVersion(snapshot, name, fitting);
+    }
+    return choose(snapshot, fitting, avoided, nowNanos, random);
+  }
+
+  /** Chooses among the servers of a plain service. */
+  public Optional<RouteDecision> chooseService(
+      RoutingSnapshot snapshot,
+      String service,
+      Set<EndpointId> avoided,
+      long nowNanos,
+      RandomGenerator random) {
+    List<Candidate> servers = snapshot.services().getOrDefault(service, List.of());
+    return choose(snapshot, servers, avoided, nowNanos, random);
+  }
+
+  private static boolean serves(Candidate candidate, ModelName name) {
+    boolean versionFits = name.version() == 0 || candidate.version() == name.version();
+    return versionFits && (name.adapter() == null || candidate.adapters().contains(name.adapter()));
+  }
+
+  /** Keeps to the wanted version as soon as it is resident anywhere. */
+  private static List<Candidate> newestVersion(
+      RoutingSnapshot snapshot, ModelName name, List<Candidate> fitting) {
+    var model = snapshot.document().models().get(name.model());
+    if (model == null) {
+      return fitting;
+    }
+    List<Candidate> wanted =
+        fitting.stream().filter(candidate -> candidate.version() == model.version()).toList();
+    return wanted.isEmpty() ? fitting : wanted;
+  }
+
+  private Optional<RouteDecision> choose(
+      RoutingSnapshot snapshot,
+      List<Candidate> fitting,
+      Set<EndpointId> avoided,
+      long nowNanos,
+      RandomGenerator random) {
+    List<Candidate> usable = usable(fitting, avoided, nowNanos);
+    if (usable.isEmpty()) {
+      return Optional.empty();
+    }
+    Candidate chosen =
+        switch (policy) {
+          case RoutingPolicy.RoundRobin(var turn) ->
+              usable.get(Math.floorMod(turn.getAndIncrement(), usable.size()));
+          case RoutingPolicy.LeastReported() ->
+              least(usable, candidate -> candidate.load().reportedOutstanding());
+          case RoutingPolicy.LeastInFlight() ->
+              least(usable, candidate -> candidate.load().ownInFlight());
+          case RoutingPolicy.EarliestFinish() ->
+              earliestOfTwo(usable, snapshot.instances(), random);
+        };
+    return Optional.of(new RouteDecision(chosen, usable.size(), reason(chosen, snapshot)));
+  }
+
+  /** Leaves out what is avoided, draining or ejected; the ejected are used if nothing else is. */
+  private static List<Candidate> usable(
+      List<Candidate> fitting, Set<EndpointId> avoided, long nowNanos) {
+    List<Candidate> healthy = new ArrayList<>(fitting.size());
+    List<Candidate> ejected = new ArrayList<>();
+    for (Candidate candidate : fitting) {
+      if (avoided.contains(candidate.endpoint().id()) || candidate.load().isDraining()) {
+        continue;
+      }
+      (candidate.load().isEjected(nowNanos) ? ejected : healthy).add(candidate);
+    }
+    return healthy.isEmpty() ? ejected : healthy;
+  }
+
+  private static Candidate least(List<Candidate> usable, ToDoubleFunction<Candidate> measure) {
+    Candidate best = usable.getFirst();
+    for (Candidate candidate : usable) {
+      if (measure.applyAsDouble(candidate) < measure.applyAsDouble(best)) {
+        best = candidate;
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Draws two different endpoints and takes the better. Instances that see the same late report do
+   * not all run to the same endpoint this way.
+   */
+  private static Candidate earliestOfTwo(
+      List<Candidate> usable, int instances, RandomGenerator random) {
+    if (usable.size() == 1) {
+      return usable.getFirst();
+    }
+    int first = random.nextInt(usable.size());
+    int second = random.nextInt(usable.size() - 1);
+    if (second >= first) {
+      second++;
+    }
+    Candidate one = usable.get(first);
+    Candidate other = usable.get(second);
+    return finishSeconds(one, instances) <= finishSeconds(other, instances) ? one : other;
+  }
+
+  /** Returns the time until a request sent now should finish there, in seconds. */
+  static double finishSeconds(Candidate candidate, int instances) {
+    EndpointLoad load = candidate.load();
+    double requests = load.estimatedOutstanding(instances) + 1;
+    double work = requests * load.tokensPerRequest();
+    double network = 2 * candidate.distanceMicroseconds() / MICROSECONDS_PER_SECOND;
+    return work / candidate.endpoint().tokensPerSecond() + network;
+  }
+
+  private String reason(Candidate chosen, RoutingSnapshot snapshot) {
+    double outstanding = chosen.load().estimatedOutstanding(snapshot.instances());
+    return switch (policy) {
+      case RoutingPolicy.RoundRobin ignored -> "turn";
+      case RoutingPolicy.LeastReported() -> "reported=" + chosen.load().reportedOutstanding();
+      case RoutingPolicy.LeastInFlight() -> "in-flight=" + chosen.load().ownInFlight();
+      case RoutingPolicy.EarliestFinish() -> "outstanding=" + outstanding;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which endpoint gets a request. */
+package org.magnoliavale.internal.routing;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/settings/SettingsReader.java
@@ -0,0 +1,122 @@
+package org.magnoliavale.internal.settings;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.magnoliavale.Finding;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.identifier.DataCentreId;
+import org.magnoliavale.internal.identifier.InstanceId;
+import org.magnoliavale.internal.ini.CheckedSection;
+import org.magnoliavale.internal.ini.IniSection;
+import org.magnoliavale.internal.ini.IniText;
+import org.magnoliavale.internal.ini.SectionDefinition;
+
+/** Reads a settings file. All findings are reported together. */
+public final class SettingsReader {
+  private SettingsReader() {}
+
+  /** Returns all findings of a settings text, none if it is valid. */
+  public static List<Finding> check(String file, String text) {
+    List<Finding> findings = new ArrayList<>();
+    checkedSections(file, text, findings);
+    return findings;
+  }
+
+  /**
+   * Returns the settings that {@code text} holds.
+   *
+   * @throws MagnoliavaleException with every finding, if there is any
+   */
+  public static Settings read(String file, String text) {
+    List<Finding> findings = new ArrayList<>();
+    Map<String, CheckedSection> sections = checkedSections(file, text, findings);
+    if (!findings.isEmpty()) {
+      throw MagnoliavaleException.ofFindings(findings);
+    }
+    return new Settings(
+        instance(sections.get("instance")),
+        caller(sections.get("caller")),
+        operator(sections.get("operator")),
+        peer(sections.get("peer")),
+        platform(sections.get("platform")),
+        engine(sections.get("engine")),
+        sections.get("log").text("level"));
+  }
+
+  private static Map<String, CheckedSection> checkedSections(
+      String file, String text, List<Finding> findings) {
+    IniText parsed = IniText.parse(file, text, findings);
+    List<IniSection> present = new ArrayList<>(parsed.sections());
+    for (SectionDefinition definition : SettingsSchema.SCHEMA.sections()) {
+      String kind = definition.kind();
+      if (present.stream().noneMatch(section -> section.kind().equals(kind))) {
+        // An absent section reads as an empty one: its defaults hold, its required keys are missed.
+        present.add(new IniSection(kind, "", 0, List.of()));
+      }
+    }
+    Map<String, CheckedSection> byKind = new HashMap<>();
+    SettingsSchema.SCHEMA
+        .check(new IniText(file, present), findings)
+        .forEach(section -> byKind.putIfAbsent(section.definition().kind(), section));
+    return byKind;
+  }
+
+  private static InstanceSettings instance(CheckedSection section) {
+    return new InstanceSettings(
+        new InstanceId(section.text("id")), new DataCentreId(section.text("data-centre")));
+  }
+
+  private static CallerSettings caller(CheckedSection section) {
+    return new CallerSettings(
+        section.address("address"),
+        (int) section.number("maximum-body-bytes"),
+        (int) section.number("maximum-header-bytes"),
+        (int) section.number("maximum-requests"),
+        milliseconds(section, "default-deadline-ms"),
+        milliseconds(section, "idle-timeout-ms"),
+        milliseconds(section, "drain-wait-ms"),
+        milliseconds(section, "drain-timeout-ms"));
+  }
+
+  private static OperatorSettings operator(CheckedSection section) {
+    return new OperatorSettings(
+        section.address("address"), section.text("administrator-token-sha256"));
+  }
+
+  private static PeerSettings peer(CheckedSection section) {
+    return new PeerSettings(
+        section.address("address"),
+        section.text("shared-key"),
+        milliseconds(section, "heartbeat-ms"),
+        milliseconds(section, "silence-timeout-ms"));
+  }
+
+  private static PlatformSettings platform(CheckedSection section) {
+    return new PlatformSettings(
+        section.address("address"),
+        milliseconds(section, "timeout-ms"),
+        (int) section.number("fleet-reads-per-second"),
+        (int) section.number("fleet-writes-per-second"),
+        milliseconds(section, "document-poll-ms"),
+        milliseconds(section, "lease-ms"),
+        milliseconds(section, "clock-drift-ms"));
+  }
+
+  private static EngineSettings engine(CheckedSection section) {
+    return new EngineSettings(
+        (int) section.number("connections-per-endpoint"),
+        milliseconds(section, "connect-timeout-ms"),
+        milliseconds(section, "first-byte-timeout-ms"),
+        milliseconds(section, "progress-timeout-ms"),
+        milliseconds(section, "idle-connection-ms"),
+        milliseconds(section, "report-interval-ms"),
+        (int) section.number("maximum-answer-bytes"));
+  }
+
+  private static Duration milliseconds(CheckedSection section, String key) {
+    return Duration.ofMillis(section.number(key));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings file of an instance. */
+package org.magnoliavale.internal.settings;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/standin/Batcher.java
@@ -0,0 +1,143 @@
+package org.magnoliavale.internal.standin;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
+import org.magnoliavale.Service;
+
+/**
+ * Continuous batching: every step generates one token for each running request. A step takes longer
+ * the more requests run, and at full slots the engine reaches its nominal speed.
+ */
+final class Batcher implements Service {
+  private static final double FIXED_STEP_SHARE = 0.4;
+  private static final double NANOSECONDS_PER_SECOND = 1e9;
+  private static final int CACHED_PREFIXES = 32;
+  private static final int PREFILL_CHARACTERS_PER_STEP = 2_048;
+
+  private final int slots;
+  private final double tokensPerSecond;
+  private final List<Generation> running = new ArrayList<>();
+  private final List<Generation> waiting = new ArrayList<>();
+  private final Map<Integer, Boolean> prefixes =
+      new LinkedHashMap<>(CACHED_PREFIXES, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Integer, Boolean> eldest) {
+          return size() > CACHED_PREFIXES;
+        }
+      };
+  private volatile double slowdown = 1;
+  private volatile boolean stopped;
+
+  Batcher(int slots, double tokensPerSecond) {
+    this.slots = slots;
+    this.tokensPerSecond = tokensPerSecond;
+  }
+
+  @Override
+  public void start() {
+    Thread.ofPlatform().daemon().name("batcher").start(this::loop);
+  }
+
+  @Override
+  public synchronized void stop() {
+    stopped = true;
+    notifyAll();
+  }
+
+  void setSlowdown(double factor) {
+    slowdown = factor;
+  }
+
+  /** Returns the steps that reading a prompt takes; a cached prefix takes none. */
+  synchronized int prefillSteps(String prefix, String prompt) {
+    boolean cached = prefixes.put(prefix.hashCode(), true) != null;
+    int characters = cached ? prompt.length() - prefix.length() : prompt.length();
+    return Math.ceilDiv(characters, PREFILL_CHARACTERS_PER_STEP);
+  }
+
+  synchronized void add(Generation generation) {
+    waiting.add(generation);
+    waiting.sort(Comparator.comparingInt(Generation::priority).reversed());
+    notifyAll();
+  }
+
+  synchronized void failAll() {
+    running.forEach(Generation::fail);
+    waiting.forEach(Generation::fail);
+    running.clear();
+    waiting.clear();
+    prefixes.clear();
+  }
+
+  synchronized int runningCount() {
+    return running.size();
+  }
+
+  synchronized int waitingCount() {
+    return waiting.size();
+  }
+
+  synchronized long queuedTokens() {
+    long tokens = 0;
+    for (Generation generation : running) {
+      tokens += generation.remaining();
+    }
+    for (Generation generation : waiting) {
+      tokens += generation.remaining();
+    }
+    return tokens;
+  }
+
+  private void loop() {
+    long next = System.nanoTime();
+    while (!stopped) {
+      int batch = admit();
+      if (batch == 0) {
+        next = System.nanoTime();
+        continue;
+      }
+      // Deadlines add up from the last one, so that late wake-ups do not slow the engine down.
+      next = Math.max(next, System.nanoTime() - stepNanos(batch)) + stepNanos(batch);
+      sleepUntil(next);
+      step();
+    }
+  }
+
+  private synchronized int admit() {
+    while (running.size() < slots && !waiting.isEmpty()) {
+      running.add(waiting.removeFirst());
+    }
+    if (running.isEmpty() && !stopped) {
+      try {
+        wait();
+      } catch (InterruptedException e) {
+        stopped = true;
+      }
+    }
+    return running.size();
+  }
+
+  private synchronized void step() {
+    running.removeIf(generation -> !generation.step());
+  }
+
+  private long stepNanos(int batch) {
+    double fullStep = slots / tokensPerSecond * NANOSECONDS_PER_SECOND;
+    double share = FIXED_STEP_SHARE + (1 - FIXED_STEP_SHARE) * batch / slots;
+    return (long) (fullStep * share * slowdown);
+  }
+
+  private static void sleepUntil(long nanos) {
+    long left = nanos - System.nanoTime();
+    while (left > 0) {
+      LockSupport.parkNanos(left);
+      left = nanos - System.nanoTime();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/standin/CompletionRequest.java
@@ -0,0 +1,34 @@
+package org.magnoliavale.internal.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import org.magnoliavale.internal.json.Json;
+
+/**
+ * What an engine stand-in reads from a request's body.
+ *
+ * @param prompt all of the prompt's text
+ * @param prefix the part that the prefix cache keeps: the first message
+ * @param maximumTokens tokens to generate
+ * @param stream whether the answer is streamed
+ * @param chat whether the answer has the form of a chat
+ */
+record CompletionRequest(
+    String prompt, String prefix, int maximumTokens, boolean stream, boolean chat) {
+  private static final int DEFAULT_TOKENS = 16;
+
+  static CompletionRequest parse(byte[] body) throws IOException {
+    JsonNode tree = Json.tree(body);
+    int tokens = tree.path("max_tokens").asInt(DEFAULT_TOKENS);
+    boolean stream = tree.path("stream").asBoolean(false);
+    JsonNode messages = tree.path("messages");
+    if (!messages.isArray()) {
+      String prompt = tree.path("prompt").asText();
+      return new CompletionRequest(prompt, prompt, tokens, stream, false);
+    }
+    StringBuilder prompt = new StringBuilder();
+    messages.forEach(message -> prompt.append(message.path("content").asText()).append('\n'));
+    String prefix = messages.path(0).path("content").asText();
+    return new CompletionRequest(prompt.toString(), prefix, tokens, stream, true);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/standin/Generation.java
@@ -0,0 +1,58 @@
+package org.magnoliavale.internal.standin;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** One request in an engine stand-in: the tokens that it still has to generate. */
+final class Generation {
+  /** Sent in place of a token when the engine crashed or dropped the request. */
+  static final int FAILED = -1;
+
+  private final int priority;
+  private final int lastIndex;
+  private final BlockingQueue<Integer> tokens = new LinkedBlockingQueue<>();
+  private int prefillSteps;
+  private int nextIndex;
+  private volatile boolean cancelled;
+
+  Generation(int priority, int prefillSteps, int firstIndex, int count) {
+    this.priority = priority;
+    this.prefillSteps = prefillSteps;
+    this.nextIndex = firstIndex;
+    this.lastIndex = count;
+  }
+
+  int priority() {
+    return priority;
+  }
+
+  int remaining() {
+    return Math.max(0, lastIndex - nextIndex);
+  }
+
+  void cancel() {
+    cancelled = true;
+  }
+
+  void fail() {
+    tokens.add(FAILED);
+  }
+
+  int take() throws InterruptedException {
+    return tokens.take();
+  }
+
+  /** Advances by one step and tells whether more steps follow. */
+  boolean step() {
+    if (cancelled) {
+      return false;
+    }
+    if (prefillSteps > 0) {
+      prefillSteps--;
+      return true;
+    }
+    tokens.add(nextIndex);
+    nextIndex++;
+    return nextIndex < lastIndex;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/standin/InMemoryTable.java
@@ -0,0 +1,58 @@
+package org.magnoliavale.internal.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.TreeMap;
+import org.magnoliavale.internal.platform.Condition;
+import org.magnoliavale.internal.platform.Row;
+import org.magnoliavale.internal.platform.Table;
+import org.magnoliavale.internal.platform.TableAnswer;
+import org.magnoliavale.internal.platform.Transaction;
+import org.magnoliavale.internal.platform.Write;
+
+/** A transactional table in memory that never fails; faults are added around it. */
+public final class InMemoryTable implements Table {
+  private final TreeMap<String, Row> rows = new TreeMap<>();
+  private long lastCommit;
+
+  @Override
+  public synchronized TableAnswer commit(Transaction transaction) {
+    List<Row> differing = new ArrayList<>();
+    for (Condition condition : transaction.conditions()) {
+      Row row = rows.getOrDefault(condition.key(), Row.absent(condition.key()));
+      if (row.version() != condition.version()) {
+        differing.add(row);
+      }
+    }
+    if (!differing.isEmpty()) {
+      return new TableAnswer.Refused(differing);
+    }
+    lastCommit++;
+    return new TableAnswer.Done(transaction.writes().stream().map(this::apply).toList());
+  }
+
+  private Row apply(Write write) {
+    if (write.value() == null) {
+      rows.remove(write.key());
+      return Row.absent(write.key());
+    }
+    Row row = new Row(write.key(), lastCommit, write.value());
+    rows.put(write.key(), row);
+    return row;
+  }
+
+  @Override
+  public synchronized TableAnswer read(List<String> keys) {
+    return new TableAnswer.Done(keys.stream().map(rows::get).filter(Objects::nonNull).toList());
+  }
+
+  @Override
+  public synchronized TableAnswer scan(String prefix) {
+    List<Row> found =
+        rows.tailMap(prefix).values().stream()
+            .takeWhile(row -> row.key().startsWith(prefix))
+            .toList();
+    return new TableAnswer.Done(found);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/standin/PlatformStandIn.java
@@ -0,0 +1,186 @@
+package org.magnoliavale.internal.standin;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.Callback;
+import org.jboss.logging.Logger;
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.http.BlockingHandler;
+import org.magnoliavale.internal.http.HttpServers;
+import org.magnoliavale.internal.http.Replies;
+import org.magnoliavale.internal.http.RequestBodies;
+import org.magnoliavale.internal.json.Json;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.platform.Row;
+import org.magnoliavale.internal.platform.TableAnswer;
+import org.magnoliavale.internal.platform.Transaction;
+
+/**
+ * Stands in for the platform in demos and tests: the table, the weight store and the list of
+ * instances, over HTTP.
+ */
+public final class PlatformStandIn implements Service {
+  private record Keys(List<String> keys) {}
+
+  private record Prefix(String prefix) {}
+
+  private record Counts(long reads, long writes, long weightLoads) {}
+
+  private static final Logger LOG = Logs.of("platform-stand-in");
+  private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
+  private static final int MAXIMUM_HEADER_BYTES = 16_384;
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+  private final InMemoryTable table = new InMemoryTable();
+  private final RateCap reads;
+  private final RateCap writes;
+  private final WeightStoreStandIn weights;
+  private final ListedInstances instances;
+  private final Server server;
+  private final AtomicInteger answersToLose = new AtomicInteger();
+  private final AtomicLong readCount = new AtomicLong();
+  private final AtomicLong writeCount = new AtomicLong();
+  private volatile PlatformFaults faults = PlatformFaults.NONE;
+  private int port;
+
+  /**
+   * Returns a stand-in that is not started yet.
+   *
+   * @param address where it listens
+   * @param limits its rates
+   * @param instances the instances that its list shows
+   */
+  public PlatformStandIn(
+      InetSocketAddress address, PlatformLimits limits, ListedInstances instances) {
+    this.reads = new RateCap(limits.readsPerSecond());
+    this.writes = new RateCap(limits.writesPerSecond());
+    this.weights = new WeightStoreStandIn(limits.loadsPerSecond(), limits.loadsAtOnce());
+    this.instances = instances;
+    this.server =
+        HttpServers.create(
+            "platform-stand-in", address, MAXIMUM_HEADER_BYTES, IDLE_TIMEOUT, new Handler());
+  }
+
+  @Override
+  public void start() {
+    port = HttpServers.start(server);
+    instances.start();
+    LOG.infof("Platform stand-in started. port=%d", port);
+  }
+
+  @Override
+  public void stop() {
+    instances.stop();
+    HttpServers.stop(server);
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return port;
+  }
+
+  private final class Handler extends BlockingHandler {
+    Handler() {
+      super(LOG);
+    }
+
+    @Override
+    protected void respond(Request request, Response response, Callback callback)
+        throws IOException {
+      String path = Request.getPathInContext(request);
+      byte[] body = RequestBodies.read(request, MAXIMUM_BODY_BYTES);
+      switch (path) {
+        case "/table/commit" -> commit(Json.read(body, Transaction.class), response, callback);
+        case "/table/read" -> {
+          admitRead();
+          answer(table.read(Json.read(body, Keys.class).keys()), response, callback);
+        }
+        case "/table/scan" -> {
+          admitRead();
+          answer(table.scan(Json.read(body, Prefix.class).prefix()), response, callback);
+        }
+        case "/instances" ->
+            Replies.json(response, callback, Map.of("instances", instances.visible()));
+        case "/weights" -> {
+          weights.load();
+          Replies.json(response, callback, Map.of("loaded", true));
+        }
+        case "/stand-in/faults" -> {
+          faults = Json.read(body, PlatformFaults.class);
+          answersToLose.set(faults.loseAnswers());
+          LOG.infof("Faults set. faults=%s", faults);
+          Replies.json(response, callback, faults);
+        }
+        case "/stand-in/counts" ->
+            Replies.json(
+                response, callback, new Counts(readCount.get(), writeCount.get(), weights.loads()));
+        default -> throw MagnoliavaleException.of(ErrorCode.NOT_FOUND, "no such path: " + path);
+      }
+    }
+
+    private void admitRead() {
+      readCount.incrementAndGet();
+      admit(reads);
+    }
+
+    private void admit(RateCap cap) {
+      PlatformFaults current = faults;
+      if (current.down()) {
+        throw MagnoliavaleException.of(ErrorCode.PLATFORM_UNAVAILABLE, "the table is down");
+      }
+      if (!cap.tryTake()) {
+        throw MagnoliavaleException.of(ErrorCode.OVERLOADED, "too many calls a second");
+      }
+      if (current.delayMs() > 0) {
+        LockSupport.parkNanos(Duration.ofMillis(current.delayMs()).toNanos());
+      }
+    }
+
+    private void commit(Transaction transaction, Response response, Callback callback) {
+      writeCount.incrementAndGet();
+      admit(writes);
+      TableAnswer answer = table.commit(transaction);
+      boolean lost = answersToLose.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
+      if (lost) {
+        // The connection is closed without a response, as a failing network would.
+        request(response).getConnectionMetaData().getConnection().getEndPoint().close();
+        callback.failed(new IOException("answer lost on purpose"));
+        return;
+      }
+      answer(answer, response, callback);
+    }
+
+    private static Request request(Response response) {
+      return response.getRequest();
+    }
+
+    private void answer(TableAnswer answer, Response response, Callback callback) {
+      switch (answer) {
+        case TableAnswer.Done(List<Row> rows) -> write(OK, rows, response, callback);
+        case TableAnswer.Refused(List<Row> rows) -> write(CONFLICT, rows, response, callback);
+        case TableAnswer.Unknown(String reason) -> throw new IllegalStateException(reason);
+        case TableAnswer.Unavailable(String reason) -> throw new IllegalStateException(reason);
+      }
+    }
+
+    private static void write(int status, List<Row> rows, Response response, Callback callback) {
+      Map<String, Object> body = new LinkedHashMap<>();
+      body.put("rows", rows);
+      Replies.write(response, callback, status, "application/json", Json.bytes(body));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/standin/ServiceStandIn.java
@@ -0,0 +1,177 @@
+package org.magnoliavale.internal.standin;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.Callback;
+import org.jboss.logging.Logger;
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.document.Endpoint;
+import org.magnoliavale.internal.engine.EngineReport;
+import org.magnoliavale.internal.http.BlockingHandler;
+import org.magnoliavale.internal.http.EngineHeaders;
+import org.magnoliavale.internal.http.HttpServers;
+import org.magnoliavale.internal.http.Replies;
+import org.magnoliavale.internal.http.RequestBodies;
+import org.magnoliavale.internal.json.Json;
+import org.magnoliavale.internal.logging.Logs;
+
+/**
+ * Stands in for one server of a plain ordering service. It counts how often each order ran, in a
+ * count that all servers of the service share.
+ */
+public final class ServiceStandIn implements Service {
+  /** Counts the runs of each order over all servers of a service. */
+  public static final class Runs {
+    private final Map<String, AtomicLong> runs = new ConcurrentHashMap<>();
+
+    void add(String order) {
+      runs.computeIfAbsent(order, ignored -> new AtomicLong()).incrementAndGet();
+    }
+
+    /** Returns the runs by order. */
+    public Map<String, Long> counts() {
+      Map<String, Long> counts = new TreeMap<>();
+      runs.forEach((order, count) -> counts.put(order, count.get()));
+      return counts;
+    }
+  }
+
+  /**
+   * Faults of the stand-in; a POST to {@code /stand-in/faults} replaces them all.
+   *
+   * @param cutAfterRun whether orders run but their answers are cut off
+   * @param cutBeforeRun whether the connection is closed before an order runs
+   * @param delayMs time that an order takes, in milliseconds
+   */
+  public record Faults(boolean cutAfterRun, boolean cutBeforeRun, long delayMs) {}
+
+  private record Order(String order) {}
+
+  private static final Logger LOG = Logs.of("service-stand-in");
+  private static final int MAXIMUM_BODY_BYTES = 1024 * 1024;
+  private static final int MAXIMUM_HEADER_BYTES = 16_384;
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+  private static final int CREATED = 201;
+
+  private final Endpoint endpoint;
+  private final Runs runs;
+  private final Server server;
+  private final AtomicLong sequence = new AtomicLong();
+  private final AtomicBoolean stopped = new AtomicBoolean();
+  private final AtomicLong running = new AtomicLong();
+  private volatile Faults faults = new Faults(false, false, 0);
+
+  private ServiceStandIn(Endpoint endpoint, Runs runs) {
+    this.endpoint = endpoint;
+    this.runs = runs;
+    this.server =
+        HttpServers.create(
+            "service-" + endpoint.id(),
+            endpoint.address(),
+            MAXIMUM_HEADER_BYTES,
+            IDLE_TIMEOUT,
+            new ServiceHandler());
+  }
+
+  /** Returns a stand-in for a server of the document; it is not started yet. */
+  public static ServiceStandIn of(Endpoint endpoint, Runs runs) {
+    return new ServiceStandIn(endpoint, runs);
+  }
+
+  @Override
+  public void start() {
+    HttpServers.start(server);
+    LOG.infof("Service stand-in started. endpoint=%s", endpoint.id());
+  }
+
+  @Override
+  public void stop() {
+    if (stopped.compareAndSet(false, true)) {
+      HttpServers.stop(server);
+    }
+  }
+
+  /** Replaces the faults. */
+  public void setFaults(Faults replacement) {
+    faults = replacement;
+  }
+
+  private final class ServiceHandler extends BlockingHandler {
+    ServiceHandler() {
+      super(LOG);
+    }
+
+    @Override
+    protected void respond(Request request, Response response, Callback callback) throws Exception {
+      String path = Request.getPathInContext(request);
+      byte[] body = RequestBodies.read(request, MAXIMUM_BODY_BYTES);
+      String attempt = request.getHeaders().get(EngineHeaders.ATTEMPT);
+      if (attempt != null) {
+        response.getHeaders().put(EngineHeaders.ATTEMPT, attempt);
+      }
+      switch (request.getMethod() + " " + path) {
+        case "POST /orders" -> order(Json.read(body, Order.class), request, response, callback);
+        case "GET /route-sheets" ->
+            Replies.json(response, callback, Map.of("routes", 3, "server", endpoint.id().value()));
+        case "GET /engine/report" -> Replies.json(response, callback, report());
+        case "GET /stand-in/runs" -> Replies.json(response, callback, runs.counts());
+        case "POST /stand-in/faults" -> {
+          setFaults(Json.read(body, Faults.class));
+          Replies.json(response, callback, faults);
+        }
+        default -> throw MagnoliavaleException.of(ErrorCode.NOT_FOUND, "no such path: " + path);
+      }
+    }
+
+    private EngineReport report() {
+      return new EngineReport(
+          "service",
+          sequence.incrementAndGet(),
+          0,
+          0,
+          false,
+          (int) running.get(),
+          0,
+          0,
+          null,
+          null);
+    }
+
+    private void order(Order order, Request request, Response response, Callback callback)
+        throws InterruptedException {
+      Faults current = faults;
+      if (current.cutBeforeRun()) {
+        cut(request, callback);
+        return;
+      }
+      running.incrementAndGet();
+      try {
+        Thread.sleep(current.delayMs());
+        runs.add(order.order());
+      } finally {
+        running.decrementAndGet();
+      }
+      if (current.cutAfterRun()) {
+        cut(request, callback);
+        return;
+      }
+      byte[] answer = Json.bytes(Map.of("order", order.order(), "placed", true));
+      Replies.write(response, callback, CREATED, "application/json", answer);
+    }
+
+    private static void cut(Request request, Callback callback) {
+      request.getConnectionMetaData().getConnection().getEndPoint().close();
+      callback.failed(new IOException("cut on purpose"));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/standin/StandInTokens.java
@@ -0,0 +1,27 @@
+package org.magnoliavale.internal.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32;
+
+/** The tokens that every engine stand-in generates; they depend on the prompt alone. */
+public final class StandInTokens {
+  private StandInTokens() {}
+
+  /** Returns token number {@code index} of the answer to {@code prompt}. */
+  public static String token(String prompt, int index) {
+    CRC32 checksum = new CRC32();
+    checksum.update(prompt.getBytes(StandardCharsets.UTF_8));
+    checksum.update(index);
+    checksum.update(index >>> Byte.SIZE);
+    return Long.toHexString(checksum.getValue()) + " ";
+  }
+
+  /** Returns the whole answer of {@code count} tokens. */
+  public static String answer(String prompt, int count) {
+    StringBuilder answer = new StringBuilder();
+    for (int index = 0; index < count; index++) {
+      answer.append(token(prompt, index));
+    }
+    return answer.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of outside systems, for demos and tests only. */
+package org.magnoliavale.internal.standin;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
@@ -0,0 +1,210 @@
+package org.magnoliavale.internal.traffic;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import org.eclipse.jetty.http.HttpFields;
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.document.Endpoint;
+import org.magnoliavale.internal.http.EngineHeaders;
+import org.magnoliavale.internal.identifier.EndpointId;
+import org.magnoliavale.internal.routing.EndpointLoad;
+import org.magnoliavale.internal.routing.RouteDecision;
+import org.magnoliavale.internal.settings.EngineSettings;
+
+/**
+ * The attempts of one request that may be repeated: each on another endpoint, within the deadline,
+ * and out of the retry budget.
+ */
+final class AttemptSeries {
+  private static final int MAXIMUM_ATTEMPTS = 4;
+  private static final int FAILURES_UNTIL_EJECTION = 3;
+  private static final long EJECTION_NANOS = Duration.ofSeconds(2).toNanos();
+  private static final long RESIDENCY_POLL_MS = 20;
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+  private static final int NOT_FOUND = 404;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int SERVER_ERROR = 500;
+
+  private final EndpointClient client;
+  private final EngineSettings settings;
+  private final Routing routing;
+  private final RetryBudget budget;
+  private final RequestContext context;
+  private final Target target;
+  private final CallTemplate template;
+  private final Set<EndpointId> avoided = new HashSet<>();
+  private int attempts;
+  private String lastFailure = "";
+
+  AttemptSeries(Forwarder forwarder, RequestContext context, Target target, CallTemplate template) {
+    this.client = forwarder.client();
+    this.settings = forwarder.settings();
+    this.routing = forwarder.routing();
+    this.budget = forwarder.budget();
+    this.context = context;
+    this.target = target;
+    this.template = template;
+    budget.earn();
+  }
+
+  /**
+   * Returns the next attempt whose answer has begun with a status that need not be repeated.
+   *
+   * @param resumeAfter id of the last event received, or empty to start from the beginning
+   * @throws MagnoliavaleException when no further attempt can be made
+   */
+  OpenedAttempt next(Optional<String> resumeAfter) {
+    while (true) {
+      checkMayAttempt();
+      RouteDecision decision = awaitDecision();
+      Optional<OpenedAttempt> opened = attempt(decision, resumeAfter);
+      if (opened.isPresent()) {
+        return opened.get();
+      }
+    }
+  }
+
+  /** Notes that an opened attempt went wrong later; the next attempt avoids its endpoint. */
+  void failed(OpenedAttempt opened, String reason) {
+    opened.answer().abandon(reason);
+    opened.decision().candidate().load().end();
+    noteFailure(opened.decision(), opened.attemptId(), reason);
+  }
+
+  /** Notes that an opened attempt went right to its end. */
+  void succeeded(OpenedAttempt opened) {
+    EndpointLoad load = opened.decision().candidate().load();
+    load.end();
+    load.succeeded();
+  }
+
+  /** Gives an opened attempt up because the caller has gone. */
+  void abandoned(OpenedAttempt opened) {
+    opened.answer().abandon("the caller has gone");
+    opened.decision().candidate().load().end();
+  }
+
+  private void checkMayAttempt() {
+    if (context.leftMs(System.nanoTime()) <= 0) {
+      throw MagnoliavaleException.of(
+          ErrorCode.DEADLINE_EXCEEDED, "the deadline passed after " + attempts + " attempts");
+    }
+    boolean first = attempts == 0;
+    if (!first && (attempts >= MAXIMUM_ATTEMPTS || !budget.trySpend())) {
+      throw upstreamFailed();
+    }
+    attempts++;
+  }
+
+  private MagnoliavaleException upstreamFailed() {
+    return MagnoliavaleException.of(
+            ErrorCode.UPSTREAM_FAILED, "no endpoint answered; the last failure: " + lastFailure)
+        .withRetryAfter(RETRY_AFTER);
+  }
+
+  /** Waits within the deadline for an endpoint that can serve the request. */
+  private RouteDecision awaitDecision() {
+    while (true) {
+      long now = System.nanoTime();
+      Optional<RouteDecision> decision = routing.choose(target, avoided, now);
+      if (decision.isPresent()) {
+        return decision.get();
+      }
+      // An endpoint that failed once is tried again rather than no endpoint at all.
+      avoided.clear();
+      if (context.leftMs(now) <= RESIDENCY_POLL_MS) {
+        throw MagnoliavaleException.of(
+                ErrorCode.MODEL_UNAVAILABLE, "no live endpoint holds " + target)
+            .withRetryAfter(RETRY_AFTER);
+      }
+      pause();
+    }
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(RESIDENCY_POLL_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw MagnoliavaleException.of(ErrorCode.STOPPING, "interrupted");
+    }
+  }
+
+  private Optional<OpenedAttempt> attempt(RouteDecision decision, Optional<String> resumeAfter) {
+    String attemptId = UUID.randomUUID().toString();
+    routing.logDecision(context, attemptId, target, decision);
+    EndpointLoad load = decision.candidate().load();
+    load.begin();
+    AttemptStart start = client.send(attemptRequest(attemptId, decision, resumeAfter));
+    String failure =
+        switch (start) {
+          case AttemptStart.Opened(OpenAnswer answer) -> {
+            if (!mustRepeat(answer.status())) {
+              yield null;
+            }
+            answer.abandon("to be repeated elsewhere");
+            yield "status " + answer.status();
+          }
+          case AttemptStart.NotSent(String reason) -> "not sent: " + reason;
+          case AttemptStart.Failed(String reason) -> reason;
+        };
+    if (failure == null) {
+      OpenAnswer answer = ((AttemptStart.Opened) start).answer();
+      return Optional.of(new OpenedAttempt(attemptId, decision, answer));
+    }
+    load.end();
+    noteFailure(decision, attemptId, failure);
+    return Optional.empty();
+  }
+
+  private boolean mustRepeat(int status) {
+    boolean notResident = status == NOT_FOUND && target instanceof Target.OfModel;
+    return status >= SERVER_ERROR || status == TOO_MANY_REQUESTS || notResident;
+  }
+
+  private void noteFailure(RouteDecision decision, String attemptId, String reason) {
+    lastFailure = reason;
+    avoided.add(decision.candidate().endpoint().id());
+    EndpointLoad load = decision.candidate().load();
+    if (load.failed() >= FAILURES_UNTIL_EJECTION) {
+      load.eject(System.nanoTime() + EJECTION_NANOS);
+    }
+    routing.logFailure(context, attemptId, reason);
+  }
+
+  private AttemptRequest attemptRequest(
+      String attemptId, RouteDecision decision, Optional<String> resumeAfter) {
+    Duration left = Duration.ofMillis(Math.max(1, context.leftMs(System.nanoTime())));
+    Duration firstByte = shorter(left, settings.firstByteTimeout());
+    Duration silence = template.streamed() ? settings.progressTimeout() : firstByte;
+    Endpoint endpoint = decision.candidate().endpoint();
+    HttpFields.Mutable headers = HttpFields.build(template.headers());
+    headers.put(EngineHeaders.PRIORITY, Integer.toString(context.priority()));
+    headers.put(EngineHeaders.REQUEST, context.requestId());
+    if (context.traceParent() != null) {
+      headers.put(EngineHeaders.TRACE_PARENT, context.traceParent());
+    }
+    if (target instanceof Target.OfModel(var name)) {
+      headers.put(EngineHeaders.ARTIFACT, name.artifact(decision.candidate().version()).toString());
+    }
+    resumeAfter.ifPresent(id -> headers.put(EngineHeaders.LAST_EVENT_ID, id));
+    return new AttemptRequest(
+        attemptId,
+        endpoint,
+        template.method(),
+        template.path(),
+        headers,
+        template.body(),
+        template.streamed() ? shorter(firstByte, settings.progressTimeout()) : firstByte,
+        silence,
+        left);
+  }
+
+  private static Duration shorter(Duration one, Duration other) {
+    return one.compareTo(other) <= 0 ? one : other;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/traffic/RequestContext.java
@@ -0,0 +1,103 @@
+package org.magnoliavale.internal.traffic;
+
+import java.time.Duration;
+import java.util.UUID;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.document.Document;
+import org.magnoliavale.internal.document.Team;
+import org.magnoliavale.internal.document.TokenHash;
+import org.magnoliavale.internal.http.EngineHeaders;
+
+/**
+ * What every part needs to know about a caller's request.
+ *
+ * @param requestId id of the request, written to the log and returned to the caller
+ * @param deadlineNanos monotonic time by which the caller wants its answer
+ * @param priority from 0 (lowest) to 9
+ * @param team name of the caller's team, or {@link #ANONYMOUS}
+ * @param traceParent W3C trace context, or null
+ */
+public record RequestContext(
+    String requestId, long deadlineNanos, int priority, String team, String traceParent) {
+  /** Team of callers that show no token. */
+  public static final String ANONYMOUS = "anonymous";
+
+  private static final String BEARER = "Bearer ";
+  private static final int HIGHEST_PRIORITY = 9;
+  private static final int MAXIMUM_ID_LENGTH = 128;
+  private static final long MAXIMUM_TIMEOUT_MS = Duration.ofHours(1).toMillis();
+
+  /**
+   * Reads the context from a request's headers.
+   *
+   * @throws MagnoliavaleException if a header is malformed or the token is unknown
+   */
+  public static RequestContext of(
+      HttpFields headers, Document document, Duration defaultDeadline, long nowNanos) {
+    long timeoutMs =
+        number(headers, EngineHeaders.TIMEOUT, defaultDeadline.toMillis(), 1, MAXIMUM_TIMEOUT_MS);
+    int priority = (int) number(headers, EngineHeaders.PRIORITY, 0, 0, HIGHEST_PRIORITY);
+    return new RequestContext(
+        requestId(headers),
+        nowNanos + Duration.ofMillis(timeoutMs).toNanos(),
+        priority,
+        team(headers, document),
+        headers.get(EngineHeaders.TRACE_PARENT));
+  }
+
+  /** Returns the time left, in milliseconds; 0 or less when the deadline has passed. */
+  public long leftMs(long nowNanos) {
+    return (deadlineNanos - nowNanos) / 1_000_000;
+  }
+
+  private static String requestId(HttpFields headers) {
+    String given = headers.get(EngineHeaders.REQUEST);
+    if (given == null || given.isBlank()) {
+      return UUID.randomUUID().toString();
+    }
+    if (given.length() > MAXIMUM_ID_LENGTH || !given.chars().allMatch(c -> c > ' ' && c < 127)) {
+      throw MagnoliavaleException.of(
+          ErrorCode.INVALID_REQUEST, EngineHeaders.REQUEST + " is malformed");
+    }
+    return given;
+  }
+
+  private static String team(HttpFields headers, Document document) {
+    String authorization = headers.get(HttpHeader.AUTHORIZATION);
+    if (authorization == null) {
+      return ANONYMOUS;
+    }
+    if (!authorization.startsWith(BEARER)) {
+      throw MagnoliavaleException.of(ErrorCode.UNAUTHENTICATED, "expected a bearer token");
+    }
+    String hash = TokenHash.of(authorization.substring(BEARER.length()).strip());
+    return document
+        .teamOfToken(hash)
+        .map(Team::id)
+        .orElseThrow(
+            () -> MagnoliavaleException.of(ErrorCode.UNAUTHENTICATED, "the token is not known"))
+        .value();
+  }
+
+  private static long number(
+      HttpFields headers, String name, long absent, long minimum, long maximum) {
+    String text = headers.get(name);
+    if (text == null) {
+      return absent;
+    }
+    try {
+      long value = Long.parseLong(text.strip());
+      if (value >= minimum && value <= maximum) {
+        return value;
+      }
+    } catch (NumberFormatException e) {
+      // Reported below like a number out of range.
+    }
+    throw MagnoliavaleException.of(
+        ErrorCode.INVALID_REQUEST,
+        name + " must be a whole number from " + minimum + " to " + maximum);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/traffic/Routing.java
@@ -0,0 +1,75 @@
+package org.magnoliavale.internal.traffic;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
+import org.magnoliavale.internal.identifier.EndpointId;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.routing.RouteDecision;
+import org.magnoliavale.internal.routing.Router;
+import org.magnoliavale.internal.routing.RoutingSnapshot;
+
+/** Chooses endpoints in the newest snapshot, logs each decision and remembers it for a while. */
+public final class Routing {
+  private static final Logger LOG = Logs.of("routing");
+
+  private final Router router;
+  private final Supplier<RoutingSnapshot> snapshots;
+  private final Supplier<RandomGenerator> randoms;
+  private final DecisionMemory decisions;
+
+  /** Returns a routing over the newest of {@code snapshots}. */
+  public Routing(
+      Router router,
+      Supplier<RoutingSnapshot> snapshots,
+      Supplier<RandomGenerator> randoms,
+      DecisionMemory decisions) {
+    this.router = router;
+    this.snapshots = snapshots;
+    this.randoms = randoms;
+    this.decisions = decisions;
+  }
+
+  /** Returns the newest snapshot. */
+  public RoutingSnapshot snapshot() {
+    return snapshots.get();
+  }
+
+  /** Chooses an endpoint that is not avoided, if there is one. */
+  public Optional<RouteDecision> choose(Target target, Set<EndpointId> avoided, long nowNanos) {
+    RoutingSnapshot snapshot = snapshots.get();
+    return switch (target) {
+      case Target.OfModel(var name) ->
+          router.chooseModel(snapshot, name, avoided, nowNanos, randoms.get());
+      case Target.OfService(String name) ->
+          router.chooseService(snapshot, name, avoided, nowNanos, randoms.get());
+    };
+  }
+
+  /** Logs a decision that is about to be carried out. */
+  public void logDecision(
+      RequestContext context, String attemptId, Target target, RouteDecision decision) {
+    EndpointId endpoint = decision.candidate().endpoint().id();
+    LOG.infof(
+        "Chose endpoint. request=%s attempt=%s target=%s endpoint=%s over=%d why=%s",
+        context.requestId(), attemptId, target, endpoint, decision.considered(), decision.reason());
+    decisions.remember(
+        context.requestId(),
+        attemptId
+            + " -> "
+            + endpoint
+            + " over "
+            + decision.considered()
+            + " because "
+            + decision.reason());
+  }
+
+  /** Logs that an attempt failed. */
+  public void logFailure(RequestContext context, String attemptId, String reason) {
+    LOG.infof(
+        "Attempt failed. request=%s attempt=%s why=%s", context.requestId(), attemptId, reason);
+    decisions.remember(context.requestId(), attemptId + " failed: " + reason);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/traffic/StreamPump.java
@@ -0,0 +1,138 @@
+package org.magnoliavale.internal.traffic;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Response;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.http.Problems;
+
+/**
+ * Passes a stream of events to a caller. It remembers the last event that it passed, so that a
+ * stream that breaks is resumed at another endpoint without an event missing or twice.
+ */
+final class StreamPump {
+  /** How copying one attempt's answer ended. */
+  sealed interface Ending {
+    /** The stream ended properly. */
+    record Complete() implements Ending {}
+
+    /** The endpoint's side broke. */
+    record Broken(String reason) implements Ending {}
+
+    /** The caller's side broke. */
+    record CallerGone() implements Ending {}
+  }
+
+  private static final String END_OF_STREAM = "[DONE]";
+  private static final int OK = 200;
+  private static final long NO_EVENT = -1;
+
+  private final Response response;
+  private OutputStream output;
+  private long lastEvent = NO_EVENT;
+  private boolean passedUnnumbered;
+
+  StreamPump(Response response) {
+    this.response = response;
+  }
+
+  /** Tells whether anything was passed to the caller. */
+  boolean hasPassedAnything() {
+    return lastEvent != NO_EVENT || passedUnnumbered;
+  }
+
+  /** Tells whether the stream can be continued by another attempt. */
+  boolean canContinue() {
+    return !passedUnnumbered;
+  }
+
+  /** Returns the id of the last event passed, if any. */
+  Optional<String> resumeAfter() {
+    return lastEvent == NO_EVENT ? Optional.empty() : Optional.of(Long.toString(lastEvent));
+  }
+
+  /** Passes an attempt's events on until the stream ends or breaks. */
+  Ending copy(OpenAnswer answer) {
+    EventReader reader = new EventReader(answer.content());
+    while (true) {
+      Optional<EventReader.Event> event;
+      try {
+        event = reader.next();
+      } catch (IOException e) {
+        return new Ending.Broken(String.valueOf(e.getMessage()));
+      }
+      if (event.isEmpty()) {
+        return new Ending.Broken("stream ends without its end mark");
+      }
+      String fault = faultIn(event.get());
+      if (fault != null) {
+        return new Ending.Broken(fault);
+      }
+      boolean last = event.get().data().equals(END_OF_STREAM);
+      if (!pass(event.get(), last || !reader.hasBuffered())) {
+        return new Ending.CallerGone();
+      }
+      if (last) {
+        return new Ending.Complete();
+      }
+    }
+  }
+
+  /** Ends a stream that can't be completed with an explicit error event. */
+  void writeError(MagnoliavaleException problem) throws IOException {
+    String data = new String(Problems.body(problem), StandardCharsets.UTF_8);
+    output().write(("event: error\ndata: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+    output().flush();
+  }
+
+  /** Ends the response. */
+  void close() throws IOException {
+    output().close();
+  }
+
+  /** Checks the order of numbered events; returns null if the event may be passed. */
+  private String faultIn(EventReader.Event event) {
+    if (event.id().isEmpty()) {
+      boolean control = event.data().isEmpty() || event.data().equals(END_OF_STREAM);
+      passedUnnumbered |= !control;
+      return null;
+    }
+    try {
+      long id = Long.parseLong(event.id());
+      if (id != lastEvent + 1) {
+        return "event " + id + " follows event " + lastEvent;
+      }
+      lastEvent = id;
+      return null;
+    } catch (NumberFormatException e) {
+      passedUnnumbered = true;
+      return null;
+    }
+  }
+
+  private boolean pass(EventReader.Event event, boolean flush) {
+    try {
+      output().write(event.raw());
+      if (flush) {
+        output().flush();
+      }
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private OutputStream output() {
+    if (output == null) {
+      response.setStatus(OK);
+      response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
+      response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
+      output = Content.Sink.asOutputStream(response);
+    }
+    return output;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/package-info.java
@@ -0,0 +1,2 @@
+/** The public surface: one façade, its builder, errors and findings. */
+package org.magnoliavale;
--- /dev/null
+++ b/src/test/java/org/magnoliavale/ArchitectureTest.java
@@ -0,0 +1,74 @@
+package org.magnoliavale;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+class ArchitectureTest {
+  private static final JavaClasses CLASSES =
+      new ClassFileImporter()
+          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .importPackages("org.magnoliavale");
+
+  private static final String INTERNAL = "org.magnoliavale.internal.";
+
+  @Test
+  void decisionsDependOnNothingThatDoesInputOrOutput() {
+    noClasses()
+        .that()
+        .resideInAnyPackage(
+            INTERNAL + "routing..",
+            INTERNAL + "placement..",
+            INTERNAL + "ledger..",
+            INTERNAL + "lease..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "org.eclipse.jetty..",
+            "io.netty..",
+            "java.net.http..",
+            INTERNAL + "http..",
+            INTERNAL + "traffic..",
+            INTERNAL + "standin..")
+        .check(CLASSES);
+  }
+
+  @Test
+  void decisionsReadNoClock() {
+    noClasses()
+        .that()
+        .resideInAnyPackage(
+            INTERNAL + "routing..",
+            INTERNAL + "placement..",
+            INTERNAL + "ledger..",
+            INTERNAL + "lease..")
+        .or()
+        .haveNameMatching(".*\\.control\\.(ControlCore|PlacementGroup|PlacementRound|Ledger.*)")
+        .should()
+        .callMethod(System.class, "nanoTime")
+        .orShould()
+        .callMethod(System.class, "currentTimeMillis")
+        .check(CLASSES);
+  }
+
+  @Test
+  void onlyCommandsUseStandIns() {
+    noClasses()
+        .that()
+        .resideOutsideOfPackages(
+            INTERNAL + "command..", INTERNAL + "standin..", INTERNAL + "load..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage(INTERNAL + "standin..")
+        .check(CLASSES);
+  }
+
+  @Test
+  void packagesHaveNoCycles() {
+    slices().matching(INTERNAL + "(*)..").should().beFreeOfCycles().check(CLASSES);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/ReferencePages.java
@@ -0,0 +1,24 @@
+package org.magnoliavale;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.magnoliavale.internal.document.DocumentSchema;
+import org.magnoliavale.internal.ini.ReferencePage;
+import org.magnoliavale.internal.settings.SettingsSchema;
+
+/** Writes the generated reference pages anew; run it after a schema changed. */
+final class ReferencePages {
+  private ReferencePages() {}
+
+  public static void main(String[] arguments) throws IOException {
+    Files.writeString(
+        Path.of("docs/SETTINGS.md"),
+        ReferencePage.of(
+            "Settings", "Every key of an instance's settings file.", SettingsSchema.SCHEMA));
+    Files.writeString(
+        Path.of("docs/DOCUMENT.md"),
+        ReferencePage.of(
+            "Document", "Every key of the configuration document.", DocumentSchema.SCHEMA));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/document/TestDocuments.java
@@ -0,0 +1,81 @@
+package org.magnoliavale.internal.document;
+
+/** Small documents for tests. */
+public final class TestDocuments {
+  /** Token of the team {@code cooks}. */
+  public static final String TOKEN = "cooks-token";
+
+  private TestDocuments() {}
+
+  /** Returns a document of one engine with room for {@code bytes}, and one model. */
+  public static String document(String engine, long bytes, long modelBytes) {
+    return base() + endpoint(engine, 1, bytes, "checking") + model("first", modelBytes);
+  }
+
+  /** Returns the team, data centre, contracts, pools and service that all test documents share. */
+  public static String base() {
+    return """
+    [team cooks]
+    token-sha256 = %s
+    [data-centre here]
+    owner = cooks
+    region = test
+    [contract checking]
+    owner = cooks
+    checks-fencing = true
+    resumes-streams = true
+    [contract unchecking]
+    owner = cooks
+    checks-fencing = false
+    order-lateness-ms = 20000
+    [pool engines]
+    owner = cooks
+    kind = engines
+    loads-at-once = 9
+    [pool desks]
+    owner = cooks
+    kind = services
+    [service ordering]
+    owner = cooks
+    pool = desks
+    """
+        .formatted(TokenHash.of(TOKEN));
+  }
+
+  /** Returns the section of an engine. */
+  public static String endpoint(String name, int port, long bytes, String contract) {
+    return """
+    [endpoint %s]
+    owner = cooks
+    pool = engines
+    data-centre = here
+    address = 127.0.0.1:%d
+    contract = %s
+    memory-bytes = %d
+    """
+        .formatted(name, port, contract, bytes);
+  }
+
+  /** Returns the section of a server of the ordering service. */
+  public static String desk(String name, int port) {
+    return """
+    [endpoint %s]
+    owner = cooks
+    pool = desks
+    data-centre = here
+    address = 127.0.0.1:%d
+    """
+        .formatted(name, port);
+  }
+
+  /** Returns the section of a model. */
+  public static String model(String name, long bytes) {
+    return """
+    [model %s]
+    owner = cooks
+    pool = engines
+    bytes = %d
+    """
+        .formatted(name, bytes);
+  }
+}
