--- a/src/main/java/org/magnoliavale/internal/placement/Planner.java
+++ b/src/main/java/org/magnoliavale/internal/placement/Planner.java
@@ -46,17 +46,37 @@
     }
   }
 
-  /** An old version stays until the wanted one is ready somewhere. */
+  /**
+   * An old version stays until enough replicas of the wanted one are ready, but only the newest of
+   * those that are ready stays: versions that follow each other fast must not fill the memory.
+   */
   private static boolean isSuperseded(Workspace workspace, ArtifactId artifact) {
     Optional<Model> model = workspace.model(artifact.model());
     if (model.isEmpty()) {
       return true;
     }
-    boolean wantedVersion = artifact.version() == model.get().version();
-    if (!wantedVersion) {
-      return workspace.readyHolders(model.get().weights()) >= model.get().minimumReplicas();
+    if (artifact.version() == model.get().version()) {
+      return artifact.adapter() != null && !model.get().adapters().contains(artifact.adapter());
     }
-    return artifact.adapter() != null && !model.get().adapters().contains(artifact.adapter());
+    boolean replaced =
+        workspace.readyHolders(model.get().weights()) >= model.get().minimumReplicas();
+    return replaced || artifact.version() != newestReadyOldVersion(workspace, model.get());
+  }
+
+  private static int newestReadyOldVersion(Workspace workspace, Model model) {
+    int newest = 0;
+    for (Place place : workspace.places()) {
+      for (ArtifactId other : place.placed().artifacts().keySet()) {
+        boolean old =
+            other.model().equals(model.id())
+                && other.adapter() == null
+                && other.version() != model.version();
+        if (old && place.isReady(other)) {
+          newest = Math.max(newest, other.version());
+        }
+      }
+    }
+    return newest;
   }
 
   private static void restoreReplicas(Workspace workspace) {
--- a/src/main/java/org/magnoliavale/internal/placement/RoomMaker.java
+++ b/src/main/java/org/magnoliavale/internal/placement/RoomMaker.java
@@ -18,7 +18,7 @@
     if (isRoomUnderWay(workspace, wanted)) {
       return true;
     }
-    return evictSurplusFor(workspace, wanted, Reason.MAKE_ROOM) || relocateOne(workspace, wanted);
+    return evictSurplusFor(workspace, wanted) || relocateOne(workspace, wanted);
   }
 
   /** Replaces a surplus replica by one of a model in demand, if that pays for two moves. */
@@ -26,8 +26,8 @@
       Workspace workspace, LoadEstimate estimate, Model wanted, double price) {
     List<Place> holders = workspace.holders(wanted.weights());
     for (Place place : byFreeBytes(workspace, wanted)) {
-      List<Model> surplus = surplusAt(workspace, place, wanted);
-      Optional<List<Model>> evicted = enough(surplus, place, wanted);
+      Optional<List<ArtifactId>> evicted =
+          enough(workspace, surplusAt(workspace, place, wanted), place, wanted);
       if (evicted.isEmpty()) {
         continue;
       }
@@ -36,7 +36,7 @@
           Planner.gain(estimate, wanted, holders, place)
               - loss(workspace, estimate, evicted.get(), place);
       if (gain > cost) {
-        evicted.get().forEach(model -> workspace.unload(model.weights(), place, Reason.MAKE_ROOM));
+        evicted.get().forEach(spare -> workspace.unload(spare, place, Reason.MAKE_ROOM));
         return true;
       }
     }
@@ -45,10 +45,11 @@
   }
 
   private static double loss(
-      Workspace workspace, LoadEstimate estimate, List<Model> evicted, Place place) {
+      Workspace workspace, LoadEstimate estimate, List<ArtifactId> evicted, Place place) {
     double loss = 0;
-    for (Model model : evicted) {
-      List<Place> rest = new ArrayList<>(workspace.holders(model.weights()));
+    for (ArtifactId spare : evicted) {
+      Model model = workspace.model(spare.model()).orElseThrow();
+      List<Place> rest = new ArrayList<>(workspace.holders(spare));
       rest.remove(place);
       loss += Planner.gain(estimate, model, rest, place);
     }
@@ -81,11 +82,12 @@
         .orElse(0L);
   }
 
-  private static boolean evictSurplusFor(Workspace workspace, Model wanted, Reason reason) {
+  private static boolean evictSurplusFor(Workspace workspace, Model wanted) {
     for (Place place : byFreeBytes(workspace, wanted)) {
-      Optional<List<Model>> evicted = enough(surplusAt(workspace, place, wanted), place, wanted);
+      Optional<List<ArtifactId>> evicted =
+          enough(workspace, surplusAt(workspace, place, wanted), place, wanted);
       if (evicted.isPresent()) {
-        evicted.get().forEach(model -> workspace.unload(model.weights(), place, reason));
+        evicted.get().forEach(spare -> workspace.unload(spare, place, Reason.MAKE_ROOM));
         return true;
       }
     }
@@ -124,31 +126,45 @@
         .toList();
   }
 
-  /** Returns the models whose replica here can go, the least demanded first. */
-  private static List<Model> surplusAt(Workspace workspace, Place place, Model wanted) {
-    List<Model> surplus = new ArrayList<>();
-    for (Model model : workspace.input().models()) {
-      boolean other = !model.id().equals(wanted.id());
-      boolean spare = workspace.readyHolders(model.weights()) > model.minimumReplicas();
-      if (other && place.isReady(model.weights()) && spare) {
-        surplus.add(model);
+  /**
+   * Returns the weights whose replica here can go because others are ready elsewhere, the least
+   * demanded first.
+   */
+  private static List<ArtifactId> surplusAt(Workspace workspace, Place place, Model wanted) {
+    List<ArtifactId> surplus = new ArrayList<>();
+    for (ArtifactId artifact : place.placed().artifacts().keySet()) {
+      Optional<Model> model = workspace.model(artifact.model());
+      boolean candidate =
+          artifact.adapter() == null
+              && model.isPresent()
+              && !artifact.equals(wanted.weights())
+              && place.isReady(artifact);
+      if (candidate && workspace.readyHolders(artifact) > replicasToKeep(model.get(), artifact)) {
+        surplus.add(artifact);
       }
     }
     surplus.sort(
-        Comparator.<Model>comparingDouble(model -> workspace.input().demandOf(model.id()))
-            .thenComparing(Model::id));
+        Comparator.<ArtifactId>comparingDouble(
+                artifact -> workspace.input().demandOf(artifact.model()))
+            .thenComparing(Comparator.naturalOrder()));
     return surplus;
   }
 
-  private static Optional<List<Model>> enough(List<Model> surplus, Place place, Model wanted) {
-    List<Model> evicted = new ArrayList<>();
+  /** Of a version that is being replaced, one replica keeps the model reachable. */
+  private static int replicasToKeep(Model model, ArtifactId artifact) {
+    return artifact.version() == model.version() ? model.minimumReplicas() : 1;
+  }
+
+  private static Optional<List<ArtifactId>> enough(
+      Workspace workspace, List<ArtifactId> surplus, Place place, Model wanted) {
+    List<ArtifactId> evicted = new ArrayList<>();
     long room = place.freeBytes();
-    for (Model model : surplus) {
+    for (ArtifactId spare : surplus) {
       if (room >= wanted.bytesWithAdapters()) {
         break;
       }
-      evicted.add(model);
-      room += model.bytesWithAdapters();
+      evicted.add(spare);
+      room += workspace.model(spare.model()).orElseThrow().bytesWithAdapters();
     }
     boolean works = room >= wanted.bytesWithAdapters() && !evicted.isEmpty();
     return works ? Optional.of(evicted) : Optional.empty();
--- a/src/main/java/org/magnoliavale/internal/standin/EngineMemory.java
+++ b/src/main/java/org/magnoliavale/internal/standin/EngineMemory.java
@@ -13,10 +13,12 @@
  * The memory of an engine stand-in. It does as it is told, even beyond its capacity, and remembers
  * whether that ever happened.
  */
-final class EngineMemory {
+public final class EngineMemory {
   /** What came of an order. */
-  enum Verdict {
+  public enum Verdict {
+    /** The order was taken. */
     ACCEPTED,
+    /** The order's fencing number is lower than one seen. */
     STALE_FENCE
   }
 
@@ -38,13 +40,14 @@
   private long highestFence;
   private boolean everOvercommitted;
 
-  EngineMemory(long capacityBytes, boolean checksFencing) {
+  /** Returns empty memory. */
+  public EngineMemory(long capacityBytes, boolean checksFencing) {
     this.capacityBytes = capacityBytes;
     this.checksFencing = checksFencing;
   }
 
   /** Takes an order. A load stays unfinished until {@link #finishLoad}. */
-  synchronized Verdict take(EngineOrder order) {
+  public synchronized Verdict take(EngineOrder order) {
     if (checksFencing && order.fence() < highestFence) {
       transmissions.put(order.transmission(), "refused");
       return Verdict.STALE_FENCE;
@@ -71,7 +74,7 @@
   }
 
   /** Finishes a load, unless the artifact was removed or the engine restarted meanwhile. */
-  synchronized void finishLoad(EngineOrder order, String startedIn) {
+  public synchronized void finishLoad(EngineOrder order, String startedIn) {
     if (!incarnation.equals(startedIn)) {
       return;
     }
@@ -81,42 +84,49 @@
   }
 
   /** Forgets everything, as a restart does. The fencing number is forgotten too. */
-  synchronized void restart() {
+  public synchronized void restart() {
     residents.clear();
     transmissions.clear();
     highestFence = 0;
     incarnation = UUID.randomUUID().toString();
   }
 
-  synchronized boolean isReady(String artifact) {
+  /** Tells whether an artifact can serve requests. */
+  public synchronized boolean isReady(String artifact) {
     ResidentArtifact resident = residents.get(artifact);
     return resident != null && resident.ready();
   }
 
-  synchronized boolean isLoading(String artifact) {
+  /** Tells whether an artifact is being loaded. */
+  public synchronized boolean isLoading(String artifact) {
     ResidentArtifact resident = residents.get(artifact);
     return resident != null && !resident.ready();
   }
 
-  synchronized List<ResidentArtifact> residents() {
+  /** Returns what occupies the memory. */
+  public synchronized List<ResidentArtifact> residents() {
     return List.copyOf(residents.values());
   }
 
-  synchronized List<SettledTransmission> transmissions() {
+  /** Returns the latest transmissions. */
+  public synchronized List<SettledTransmission> transmissions() {
     List<SettledTransmission> list = new ArrayList<>();
     transmissions.forEach((id, outcome) -> list.add(new SettledTransmission(id, outcome)));
     return list;
   }
 
-  synchronized String incarnation() {
+  /** Returns the incarnation. */
+  public synchronized String incarnation() {
     return incarnation;
   }
 
-  synchronized long highestFence() {
+  /** Returns the highest fencing number that this incarnation has seen. */
+  public synchronized long highestFence() {
     return highestFence;
   }
 
-  synchronized boolean everOvercommitted() {
+  /** Tells whether more memory than there is was ever occupied. */
+  public synchronized boolean everOvercommitted() {
     return everOvercommitted;
   }
 }
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/control/SessionLog.java
@@ -0,0 +1,60 @@
+package org.magnoliavale.internal.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** Writes down what goes into the cores and what comes out, in a form fit for a golden file. */
+final class SessionLog {
+  private static final Pattern TOKEN = Pattern.compile("\"token\\\\?\":\\\\?\"[^\"]*\"");
+  private final List<String> lines = new ArrayList<>();
+  private long startMs = -1;
+
+  void note(String line) {
+    lines.add("# " + line);
+  }
+
+  void add(Fleet.Node node, long nowMs, ControlEvent event, List<ControlAction> actions) {
+    if (startMs < 0) {
+      startMs = nowMs;
+    }
+    boolean routine =
+        event instanceof ControlEvent.Tick || event instanceof ControlEvent.ReportRead;
+    if (routine && actions.isEmpty()) {
+      return;
+    }
+    lines.add("%6d %s <- %s".formatted(nowMs - startMs, node.name(), eventText(event)));
+    for (ControlAction action : actions) {
+      lines.add("       %s -> %s".formatted(node.name(), actionText(action)));
+    }
+  }
+
+  String text() {
+    return String.join("\n", lines) + "\n";
+  }
+
+  private static String eventText(ControlEvent event) {
+    return switch (event) {
+      case ControlEvent.DocumentInForce(var document) -> "document " + document.version();
+      case ControlEvent.ReportRead(var endpoint, var report, long ignored) ->
+          "report of " + endpoint + " " + report.residents();
+      case ControlEvent.TableAnswered(var pool, var kind, var answer) ->
+          "table answered " + kind + " " + answer.getClass().getSimpleName();
+      case ControlEvent.OrderAnswered(var pool, var endpoint, var transmission, var answer) ->
+          "order answered " + transmission + " " + answer;
+      default -> event.toString();
+    };
+  }
+
+  private static String actionText(ControlAction action) {
+    return switch (action) {
+      case ControlAction.CallTable(var pool, var kind, var call) ->
+          "table " + kind + " " + TOKEN.matcher(call.toString()).replaceAll("token");
+      case ControlAction.SendOrder(var pool, var endpoint, var order) ->
+          "send " + endpoint.id() + " " + order;
+      case ControlAction.Publish(var view) ->
+          "publish " + new java.util.TreeMap<>(view.ready()).toString();
+      case ControlAction.Log(String part, String line) -> part + ": " + line;
+    };
+  }
+}
