Specify the core protocol, claim orders before they are sent

Cause: releases and orders rested on reasoning alone, and an order had no protection against a second run on another instance.

The Alloy specification found that a checking engine that forgets its number when it restarts can take an old load after its bytes were given away. Such an engine now waits for the contract's lateness; keeps-fence-over-restart says which engines do not need to.

Before: the guard 'number kept over restart' taken away gives a counterexample of overcommitted memory.

--- a/src/main/java/org/magnoliavale/internal/control/LedgerReview.java
+++ b/src/main/java/org/magnoliavale/internal/control/LedgerReview.java
@@ -114,7 +114,7 @@
             && report.hasSettled(entry.unload().id())
             && report.resident(entry.id()).isEmpty();
     return confirmed
-        && !endpoint.contract().checksFencing()
+        && !endpoint.contract().keepsFenceOverRestart()
         && entry.loads().stream()
             .anyMatch(
                 load ->
--- a/src/main/java/org/magnoliavale/internal/document/DocumentReader.java
+++ b/src/main/java/org/magnoliavale/internal/document/DocumentReader.java
@@ -113,6 +113,7 @@
     return new Contract(
         section.name(),
         section.flag("checks-fencing"),
+        section.flag("keeps-fence-over-restart"),
         Duration.ofMillis(section.number("order-lateness-ms")),
         section.flag("resumes-streams"));
   }
--- a/src/main/java/org/magnoliavale/internal/document/DocumentRules.java
+++ b/src/main/java/org/magnoliavale/internal/document/DocumentRules.java
@@ -33,6 +33,7 @@
           checkReference(section, "from", "data-centre");
           checkReference(section, "to", "data-centre");
         }
+        case "contract" -> checkContract(section);
         case "endpoint" -> checkEndpoint(section);
         case "model" -> checkPoolMember(section, "engines");
         case "service" -> checkPoolMember(section, "services");
@@ -41,6 +42,13 @@
     }
   }
 
+  private void checkContract(CheckedSection section) {
+    checkReference(section, "owner", "team");
+    if (section.flag("keeps-fence-over-restart") && !section.flag("checks-fencing")) {
+      section.findings().addAtKey("keeps-fence-over-restart", "needs checks-fencing");
+    }
+  }
+
   private void checkEndpoint(CheckedSection section) {
     checkReference(section, "owner", "team");
     checkReference(section, "pool", "pool");
--- a/src/main/java/org/magnoliavale/internal/document/DocumentSchema.java
+++ b/src/main/java/org/magnoliavale/internal/document/DocumentSchema.java
@@ -91,6 +91,12 @@
                 "",
                 "false",
                 "The engine refuses an order whose fencing number is lower than one it has seen."),
+            optional(
+                "keeps-fence-over-restart",
+                FLAG,
+                "",
+                "false",
+                "The engine remembers the highest fencing number when it restarts."),
             optional(
                 "order-lateness-ms",
                 MILLISECONDS,
--- a/src/main/java/org/magnoliavale/internal/instance/Instance.java
+++ b/src/main/java/org/magnoliavale/internal/instance/Instance.java
@@ -33,6 +33,8 @@
 import org.magnoliavale.internal.operator.DocumentCalls;
 import org.magnoliavale.internal.operator.OperatorHandler;
 import org.magnoliavale.internal.operator.StatusSource;
+import org.magnoliavale.internal.order.ClaimTable;
+import org.magnoliavale.internal.order.ClaimingOrderDesk;
 import org.magnoliavale.internal.placement.Planner;
 import org.magnoliavale.internal.platform.HttpPlatform;
 import org.magnoliavale.internal.routing.EndpointLoads;
@@ -63,6 +65,7 @@
   private final String incarnation;
   private final HttpClient controlClient;
   private final EndpointClient endpointClient;
+  private final ClaimTable claims;
   private final DocumentHolder documents = DocumentHolder.create();
   private final DocumentFollower follower;
   private final EndpointLoads loads = new EndpointLoads();
@@ -108,6 +111,7 @@
             view -> snapshot = snapshots.build(view));
     poller = new ReportPoller(engines, loads, control, clock, settings.engine().reportInterval());
     endpointClient = EndpointClient.of(settings.engine());
+    claims = ClaimTable.of(platform);
     gate = new RequestGate(settings.caller().maximumRequests());
     DecisionMemory decisions = new DecisionMemory();
     Routing routing =
@@ -148,7 +152,13 @@
   }
 
   private Server callerServer(Forwarder forwarder) {
-    OrderDesk orders = new SingleAttemptDesk(forwarder);
+    OrderDesk orders =
+        new ClaimingOrderDesk(
+            claims,
+            endpointClient,
+            forwarder.routing(),
+            clock,
+            settings.engine().maximumAnswerBytes());
     return HttpServers.create(
         "caller",
         settings.caller().address(),
@@ -177,6 +187,7 @@
   public void start() {
     HttpClients.start(controlClient);
     endpointClient.start();
+    claims.start();
     control.start();
     operatorPort = HttpServers.start(operatorServer);
     callerPort = HttpServers.start(callerServer);
@@ -201,6 +212,7 @@
     poller.stop();
     HttpServers.stop(callerServer);
     HttpServers.stop(operatorServer);
+    claims.stop();
     endpointClient.stop();
     HttpClients.stop(controlClient);
     LOG.info("Stopped.");
--- a/src/main/java/org/magnoliavale/internal/ledger/SettlementRules.java
+++ b/src/main/java/org/magnoliavale/internal/ledger/SettlementRules.java
@@ -11,14 +11,14 @@
  * with, and no load can still arrive. The unload in the report proves that the report was made
  * after the unload; without it an old report could stand for a new one.
  *
- * <p>At an engine that checks fencing numbers, a load is dead once an unload with a higher number
- * was dealt with. A restart alone proves nothing, since a restarted engine has forgotten its
- * highest number.
+ * <p>At an engine that checks fencing numbers and keeps the highest over a restart, a load is dead
+ * once an unload with a higher number was dealt with. An engine that forgets its number when it
+ * restarts could take an old load after that, so its numbers prove nothing here.
  *
- * <p>At an engine that does not check, a load is settled once the engine reports it, or when the
- * unload was issued after the last moment at which the load could arrive by the contract's
- * lateness. This rests on the assumption that the network and a paused sender together delay no
- * transmission for longer than that, and that no transmission arrives twice.
+ * <p>At every other engine, a load is settled once the engine reports it, or when the unload was
+ * issued after the last moment at which the load could arrive by the contract's lateness. This
+ * rests on the assumption that the network and a paused sender together delay no transmission for
+ * longer than that, and that no transmission arrives twice.
  */
 public final class SettlementRules {
   private final Contract contract;
@@ -54,7 +54,7 @@
 
   /** Tells whether an unload that was dealt with proves that a load has no effect any more. */
   boolean isOutrun(Transmission load, Transmission unload) {
-    if (contract.checksFencing()) {
+    if (contract.keepsFenceOverRestart()) {
       return unload.fence() > load.fence();
     }
     return unload.issuedAtMs() > lastArrivalMs(load);
--- a/src/main/java/org/magnoliavale/internal/standin/EngineMemory.java
+++ b/src/main/java/org/magnoliavale/internal/standin/EngineMemory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import org.magnoliavale.internal.document.Contract;
 import org.magnoliavale.internal.engine.EngineOrder;
 import org.magnoliavale.internal.engine.ResidentArtifact;
 import org.magnoliavale.internal.engine.SettledTransmission;
@@ -25,7 +26,7 @@
   private static final int REMEMBERED_TRANSMISSIONS = 512;
 
   private final long capacityBytes;
-  private final boolean checksFencing;
+  private final Contract contract;
   private final Map<String, ResidentArtifact> residents = new LinkedHashMap<>();
   private final Map<String, String> transmissions =
       new LinkedHashMap<>() {
@@ -41,14 +42,14 @@
   private boolean everOvercommitted;
 
   /** Returns empty memory. */
-  public EngineMemory(long capacityBytes, boolean checksFencing) {
+  public EngineMemory(long capacityBytes, Contract contract) {
     this.capacityBytes = capacityBytes;
-    this.checksFencing = checksFencing;
+    this.contract = contract;
   }
 
   /** Takes an order. A load stays unfinished until {@link #finishLoad}. */
   public synchronized Verdict take(EngineOrder order) {
-    if (checksFencing && order.fence() < highestFence) {
+    if (contract.checksFencing() && order.fence() < highestFence) {
       transmissions.put(order.transmission(), "refused");
       return Verdict.STALE_FENCE;
     }
@@ -83,11 +84,13 @@
         order.artifact(), (name, resident) -> new ResidentArtifact(name, resident.bytes(), true));
   }
 
-  /** Forgets everything, as a restart does. The fencing number is forgotten too. */
+  /** Forgets what a restart forgets; the contract says whether the fencing number is kept. */
   public synchronized void restart() {
     residents.clear();
     transmissions.clear();
-    highestFence = 0;
+    if (!contract.keepsFenceOverRestart()) {
+      highestFence = 0;
+    }
     incarnation = UUID.randomUUID().toString();
   }
 
--- a/src/main/java/org/magnoliavale/internal/standin/EngineStandIn.java
+++ b/src/main/java/org/magnoliavale/internal/standin/EngineStandIn.java
@@ -71,7 +71,7 @@
   private EngineStandIn(Endpoint endpoint, WeightLoader weights) {
     this.endpoint = endpoint;
     this.weights = weights;
-    this.memory = new EngineMemory(endpoint.memoryBytes(), endpoint.contract().checksFencing());
+    this.memory = new EngineMemory(endpoint.memoryBytes(), endpoint.contract());
     this.batcher = new Batcher(endpoint.slots(), endpoint.tokensPerSecond());
   }
 
--- a/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
@@ -29,7 +29,7 @@
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int SERVER_ERROR = 500;
 
-  private final EndpointClient client;
+  private final AttemptSender client;
   private final EngineSettings settings;
   private final Routing routing;
   private final RetryBudget budget;
--- a/src/main/java/org/magnoliavale/internal/traffic/EndpointClient.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/EndpointClient.java
@@ -21,7 +21,7 @@
  * Sends attempts to endpoints. An attempt that fails, times out or is abandoned closes its
  * connection, so that a late answer reaches nobody.
  */
-public final class EndpointClient implements Service {
+public final class EndpointClient implements AttemptSender, Service {
   private final HttpClient pooled;
   private final HttpClient fresh;
 
@@ -71,12 +71,12 @@
     HttpClients.stop(fresh);
   }
 
-  /** Sends an attempt over a connection of the pool and waits for the start of its answer. */
+  @Override
   public AttemptStart send(AttemptRequest attempt) {
     return send(pooled, attempt);
   }
 
-  /** Sends an attempt that may not be repeated, over a connection of its own. */
+  @Override
   public AttemptStart sendOnce(AttemptRequest attempt) {
     return send(fresh, attempt);
   }
@@ -109,7 +109,7 @@
       Request request,
       Response response,
       InputStreamResponseListener listener) {
-    OpenAnswer answer = new OpenAnswer(request, response, listener.getInputStream());
+    OpenAnswer answer = new JettyOpenAnswer(request, response, listener.getInputStream());
     String answered = response.getHeaders().get(EngineHeaders.ATTEMPT);
     if (!attempt.attemptId().equals(answered)) {
       boolean refusal = answered == null && response.getStatus() >= 500;
--- a/src/main/java/org/magnoliavale/internal/traffic/Forwarder.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/Forwarder.java
@@ -14,7 +14,7 @@
  * @param budget limits retries over all requests
  */
 public record Forwarder(
-    EndpointClient client, EngineSettings settings, Routing routing, RetryBudget budget) {
+    AttemptSender client, EngineSettings settings, Routing routing, RetryBudget budget) {
   /** Starts the attempts of a request. */
   AttemptSeries begin(RequestContext context, Target target, CallTemplate template) {
     return new AttemptSeries(this, context, target, template);
--- a/src/test/java/org/magnoliavale/internal/control/ControlUnderFaultsTest.java
+++ b/src/test/java/org/magnoliavale/internal/control/ControlUnderFaultsTest.java
@@ -26,7 +26,7 @@
     StringBuilder text = new StringBuilder(TestDocuments.base());
     text.append(TestDocuments.endpoint("engine-1", 1, ENGINE_BYTES, "checking"));
     text.append(TestDocuments.endpoint("engine-2", 2, ENGINE_BYTES, "unchecking"));
-    text.append(TestDocuments.endpoint("engine-3", 3, ENGINE_BYTES, "unchecking"));
+    text.append(TestDocuments.endpoint("engine-3", 3, ENGINE_BYTES, "forgetting"));
     for (int model = 1; model <= 4; model++) {
       text.append(TestDocuments.model("model-" + model, MODEL_BYTES));
       text.append("version = ").append(model == 1 ? changedModelVersion : 1).append('\n');
--- a/src/test/java/org/magnoliavale/internal/control/FakeEngine.java
+++ b/src/test/java/org/magnoliavale/internal/control/FakeEngine.java
@@ -10,10 +10,12 @@
   private final Endpoint endpoint;
   private final EngineMemory memory;
   private long sequence;
+  private EngineReport published;
+  private long publishedAtMs;
 
   FakeEngine(Endpoint endpoint) {
     this.endpoint = endpoint;
-    this.memory = new EngineMemory(endpoint.placeableBytes(), endpoint.contract().checksFencing());
+    this.memory = new EngineMemory(endpoint.placeableBytes(), endpoint.contract());
   }
 
   Endpoint endpoint() {
@@ -28,7 +30,17 @@
     return memory.take(order) == EngineMemory.Verdict.ACCEPTED;
   }
 
-  EngineReport report() {
+  /** Returns the latest published report; a new one is published every {@code lagMs}. */
+  EngineReport report(long nowMs, long lagMs) {
+    boolean restarted = published != null && !published.incarnation().equals(memory.incarnation());
+    if (published == null || restarted || nowMs - publishedAtMs >= lagMs) {
+      published = newReport();
+      publishedAtMs = nowMs;
+    }
+    return published;
+  }
+
+  private EngineReport newReport() {
     sequence++;
     return new EngineReport(
         memory.incarnation(),
--- a/src/test/java/org/magnoliavale/internal/control/Fleet.java
+++ b/src/test/java/org/magnoliavale/internal/control/Fleet.java
@@ -17,6 +17,7 @@
 import org.magnoliavale.internal.lease.LeaseTimes;
 import org.magnoliavale.internal.placement.Planner;
 import org.magnoliavale.internal.platform.TableAnswer;
+import org.magnoliavale.internal.platform.TableCall;
 import org.magnoliavale.internal.standin.InMemoryTable;
 
 /**
@@ -28,6 +29,7 @@
   static final LeaseTimes LEASE = new LeaseTimes(3_000, DRIFT_MS);
   private static final long TICK_MS = 100;
   private static final long REPORT_MS = 300;
+  private static final long REPORT_LAG_MS = 900;
   private static final long LOAD_MS = 400;
   private static final long START_MS = 1_000_000;
 
@@ -104,6 +106,7 @@
   private long nowMs = START_MS;
   private long sequence;
   private boolean tableDown;
+  private boolean loseNextCommitAnswer;
 
   Fleet(long seed, Document document, Faults faults, SessionLog session) {
     this.seed = seed;
@@ -147,6 +150,11 @@
     tableDown = down;
   }
 
+  /** Lets the next commit of a ledger take effect without an answer. */
+  void loseNextCommitAnswer() {
+    loseNextCommitAnswer = true;
+  }
+
   void install(Document newDocument) {
     document = newDocument;
     syncEngines();
@@ -200,7 +208,7 @@
       return;
     }
     long askedAt = nowMs;
-    EngineReport report = engine.report();
+    EngineReport report = engine.report(nowMs, REPORT_LAG_MS);
     schedule(
         1 + random.nextLong(20),
         () -> node.handle(new ControlEvent.ReportRead(id, report, askedAt)));
@@ -220,6 +228,14 @@
       answerTable(node, call, new TableAnswer.Unavailable("down"), 5);
       return;
     }
+    boolean ledgerCommit =
+        call.kind() == ControlEvent.CallKind.LEDGER && call.call() instanceof TableCall.Commit;
+    if (loseNextCommitAnswer && ledgerCommit) {
+      loseNextCommitAnswer = false;
+      schedule(2, () -> call.call().make(table));
+      answerTable(node, call, new TableAnswer.Unknown("lost after"), 500);
+      return;
+    }
     double draw = random.nextDouble();
     if (draw < faults.lostTableCalls()) {
       answerTable(node, call, new TableAnswer.Unknown("lost before"), 500);
@@ -227,7 +243,7 @@
       schedule(2, () -> call.call().make(table));
       answerTable(node, call, new TableAnswer.Unknown("lost after"), 500);
     } else if (draw < 3 * faults.lostTableCalls()) {
-      schedule(900 + random.nextLong(2_000), () -> call.call().make(table));
+      schedule(900 + random.nextLong(9_000), () -> call.call().make(table));
       answerTable(node, call, new TableAnswer.Unknown("late"), 500);
     } else {
       long delay = 1 + random.nextLong(8);
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/control/GoldenSessionTest.java
@@ -0,0 +1,92 @@
+package org.magnoliavale.internal.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.document.Document;
+import org.magnoliavale.internal.document.DocumentReader;
+import org.magnoliavale.internal.document.TestDocuments;
+import org.magnoliavale.internal.identifier.EndpointId;
+
+/**
+ * Whole sessions of decision cores, compared word for word with files. To write the files anew
+ * after an intended change, run with {@code -Dgolden.write=true} and read the difference.
+ */
+class GoldenSessionTest {
+  private static final Path FOLDER = Path.of("src/test/resources/golden");
+  private static final EndpointId ENGINE = new EndpointId("engine-1");
+
+  private final SessionLog session = new SessionLog();
+
+  private Fleet fleet(String contract) {
+    return new Fleet(7, document(1, contract, 1), Faults.NONE, session);
+  }
+
+  private static Document document(long version, String contract, int modelVersion) {
+    String text =
+        TestDocuments.base()
+            + TestDocuments.endpoint("engine-1", 1, 20, contract)
+            + TestDocuments.model("menu", 8)
+            + "version = "
+            + modelVersion
+            + "\n";
+    return DocumentReader.read("d.ini", text, version);
+  }
+
+  @Test
+  void takeoverDuringALoad() throws IOException {
+    Fleet fleet = fleet("unchecking");
+    Fleet.Node first = fleet.addNode("first");
+    fleet.run(700);
+    session.note("first dies after it ordered the load; second finds the reservation");
+    first.kill();
+    fleet.addNode("second");
+    fleet.run(7_000);
+    assertThat(ControlUnderFaultsTest.readyModels(fleet)).containsExactly("menu@1");
+    assertMatches("takeover-during-a-load.txt");
+  }
+
+  @Test
+  void versionChangeWithALostAnswer() throws IOException {
+    Fleet fleet = fleet("checking");
+    fleet.addNode("only");
+    fleet.run(2_000);
+    session.note("version 2 is wanted, and the next commit's answer is lost after it took effect");
+    fleet.loseNextCommitAnswer();
+    fleet.install(document(2, "checking", 2));
+    fleet.run(5_000);
+    assertThat(ControlUnderFaultsTest.readyModels(fleet)).containsExactly("menu@2");
+    assertMatches("version-change-with-a-lost-answer.txt");
+  }
+
+  @Test
+  void storeOutageWithARestart() throws IOException {
+    Fleet fleet = fleet("checking");
+    Fleet.Node first = fleet.addNode("first");
+    fleet.run(2_000);
+    session.note("the table goes away, the instance and the engine restart");
+    fleet.setTableDown(true);
+    fleet.run(1_000);
+    first.kill();
+    fleet.restart(ENGINE);
+    fleet.addNode("second");
+    fleet.run(5_000);
+    session.note("the table is back");
+    fleet.setTableDown(false);
+    fleet.run(6_000);
+    assertThat(ControlUnderFaultsTest.readyModels(fleet)).containsExactly("menu@1");
+    assertMatches("store-outage-with-a-restart.txt");
+  }
+
+  private void assertMatches(String file) throws IOException {
+    Path path = FOLDER.resolve(file);
+    if (Boolean.getBoolean("golden.write")) {
+      Files.createDirectories(FOLDER);
+      Files.writeString(path, session.text());
+    }
+    assertThat(session.text()).isEqualTo(Files.readString(path));
+  }
+}
--- a/src/test/java/org/magnoliavale/internal/document/TestDocuments.java
+++ b/src/test/java/org/magnoliavale/internal/document/TestDocuments.java
@@ -23,7 +23,12 @@
     [contract checking]
     owner = cooks
     checks-fencing = true
+    keeps-fence-over-restart = true
     resumes-streams = true
+    [contract forgetting]
+    owner = cooks
+    checks-fencing = true
+    order-lateness-ms = 20000
     [contract unchecking]
     owner = cooks
     checks-fencing = false
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/ledger/SettlementRulesTest.java
@@ -0,0 +1,99 @@
+package org.magnoliavale.internal.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.document.Contract;
+import org.magnoliavale.internal.engine.EngineReport;
+import org.magnoliavale.internal.engine.ResidentArtifact;
+import org.magnoliavale.internal.engine.SettledTransmission;
+import org.magnoliavale.internal.identifier.ArtifactId;
+
+class SettlementRulesTest {
+  private static final ArtifactId MENU = ArtifactId.parse("menu@1");
+  private static final Transmission LOAD = new Transmission("load", 10, 0, 2_000);
+  private static final Duration LATENESS = Duration.ofSeconds(20);
+  private static final long DRIFT_MS = 500;
+  private static final long AFTER_LAST_ARRIVAL_MS = 2_000 + 20_000 + DRIFT_MS + 1;
+
+  private static LedgerEntry releasing(Transmission unload) {
+    return LedgerEntry.reserved(MENU, 8, LOAD).withUnload(unload);
+  }
+
+  private static Transmission unload(long issuedAtMs) {
+    return new Transmission("unload", 11, issuedAtMs, issuedAtMs + 2_000);
+  }
+
+  private static EngineReport report(List<ResidentArtifact> residents, String... settled) {
+    List<SettledTransmission> transmissions =
+        java.util.Arrays.stream(settled).map(id -> new SettledTransmission(id, "done")).toList();
+    return new EngineReport("a", 1, 80, 0, false, 0, 0, 0, residents, transmissions);
+  }
+
+  private static SettlementRules rules(boolean checks, boolean keeps) {
+    Contract contract = new Contract("c", checks, keeps, LATENESS, false);
+    return new SettlementRules(contract, DRIFT_MS, Set.of());
+  }
+
+  @Nested
+  class AnyEngine {
+    @Test
+    void keepsBytesWhileTheArtifactIsShown() {
+      EngineReport shown =
+          report(List.of(new ResidentArtifact("menu@1", 8, true)), "load", "unload");
+      assertThat(rules(true, true).isGone(releasing(unload(100)), shown)).isFalse();
+    }
+
+    @Test
+    void keepsBytesUntilAReportShowsTheUnload() {
+      assertThat(rules(true, true).isGone(releasing(unload(100)), report(List.of(), "load")))
+          .isFalse();
+    }
+
+    @Test
+    void releasesBytesOnceLoadAndUnloadWereDealtWith() {
+      assertThat(
+              rules(false, false)
+                  .isGone(releasing(unload(100)), report(List.of(), "load", "unload")))
+          .isTrue();
+    }
+  }
+
+  @Nested
+  class EngineThatChecksAndRemembers {
+    @Test
+    void releasesBytesOnceAHigherNumberWasDealtWith() {
+      assertThat(rules(true, true).isGone(releasing(unload(100)), report(List.of(), "unload")))
+          .isTrue();
+    }
+  }
+
+  @Nested
+  class EngineThatForgetsItsNumberOnRestart {
+    @Test
+    void keepsBytesAlthoughAHigherNumberWasDealtWith() {
+      assertThat(rules(true, false).isGone(releasing(unload(100)), report(List.of(), "unload")))
+          .isFalse();
+    }
+
+    @Test
+    void releasesBytesOnceTheUnloadWasIssuedAfterTheLoadsLastArrival() {
+      Transmission late = unload(AFTER_LAST_ARRIVAL_MS);
+      assertThat(rules(true, false).isGone(releasing(late), report(List.of(), "unload"))).isTrue();
+    }
+  }
+
+  @Nested
+  class EngineThatChecksNothing {
+    @Test
+    void keepsBytesUntilTheLastArrival() {
+      Transmission early = unload(AFTER_LAST_ARRIVAL_MS - 1);
+      assertThat(rules(false, false).isGone(releasing(early), report(List.of(), "unload")))
+          .isFalse();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/order/FaultySender.java
@@ -0,0 +1,97 @@
+package org.magnoliavale.internal.order;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.magnoliavale.internal.traffic.AttemptRequest;
+import org.magnoliavale.internal.traffic.AttemptSender;
+import org.magnoliavale.internal.traffic.AttemptStart;
+import org.magnoliavale.internal.traffic.OpenAnswer;
+
+/** An ordering service behind a connection that fails in a given way. It counts what it ran. */
+final class FaultySender implements AttemptSender {
+  /** How an attempt fails. */
+  enum Fault {
+    NONE,
+    NOT_SENT,
+    KILLED_BEFORE_FIRST_BYTE,
+    CUT_BEFORE_RUN,
+    CUT_AFTER_RUN,
+    CUT_INSIDE_ANSWER,
+    KILLED_AFTER_RUN
+  }
+
+  private record Answer(InputStream content) implements OpenAnswer {
+    @Override
+    public int status() {
+      return 201;
+    }
+
+    @Override
+    public Optional<String> contentType() {
+      return Optional.of("application/json");
+    }
+
+    @Override
+    public void abandon(String reason) {}
+  }
+
+  private final Fault fault;
+  private final AtomicInteger runs;
+
+  FaultySender(Fault fault, AtomicInteger runs) {
+    this.fault = fault;
+    this.runs = runs;
+  }
+
+  @Override
+  public AttemptStart send(AttemptRequest attempt) {
+    throw new AssertionError("an order was sent as if it could be repeated");
+  }
+
+  @Override
+  public AttemptStart sendOnce(AttemptRequest attempt) {
+    return switch (fault) {
+      case NOT_SENT -> new AttemptStart.NotSent("refused");
+      case KILLED_BEFORE_FIRST_BYTE -> FaultyTable.killed();
+      case CUT_BEFORE_RUN -> new AttemptStart.Failed("cut");
+      case NONE -> {
+        runs.incrementAndGet();
+        yield opened(
+            new ByteArrayInputStream("{\"placed\":true}".getBytes(StandardCharsets.UTF_8)));
+      }
+      case CUT_AFTER_RUN -> {
+        runs.incrementAndGet();
+        yield new AttemptStart.Failed("cut");
+      }
+      case CUT_INSIDE_ANSWER -> {
+        runs.incrementAndGet();
+        yield opened(new CutStream());
+      }
+      case KILLED_AFTER_RUN -> {
+        runs.incrementAndGet();
+        yield FaultyTable.killed();
+      }
+    };
+  }
+
+  private static AttemptStart opened(InputStream content) {
+    return new AttemptStart.Opened(new Answer(content));
+  }
+
+  private static final class CutStream extends InputStream {
+    private int left = 5;
+
+    @Override
+    public int read() throws IOException {
+      left--;
+      if (left < 0) {
+        throw new IOException("connection reset");
+      }
+      return '{';
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/order/FaultyTable.java
@@ -0,0 +1,77 @@
+package org.magnoliavale.internal.order;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.magnoliavale.internal.platform.Table;
+import org.magnoliavale.internal.platform.TableAnswer;
+import org.magnoliavale.internal.platform.Transaction;
+
+/** A table whose commits fail in a given way until it is healed. */
+final class FaultyTable implements Table {
+  /** How a commit fails. */
+  enum Fault {
+    NONE,
+    DOWN,
+    LOST_BEFORE_EFFECT,
+    LOST_AFTER_EFFECT,
+    KILLED_BEFORE_EFFECT,
+    KILLED_AFTER_EFFECT
+  }
+
+  private final Table table;
+  private final Fault fault;
+  private final int firstFaulty;
+  private final int lastFaulty;
+  private int commits;
+
+  /** Returns a table whose commits from {@code first} to {@code last} fail, counted from 1. */
+  FaultyTable(Table table, Fault fault, int first, int last) {
+    this.table = table;
+    this.fault = fault;
+    this.firstFaulty = first;
+    this.lastFaulty = last;
+  }
+
+  @Override
+  public TableAnswer commit(Transaction transaction) {
+    return switch (nextFault()) {
+      case NONE -> table.commit(transaction);
+      case DOWN -> new TableAnswer.Unavailable("down");
+      case LOST_BEFORE_EFFECT -> new TableAnswer.Unknown("lost");
+      case LOST_AFTER_EFFECT -> {
+        table.commit(transaction);
+        yield new TableAnswer.Unknown("lost");
+      }
+      case KILLED_BEFORE_EFFECT -> killed();
+      case KILLED_AFTER_EFFECT -> {
+        table.commit(transaction);
+        yield killed();
+      }
+    };
+  }
+
+  private synchronized Fault nextFault() {
+    commits++;
+    return commits >= firstFaulty && commits <= lastFaulty ? fault : Fault.NONE;
+  }
+
+  @Override
+  public TableAnswer read(List<String> keys) {
+    return table.read(keys);
+  }
+
+  @Override
+  public TableAnswer scan(String prefix) {
+    return table.scan(prefix);
+  }
+
+  /** Stands for the death of the process: the call never returns. */
+  static <T> T killed() {
+    try {
+      new CountDownLatch(1).await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    throw new IllegalStateException("killed");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/specification/SpecificationTest.java
@@ -0,0 +1,63 @@
+package org.magnoliavale.specification;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import edu.mit.csail.sdg.alloy4.A4Reporter;
+import edu.mit.csail.sdg.ast.Command;
+import edu.mit.csail.sdg.ast.Module;
+import edu.mit.csail.sdg.parser.CompUtil;
+import edu.mit.csail.sdg.translator.A4Options;
+import edu.mit.csail.sdg.translator.TranslateAlloyToKodkod;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvFileSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Runs the specification of the core protocol and a list of its mutations. */
+class SpecificationTest {
+  private static final Path SPECIFICATION =
+      Path.of("src/test/resources/specification/placement.als");
+
+  @TempDir Path folder;
+
+  private boolean isSatisfiable(String text, String command) throws IOException {
+    Path file = Files.writeString(folder.resolve("placement.als"), text);
+    Module module = CompUtil.parseEverything_fromFile(A4Reporter.NOP, null, file.toString());
+    Command found =
+        module.getAllCommands().stream()
+            .filter(candidate -> candidate.label.equals(command))
+            .findFirst()
+            .orElseThrow();
+    return TranslateAlloyToKodkod.execute_command(
+            A4Reporter.NOP, module.getAllReachableSigs(), found, new A4Options())
+        .satisfiable();
+  }
+
+  @Test
+  void canDoSomethingUseful() throws IOException {
+    assertThat(isSatisfiable(Files.readString(SPECIFICATION), "useful")).isTrue();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"neverOvercommitted", "versionNeverReverts", "oneEffectiveHolder"})
+  void holds(String assertion) throws IOException {
+    assertThat(isSatisfiable(Files.readString(SPECIFICATION), assertion)).isFalse();
+  }
+
+  /** Each line takes one guard away; the checker must find what goes wrong without it. */
+  @Nested
+  class Mutation {
+    @ParameterizedTest
+    @CsvFileSource(resources = "/specification/mutations.csv", delimiter = '|', numLinesToSkip = 1)
+    void isCaught(String assertion, String guard, String replacement) throws IOException {
+      String text = Files.readString(SPECIFICATION);
+      assertThat(text).contains(guard);
+      assertThat(isSatisfiable(text.replace(guard, replacement), assertion)).isTrue();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/resources/specification/placement.als
@@ -0,0 +1,265 @@
+-- Lease, ledger and engine orders, for one endpoint that has room for one artifact.
+--
+-- Numbers of orders rise with the order in which they are recorded, because a record needs the
+-- current epoch.
+module placement
+
+open util/ordering[Order] as number
+open util/ordering[Version] as newer
+
+sig Artifact {}
+abstract sig Order { artifact: one Artifact }
+sig Load extends Order {}
+sig Unload extends Order {}
+
+one sig Engine {
+  var resident: set Artifact,
+  var dealtWith: set Order,      -- by this incarnation
+  var outrun: set Order          -- numbers below the highest one seen
+}
+
+-- The latest report that the holder has read. It stays what it was while the engine goes on.
+one sig Report {
+  var shownResident: set Artifact,
+  var shownDealtWith: set Order
+}
+
+one sig Ledger {
+  var entries: set Artifact,
+  var releasing: set Artifact,
+  var mayArrive: set Load,
+  var lastUnload: Artifact -> lone Unload
+}
+
+one sig Network {
+  var recorded: set Order,
+  var arrived: set Order,
+  var expired: set Order,
+  var expiredBefore: Unload -> Order
+}
+
+sig Holder { var view: set Artifact }
+one sig Lease { var holder: one Holder }
+
+sig Version {}
+one sig Table { var accepted: one Version }
+sig Instance { var inForce: one Version }
+
+-- The two kinds of contract. An engine that checks numbers keeps the highest over a restart.
+one sig Contract { checks: lone Contract }
+pred checking { some Contract.checks }
+
+pred init {
+  no resident and no dealtWith and no outrun
+  no shownResident and no shownDealtWith
+  no entries and no releasing and no mayArrive and no lastUnload
+  no recorded and no arrived and no expired and no expiredBefore
+  no view
+  Table.accepted = newer/first and Instance.inForce = newer/first
+}
+
+pred engineSame { resident' = resident and dealtWith' = dealtWith and outrun' = outrun }
+pred reportSame { shownResident' = shownResident and shownDealtWith' = shownDealtWith }
+pred ledgerSame {
+  entries' = entries and releasing' = releasing
+  mayArrive' = mayArrive and lastUnload' = lastUnload
+}
+pred networkSame {
+  recorded' = recorded and arrived' = arrived
+  expired' = expired and expiredBefore' = expiredBefore
+}
+pred leaseSame { view' = view and holder' = holder }
+pred versionsSame { accepted' = accepted and inForce' = inForce }
+
+pred isNext[o: Order] { o not in Network.recorded and number/prevs[o] in Network.recorded }
+
+-- The table lets a write through only from the holder of the current epoch.
+pred mayWrite[h: Holder] { h = Lease.holder }
+
+pred reserve[h: Holder, o: Load] {
+  mayWrite[h]
+  isNext[o]
+  o.artifact not in h.view
+  no h.view
+  entries' = entries + Ledger->o.artifact
+  mayArrive' = mayArrive + Ledger->o
+  releasing' = releasing and lastUnload' = lastUnload
+  view' = view ++ h->entries'[Ledger]
+  holder' = holder
+  recorded' = recorded + Network->o
+  arrived' = arrived and expired' = expired and expiredBefore' = expiredBefore
+  engineSame and reportSame and versionsSame
+}
+
+-- The answer to a reservation is lost; the holder reads the row again before it goes on.
+pred reserveUnknown[h: Holder, o: Load] {
+  mayWrite[h]
+  isNext[o]
+  no h.view
+  entries' = entries + Ledger->o.artifact
+  mayArrive' = mayArrive + Ledger->o
+  releasing' = releasing and lastUnload' = lastUnload
+  view' = view ++ h->(entries'[Ledger])   -- GUARD reread
+  holder' = holder
+  recorded' = recorded + Network->o
+  arrived' = arrived and expired' = expired and expiredBefore' = expiredBefore
+  engineSame and reportSame and versionsSame
+}
+
+-- A further load of an artifact that is reserved already.
+pred repeatLoad[h: Holder, o: Load] {
+  mayWrite[h]
+  isNext[o]
+  o.artifact in h.view - Ledger.releasing
+  mayArrive' = mayArrive + Ledger->o      -- GUARD count transmissions
+  entries' = entries and releasing' = releasing and lastUnload' = lastUnload
+  recorded' = recorded + Network->o
+  arrived' = arrived and expired' = expired and expiredBefore' = expiredBefore
+  engineSame and reportSame and leaseSame and versionsSame
+}
+
+pred startRelease[h: Holder, o: Unload] {
+  mayWrite[h]
+  isNext[o]
+  o.artifact in h.view
+  releasing' = releasing + Ledger->o.artifact
+  lastUnload' = lastUnload ++ Ledger->o.artifact->o
+  entries' = entries and mayArrive' = mayArrive
+  recorded' = recorded + Network->o
+  expiredBefore' = expiredBefore + Network->o->Network.expired
+  arrived' = arrived and expired' = expired
+  engineSame and reportSame and leaseSame and versionsSame
+}
+
+-- The loads of which it is certain that they have no effect after unload u.
+fun settledBy[u: Unload]: set Load {
+  { l: Load |
+    l in Report.shownDealtWith
+    or (checking and number/lt[l, u])       -- GUARD fence
+    or l in u.(Network.expiredBefore) }     -- GUARD lateness
+}
+
+pred isGone[a: Artifact] {
+  a in Ledger.releasing
+  let u = a.(Ledger.lastUnload) {
+    u in Report.shownDealtWith            -- GUARD confirmed unload
+    (Ledger.mayArrive & artifact.a) in settledBy[u]   -- GUARD settled loads
+  }
+  a not in Report.shownResident           -- GUARD absent
+}
+
+pred free[h: Holder, a: Artifact] {
+  mayWrite[h]
+  a in h.view
+  isGone[a]
+  entries' = entries - Ledger->a
+  releasing' = releasing - Ledger->a
+  mayArrive' = mayArrive - Ledger->(artifact.a)
+  lastUnload' = lastUnload - Ledger->a->Unload
+  view' = view - h->a
+  holder' = holder
+  engineSame and reportSame and networkSame and versionsSame
+}
+
+-- After the contract's lateness an order that has not arrived never will.
+pred expire[o: Order] {
+  o in Network.recorded - Network.expired
+  expired' = expired + Network->o
+  recorded' = recorded and arrived' = arrived and expiredBefore' = expiredBefore
+  engineSame and reportSame and ledgerSame and leaseSame and versionsSame
+}
+
+-- An order that was recorded may arrive at any later time, once: it was on its way for long, or its
+-- sender was paused and may have lost the lease meanwhile. One that never arrives was lost.
+pred arrive[o: Order] {
+  o in Network.recorded - Network.arrived - Network.expired
+  arrived' = arrived + Network->o
+  recorded' = recorded and expired' = expired and expiredBefore' = expiredBefore
+  dealtWith' = dealtWith + Engine->o
+  (checking and o in Engine.outrun) implies {
+    resident' = resident and outrun' = outrun
+  } else {
+    outrun' = outrun + Engine->number/prevs[o]
+    o in Load implies resident' = resident + Engine->o.artifact
+    else resident' = resident - Engine->o.artifact
+  }
+  reportSame and ledgerSame and leaseSame and versionsSame
+}
+
+pred restart {
+  no resident'
+  no dealtWith'
+  outrun' = outrun                        -- GUARD number kept over restart
+  reportSame and ledgerSame and networkSame and leaseSame and versionsSame
+}
+
+pred report {
+  shownResident' = Report->Engine.resident
+  shownDealtWith' = Report->Engine.dealtWith
+  engineSame and ledgerSame and networkSame and leaseSame and versionsSame
+}
+
+-- The new holder reads the ledger, and drops what it knew of the engine's reports.
+pred takeOver[h: Holder] {
+  holder' = Lease->h
+  view' = view - h->Artifact + h->Ledger.entries   -- GUARD read ledger
+  no shownDealtWith'
+  shownResident' = shownResident
+  engineSame and ledgerSame and networkSame and versionsSame
+}
+
+pred accept[v: Version] {
+  v = Table.accepted.next
+  accepted' = Table->v
+  inForce' = inForce
+  engineSame and reportSame and ledgerSame and networkSame and leaseSame
+}
+
+-- An instance takes a version from the table or from another instance, whichever comes first.
+pred install[i: Instance, v: Version] {
+  v in Table.accepted + Instance.inForce
+  newer/gt[v, i.inForce]                  -- GUARD only newer versions
+  inForce' = inForce ++ i->v
+  accepted' = accepted
+  engineSame and reportSame and ledgerSame and networkSame and leaseSame
+}
+
+pred nothing {
+  engineSame and reportSame and ledgerSame and networkSame and leaseSame and versionsSame
+}
+
+fact behaviour {
+  init
+  always (
+    (some h: Holder, o: Load | reserve[h, o] or reserveUnknown[h, o] or repeatLoad[h, o])
+    or (some h: Holder, o: Unload | startRelease[h, o])
+    or (some h: Holder, a: Artifact | free[h, a])
+    or (some o: Order | expire[o] or arrive[o])
+    or restart or report
+    or (some h: Holder | takeOver[h])
+    or (some v: Version | accept[v])
+    or (some i: Instance, v: Version | install[i, v])
+    or nothing
+  )
+}
+
+-- The endpoint has room for one artifact.
+assert neverOvercommitted { always lone Engine.resident }
+
+-- What occupies the engine or may come to is always in the ledger.
+assert occupiedIsLedgered { always Engine.resident in Ledger.entries }
+
+assert versionNeverReverts {
+  always all i: Instance | i.inForce' = i.inForce or newer/gt[i.inForce', i.inForce]
+}
+
+-- The holder of the epoch knows every entry, so two holders never reserve the same bytes.
+assert oneEffectiveHolder { always Lease.holder.view = Ledger.entries }
+
+-- Not an assertion: shows that the model can do something at all.
+pred useful { eventually (some Engine.resident and eventually no Ledger.entries) }
+
+run useful for 2 Artifact, 3 Order, 2 Holder, 2 Version, 1 Instance, 1..9 steps
+check neverOvercommitted for 2 Artifact, 4 Order, 2 Holder, 1 Version, 1 Instance, 1..11 steps
+check versionNeverReverts for 1 Artifact, 1 Order, 1 Holder, 3 Version, 2 Instance, 1..7 steps
+check oneEffectiveHolder for 2 Artifact, 3 Order, 2 Holder, 1 Version, 1 Instance, 1..9 steps
