Add placement baselines, an experiment over them, and replicas for bursts

Cause: the planner added replicas in the order of demand, so that memory freed for one model went back to the model it was taken from, and each round undid the last.

Ruled out: noise alone; the same moves came with exact demand.

Conclusion: the order by gain stays.

--- a/src/main/java/org/magnoliavale/internal/command/Main.java
+++ b/src/main/java/org/magnoliavale/internal/command/Main.java
@@ -72,6 +72,7 @@
     commands.put("explain", new ExplainCommand());
     commands.put("stand-in", new StandInCommand());
     commands.put("demo-check", new DemoCheckCommand());
+    commands.put("experiment", new ExperimentCommand());
     return commands;
   }
 
--- a/src/main/java/org/magnoliavale/internal/control/ControlCore.java
+++ b/src/main/java/org/magnoliavale/internal/control/ControlCore.java
@@ -16,6 +16,7 @@
 import org.magnoliavale.internal.identifier.PoolId;
 import org.magnoliavale.internal.lease.LeaseKeeper;
 import org.magnoliavale.internal.ledger.Ledger;
+import org.magnoliavale.internal.placement.DemandForecast;
 import org.magnoliavale.internal.routing.ResidencyView;
 
 /**
@@ -97,7 +98,7 @@
       }
       case ControlEvent.DemandMeasured(var requestsPerSecond) -> {
         forecast.measured(requestsPerSecond);
-        groups.values().forEach(group -> group.setDemand(forecast.current()));
+        groups.values().forEach(group -> group.setDemand(forecast));
         return false;
       }
       case ControlEvent.FleetChanged(int newInstances, boolean someoneLeaves) -> {
--- a/src/main/java/org/magnoliavale/internal/control/PlacementGroup.java
+++ b/src/main/java/org/magnoliavale/internal/control/PlacementGroup.java
@@ -17,7 +17,6 @@
 import org.magnoliavale.internal.engine.OrderAnswer;
 import org.magnoliavale.internal.identifier.ArtifactId;
 import org.magnoliavale.internal.identifier.EndpointId;
-import org.magnoliavale.internal.identifier.ModelId;
 import org.magnoliavale.internal.identifier.PoolId;
 import org.magnoliavale.internal.json.Json;
 import org.magnoliavale.internal.lease.LeaseKeeper;
@@ -25,6 +24,7 @@
 import org.magnoliavale.internal.ledger.Ledger;
 import org.magnoliavale.internal.ledger.LedgerEntry;
 import org.magnoliavale.internal.ledger.SettlementRules;
+import org.magnoliavale.internal.placement.DemandForecast;
 import org.magnoliavale.internal.platform.Row;
 import org.magnoliavale.internal.platform.TableAnswer;
 import org.magnoliavale.internal.platform.TableCall;
@@ -50,7 +50,7 @@
   private final PlacementRound round;
 
   private Document document = Document.EMPTY;
-  private Map<ModelId, Double> demand = Map.of();
+  private DemandForecast demand = new DemandForecast();
   private boolean loaded;
   private long loadedAtMs;
   private boolean callPending;
@@ -70,7 +70,7 @@
     document = newDocument;
   }
 
-  void setDemand(Map<ModelId, Double> newDemand) {
+  void setDemand(DemandForecast newDemand) {
     demand = newDemand;
   }
 
--- a/src/main/java/org/magnoliavale/internal/control/PlacementRound.java
+++ b/src/main/java/org/magnoliavale/internal/control/PlacementRound.java
@@ -12,11 +12,12 @@
 import org.magnoliavale.internal.engine.EngineOrder;
 import org.magnoliavale.internal.identifier.ArtifactId;
 import org.magnoliavale.internal.identifier.EndpointId;
-import org.magnoliavale.internal.identifier.ModelId;
 import org.magnoliavale.internal.ledger.EntryState;
 import org.magnoliavale.internal.ledger.Ledger;
 import org.magnoliavale.internal.ledger.LedgerEntry;
 import org.magnoliavale.internal.ledger.Transmission;
+import org.magnoliavale.internal.placement.DemandForecast;
+import org.magnoliavale.internal.placement.Freshness;
 import org.magnoliavale.internal.placement.Move;
 import org.magnoliavale.internal.placement.PlacedEndpoint;
 import org.magnoliavale.internal.placement.PlacedEndpoint.Occupancy;
@@ -33,7 +34,7 @@
    * @param rows the pool's ledgers
    * @param reports the engines' reports
    * @param orders the orders in flight
-   * @param demand forecast requests a second by model
+   * @param demand forecast of the demand
    */
   record Scene(
       Document document,
@@ -41,7 +42,7 @@
       Map<EndpointId, LedgerRow> rows,
       Reports reports,
       OrderBook orders,
-      Map<ModelId, Double> demand) {}
+      DemandForecast demand) {}
 
   private static final double TOKENS_PER_REQUEST = 64;
   private static final long ROUND_INTERVAL_MS = 200;
@@ -52,6 +53,7 @@
   private final PlacementPolicy policy;
   private final LoadAllowance allowance;
   private final Set<String> declinedBefore = new HashSet<>();
+  private final Freshness freshness = new Freshness();
   private long nextRoundMs;
 
   PlacementRound(PlacementPolicy policy, LoadAllowance allowance) {
@@ -64,7 +66,7 @@
       return;
     }
     nextRoundMs = source.nowMs() + ROUND_INTERVAL_MS;
-    List<Move> moves = policy.plan(input(scene));
+    List<Move> moves = policy.plan(input(scene, source.nowMs()));
     int[] running = runningLoads(scene);
     for (Move move : moves) {
       switch (move) {
@@ -75,32 +77,36 @@
     }
   }
 
-  static PlacementInput input(Scene scene) {
+  private PlacementInput input(Scene scene, long nowMs) {
     List<PlacedEndpoint> endpoints = new ArrayList<>();
     for (Endpoint endpoint : scene.document().endpointsOf(scene.pool().id())) {
       LedgerRow row = scene.rows().get(endpoint.id());
       if (row != null) {
-        endpoints.add(placed(scene, endpoint, row.ledger()));
+        endpoints.add(placed(scene, endpoint, row.ledger(), nowMs));
       }
     }
     return new PlacementInput(
         scene.pool(),
         scene.document().modelsOf(scene.pool().id()),
         endpoints,
-        scene.demand(),
+        scene.demand().current(),
+        scene.demand().typical(),
         TOKENS_PER_REQUEST);
   }
 
-  private static PlacedEndpoint placed(Scene scene, Endpoint endpoint, Ledger ledger) {
+  private PlacedEndpoint placed(Scene scene, Endpoint endpoint, Ledger ledger, long nowMs) {
     Set<ArtifactId> ready = scene.reports().ready(endpoint.id());
     Map<ArtifactId, Occupancy> artifacts = new HashMap<>();
     for (LedgerEntry entry : ledger.entries()) {
       Occupancy occupancy =
           entry.state() == EntryState.RELEASING
               ? Occupancy.DEPARTING
-              : ready.contains(entry.id()) ? Occupancy.READY : Occupancy.ARRIVING;
+              : ready.contains(entry.id())
+                  ? freshness.of(endpoint.id(), entry.id(), nowMs)
+                  : Occupancy.ARRIVING;
       artifacts.put(entry.id(), occupancy);
     }
+    freshness.retain(endpoint.id(), artifacts.keySet());
     boolean usable = !endpoint.leaving() && scene.reports().isReachable(endpoint.id());
     return new PlacedEndpoint(endpoint, usable, ledger.freeBytes(), artifacts);
   }
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/experiment/DemandTrace.java
@@ -0,0 +1,67 @@
+package org.magnoliavale.internal.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.magnoliavale.internal.document.Model;
+import org.magnoliavale.internal.identifier.ModelId;
+
+/** Demand over time: a quiet base, and bursts in which a model's demand is ten times its base. */
+final class DemandTrace {
+  private static final double BURST_FACTOR = 10;
+  private static final int SHORTEST_BURST_SECONDS = 60;
+  private static final int LONGEST_BURST_SECONDS = 300;
+  private static final int MEAN_SECONDS_BETWEEN_BURSTS = 45;
+
+  private record Burst(ModelId model, int from, int to) {}
+
+  private final Map<ModelId, Double> base = new HashMap<>();
+  private final List<Burst> bursts = new ArrayList<>();
+
+  /** Returns a trace whose base demand adds up to {@code baseRequestsPerSecond}. */
+  static DemandTrace of(
+      List<Model> models, double baseRequestsPerSecond, int seconds, RandomGenerator random) {
+    DemandTrace trace = new DemandTrace();
+    double weights = 0;
+    for (int rank = 1; rank <= models.size(); rank++) {
+      weights += 1.0 / rank;
+    }
+    for (int rank = 1; rank <= models.size(); rank++) {
+      double share = 1.0 / rank / weights;
+      trace.base.put(models.get(rank - 1).id(), share * baseRequestsPerSecond);
+    }
+    int at = 0;
+    while (at < seconds) {
+      at += (int) (-Math.log(1 - random.nextDouble()) * MEAN_SECONDS_BETWEEN_BURSTS);
+      int length = random.nextInt(SHORTEST_BURST_SECONDS, LONGEST_BURST_SECONDS);
+      Model model = models.get(random.nextInt(models.size()));
+      trace.bursts.add(new Burst(model.id(), at, at + length));
+    }
+    return trace;
+  }
+
+  /** Returns the true demand of a model in requests a second. */
+  double at(ModelId model, int second) {
+    boolean bursting =
+        bursts.stream()
+            .anyMatch(
+                burst ->
+                    burst.model().equals(model) && second >= burst.from() && second < burst.to());
+    double quiet = base.getOrDefault(model, 0.0);
+    return bursting ? quiet * BURST_FACTOR : quiet;
+  }
+
+  /** Returns a measured demand: the number of arrivals in one second. */
+  static double measured(double rate, RandomGenerator random) {
+    // Counting exponential gaps gives a Poisson number of arrivals.
+    int arrivals = 0;
+    double at = -Math.log(1 - random.nextDouble()) / Math.max(rate, 1e-9);
+    while (at < 1) {
+      arrivals++;
+      at += -Math.log(1 - random.nextDouble()) / rate;
+    }
+    return arrivals;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/experiment/ModelledEndpoint.java
@@ -0,0 +1,69 @@
+package org.magnoliavale.internal.experiment;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.magnoliavale.internal.document.Endpoint;
+import org.magnoliavale.internal.identifier.ArtifactId;
+import org.magnoliavale.internal.placement.Freshness;
+import org.magnoliavale.internal.placement.PlacedEndpoint;
+import org.magnoliavale.internal.placement.PlacedEndpoint.Occupancy;
+
+/** An endpoint in an experiment: what occupies its memory and when it is ready. */
+final class ModelledEndpoint {
+  private record Resident(long bytes, double readyAt) {}
+
+  private final Endpoint endpoint;
+  private final Map<ArtifactId, Resident> residents = new HashMap<>();
+  private final Freshness freshness = new Freshness();
+  private boolean lost;
+
+  ModelledEndpoint(Endpoint endpoint) {
+    this.endpoint = endpoint;
+  }
+
+  Endpoint endpoint() {
+    return endpoint;
+  }
+
+  void load(ArtifactId artifact, long bytes, double readyAt) {
+    if (bytes > freeBytes()) {
+      throw new IllegalStateException("overcommitted " + endpoint.id());
+    }
+    residents.put(artifact, new Resident(bytes, readyAt));
+  }
+
+  void unload(ArtifactId artifact) {
+    residents.remove(artifact);
+  }
+
+  void lose() {
+    lost = true;
+    residents.clear();
+  }
+
+  void restore() {
+    lost = false;
+  }
+
+  boolean isReady(ArtifactId artifact, double now) {
+    Resident resident = residents.get(artifact);
+    return resident != null && resident.readyAt() <= now;
+  }
+
+  PlacedEndpoint placed(double now) {
+    Map<ArtifactId, Occupancy> artifacts = new HashMap<>();
+    residents.forEach(
+        (artifact, resident) ->
+            artifacts.put(
+                artifact,
+                resident.readyAt() <= now
+                    ? freshness.of(endpoint.id(), artifact, (long) (now * 1_000))
+                    : Occupancy.ARRIVING));
+    freshness.retain(endpoint.id(), artifacts.keySet());
+    return new PlacedEndpoint(endpoint, !lost, freeBytes(), artifacts);
+  }
+
+  private long freeBytes() {
+    return endpoint.placeableBytes() - residents.values().stream().mapToLong(Resident::bytes).sum();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/placement/DemandForecast.java
@@ -0,0 +1,56 @@
+package org.magnoliavale.internal.placement;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.magnoliavale.internal.identifier.ModelId;
+
+/**
+ * Smooths the demand for each model, in two ways: a forecast that follows a rise within seconds and
+ * a fall within minutes, and the typical demand over many minutes, by which replicas are kept for
+ * bursts to come.
+ */
+public final class DemandForecast {
+  private static final double RISE_WEIGHT = 0.1;
+  private static final double FALL_WEIGHT = 0.02;
+  private static final double TYPICAL_WEIGHT = 0.002;
+  private static final double NEGLIGIBLE = 0.001;
+
+  private final Map<ModelId, Double> current = new HashMap<>();
+  private final Map<ModelId, Double> typical = new HashMap<>();
+
+  /** Takes in the requests a second of the last while; absent models had none. */
+  public void measured(Map<ModelId, Double> requestsPerSecond) {
+    Set<ModelId> models = new HashSet<>(typical.keySet());
+    models.addAll(current.keySet());
+    models.addAll(requestsPerSecond.keySet());
+    for (ModelId model : models) {
+      double now = requestsPerSecond.getOrDefault(model, 0.0);
+      double before = current.getOrDefault(model, 0.0);
+      follow(current, model, now, now > before ? RISE_WEIGHT : FALL_WEIGHT);
+      follow(typical, model, now, TYPICAL_WEIGHT);
+    }
+  }
+
+  private static void follow(
+      Map<ModelId, Double> smoothed, ModelId model, double now, double weight) {
+    double before = smoothed.getOrDefault(model, 0.0);
+    double next = before + weight * (now - before);
+    if (next < NEGLIGIBLE && now == 0) {
+      smoothed.remove(model);
+    } else {
+      smoothed.put(model, next);
+    }
+  }
+
+  /** Returns the forecast requests a second by model. */
+  public Map<ModelId, Double> current() {
+    return Map.copyOf(current);
+  }
+
+  /** Returns the typical requests a second by model. */
+  public Map<ModelId, Double> typical() {
+    return Map.copyOf(typical);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/placement/Freshness.java
@@ -0,0 +1,33 @@
+package org.magnoliavale.internal.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.magnoliavale.internal.identifier.ArtifactId;
+import org.magnoliavale.internal.identifier.EndpointId;
+import org.magnoliavale.internal.placement.PlacedEndpoint.Occupancy;
+
+/** Remembers since when artifacts have been ready, so that what has just come is not evicted. */
+public final class Freshness {
+  /** Time for which an artifact counts as fresh, in milliseconds. */
+  public static final long FRESH_MS = 120_000;
+
+  private final Map<EndpointId, Map<ArtifactId, Long>> readySinceMs = new HashMap<>();
+
+  /** Returns the occupancy of an artifact that is ready at {@code nowMs}. */
+  public Occupancy of(EndpointId endpoint, ArtifactId artifact, long nowMs) {
+    long since =
+        readySinceMs
+            .computeIfAbsent(endpoint, ignored -> new HashMap<>())
+            .computeIfAbsent(artifact, ignored -> nowMs);
+    return nowMs - since < FRESH_MS ? Occupancy.FRESH : Occupancy.READY;
+  }
+
+  /** Forgets what is at an endpoint no more. */
+  public void retain(EndpointId endpoint, Set<ArtifactId> artifacts) {
+    Map<ArtifactId, Long> known = readySinceMs.get(endpoint);
+    if (known != null) {
+      known.keySet().retainAll(artifacts);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/placement/LeastRecentlyUsedPlacement.java
@@ -0,0 +1,76 @@
+package org.magnoliavale.internal.placement;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliavale.internal.document.Model;
+import org.magnoliavale.internal.identifier.ArtifactId;
+import org.magnoliavale.internal.identifier.ModelId;
+import org.magnoliavale.internal.placement.Move.Reason;
+import org.magnoliavale.internal.placement.Workspace.Place;
+
+/**
+ * A baseline: gives a model whose holders are all overloaded one more replica, and evicts the least
+ * recently demanded surplus replica to make room for it.
+ */
+public final class LeastRecentlyUsedPlacement implements PlacementPolicy {
+  private final PlacementPolicy required = new StaticPlacement();
+  private final Map<ModelId, Long> lastUsed = new HashMap<>();
+  private long rounds;
+
+  @Override
+  public List<Move> plan(PlacementInput input) {
+    rounds++;
+    for (Model model : input.models()) {
+      if (input.demandOf(model.id()) > 0) {
+        lastUsed.put(model.id(), rounds);
+      }
+    }
+    List<Move> moves = required.plan(input);
+    if (!moves.isEmpty()) {
+      return moves;
+    }
+    Workspace workspace = new Workspace(input);
+    LoadEstimate estimate = LoadEstimate.of(workspace);
+    for (Model model : input.models()) {
+      List<Place> holders = workspace.holders(model.weights());
+      boolean overloaded =
+          !holders.isEmpty()
+              && input.demandOf(model.id()) > 0
+              && holders.stream().allMatch(place -> estimate.excess(place) > 0);
+      if (overloaded) {
+        addReplica(workspace, model);
+      }
+    }
+    return workspace.moves();
+  }
+
+  private void addReplica(Workspace workspace, Model model) {
+    Optional<Place> place =
+        workspace.usable().stream()
+            .filter(other -> !other.placed().artifacts().containsKey(model.weights()))
+            .filter(other -> !other.holds(model.weights()))
+            .max(Comparator.comparingLong(Place::freeBytes).thenComparing(Place::id));
+    if (place.isEmpty()) {
+      return;
+    }
+    if (place.get().freeBytes() >= model.bytesWithAdapters()) {
+      workspace.load(model.weights(), place.get(), model.bytes(), Reason.DEMAND);
+      return;
+    }
+    place.get().placed().artifacts().keySet().stream()
+        .filter(artifact -> artifact.adapter() == null && place.get().isReady(artifact))
+        .filter(artifact -> isSurplus(workspace, artifact))
+        .min(Comparator.comparingLong(artifact -> lastUsed.getOrDefault(artifact.model(), 0L)))
+        .ifPresent(artifact -> workspace.unload(artifact, place.get(), Reason.MAKE_ROOM));
+  }
+
+  private static boolean isSurplus(Workspace workspace, ArtifactId artifact) {
+    return workspace
+        .model(artifact.model())
+        .map(model -> workspace.readyHolders(artifact) > model.minimumReplicas())
+        .orElse(true);
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/placement/LoadEstimate.java
+++ b/src/main/java/org/magnoliavale/internal/placement/LoadEstimate.java
@@ -14,6 +14,9 @@
   /** Share of its speed up to which an endpoint answers nearly everything in time. */
   static final double COMFORTABLE_SHARE = 0.8;
 
+  /** Factor by which a model's demand moves within an hour. */
+  private static final double BURST_FACTOR = 10;
+
   private final PlacementInput input;
   private final Map<EndpointId, Double> requestsPerSecond = new HashMap<>();
 
@@ -57,6 +60,19 @@
     return places.stream().mapToDouble(this::excess).sum();
   }
 
+  /** Returns the requests a second beyond what the holders answer in time if the model bursts. */
+  double burstExcess(Model model, List<Workspace.Place> holders) {
+    double speed = holders.stream().mapToDouble(LoadEstimate::speed).sum();
+    double demand = input.demandOf(model.id());
+    double spare = 0;
+    for (Workspace.Place place : holders) {
+      double own = demand * speed(place) / speed;
+      double others = Math.max(0, requestsPerSecond.getOrDefault(place.id(), 0.0) - own);
+      spare += Math.max(0, COMFORTABLE_SHARE * capacity(place) - others);
+    }
+    return Math.max(0, BURST_FACTOR * input.typicalDemandOf(model.id()) - spare);
+  }
+
   private double capacity(Workspace.Place place) {
     return speed(place) / input.tokensPerRequest();
   }
--- a/src/main/java/org/magnoliavale/internal/placement/PlacedEndpoint.java
+++ b/src/main/java/org/magnoliavale/internal/placement/PlacedEndpoint.java
@@ -18,6 +18,8 @@
   public enum Occupancy {
     /** It is on its way in. */
     ARRIVING,
+    /** It serves requests, but came so recently that it is not evicted for another model. */
+    FRESH,
     /** It serves requests. */
     READY,
     /** It is on its way out. */
@@ -37,6 +39,12 @@
 
   /** Tells whether an artifact is ready here. */
   public boolean isReady(ArtifactId artifact) {
-    return artifacts.get(artifact) == Occupancy.READY;
+    Occupancy occupancy = artifacts.get(artifact);
+    return occupancy == Occupancy.READY || occupancy == Occupancy.FRESH;
+  }
+
+  /** Tells whether an artifact came so recently that it is not evicted for another model. */
+  public boolean isFresh(ArtifactId artifact) {
+    return artifacts.get(artifact) == Occupancy.FRESH;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/placement/Planner.java
+++ b/src/main/java/org/magnoliavale/internal/placement/Planner.java
@@ -16,13 +16,17 @@
  * <p>In this order: every model gets the replicas it must have, those without any first; adapters
  * follow their models; what the document does not want any more goes, once its successor is ready;
  * leaving endpoints are emptied once every model is ready elsewhere; and replicas are added where
- * they answer more requests in time than a move costs. A surplus replica stays until its memory is
- * needed, so that demand that comes and goes moves nothing.
+ * they answer more requests in time than a move costs, now or in a burst to come. A surplus replica
+ * stays until its memory is worth more to another model, so that demand that comes and goes moves
+ * little.
  */
 public final class Planner implements PlacementPolicy {
   /** Time over which a further replica must pay for its move, in seconds. */
   private static final double HORIZON_SECONDS = 60;
 
+  /** Time that a model spends in bursts over the hours that a replica stays, in seconds. */
+  private static final double BURST_SECONDS = 60;
+
   private static final int MAXIMUM_DEMAND_MOVES = 4;
 
   @Override
@@ -102,7 +106,7 @@
   }
 
   private static void restoreReplica(Workspace workspace, Model model) {
-    Optional<Place> place = bestPlace(workspace, model);
+    Optional<Place> place = bestPlace(workspace, LoadEstimate.of(workspace), model);
     if (place.isPresent()) {
       workspace.load(model.weights(), place.get(), model.bytes(), Reason.MISSING_REPLICA);
       return;
@@ -114,8 +118,8 @@
   }
 
   /** Returns the least used endpoint with room for a model and its adapters. */
-  private static Optional<Place> bestPlace(Workspace workspace, Model model) {
-    LoadEstimate estimate = LoadEstimate.of(workspace);
+  private static Optional<Place> bestPlace(
+      Workspace workspace, LoadEstimate estimate, Model model) {
     return workspace.usable().stream()
         .filter(place -> !occupiedBy(place, model.weights()))
         .filter(place -> place.freeBytes() >= model.bytesWithAdapters())
@@ -167,60 +171,90 @@
     }
   }
 
+  /** A further replica that was considered, and the requests that it would answer in time. */
+  private record Option(Model model, Place place, double gain) {}
+
+  /**
+   * Adds the replicas that gain most. The order by gain matters: memory that was freed for one
+   * model must not go back to the model that it was taken from.
+   */
   private static void followDemand(Workspace workspace) {
     LoadEstimate estimate = LoadEstimate.of(workspace);
     double price = workspace.input().pool().movePrice();
-    List<Model> byDemand = new ArrayList<>(workspace.input().models());
-    byDemand.sort(
-        Comparator.<Model>comparingDouble(model -> workspace.input().demandOf(model.id()))
-            .reversed()
-            .thenComparing(Model::id));
-    int moved = 0;
-    for (Model model : byDemand) {
-      if (moved == MAXIMUM_DEMAND_MOVES || workspace.input().demandOf(model.id()) == 0) {
-        return;
-      }
-      if (addReplica(workspace, estimate, model, price)) {
-        moved++;
+    List<Model> crowded = crowdedModels(workspace, estimate);
+    for (int moved = 0; moved < MAXIMUM_DEMAND_MOVES && !crowded.isEmpty(); moved++) {
+      Optional<Option> best = bestOption(workspace, estimate, crowded);
+      if (best.isEmpty() || best.get().gain() <= price) {
+        best.ifPresent(option -> declineForPrice(workspace, option, price));
+        break;
       }
+      Model model = best.get().model();
+      List<Place> holders = workspace.holders(model.weights());
+      estimate.spread(model, holders, -1);
+      workspace.load(model.weights(), best.get().place(), model.bytes(), Reason.DEMAND);
+      estimate.spread(model, workspace.holders(model.weights()), 1);
+      // A replica on its way is waited for before the next of the same model is considered.
+      crowded.remove(model);
     }
+    RoomMaker.replaceSurplus(workspace, estimate, crowded, price);
   }
 
-  private static boolean addReplica(
-      Workspace workspace, LoadEstimate estimate, Model model, double price) {
-    List<Place> holders = workspace.holders(model.weights());
-    boolean settled =
-        !holders.isEmpty() && holders.stream().allMatch(place -> place.isReady(model.weights()));
-    // A replica on its way is waited for before the next is considered.
-    if (!settled || estimate.excess(holders) == 0) {
-      return false;
-    }
-    Optional<Place> place = bestPlace(workspace, model);
-    if (place.isEmpty()) {
-      return RoomMaker.evictSurplus(workspace, estimate, model, price);
+  /** Returns the models whose replicas are all ready and would get too much, now or in a burst. */
+  private static List<Model> crowdedModels(Workspace workspace, LoadEstimate estimate) {
+    List<Model> crowded = new ArrayList<>();
+    for (Model model : workspace.input().models()) {
+      List<Place> holders = workspace.holders(model.weights());
+      boolean settled =
+          !holders.isEmpty() && holders.stream().allMatch(place -> place.isReady(model.weights()));
+      boolean demanded = workspace.input().demandOf(model.id()) > 0;
+      boolean tooMuch =
+          demanded && estimate.excess(holders) > 0 || estimate.burstExcess(model, holders) > 0;
+      if (settled && tooMuch) {
+        crowded.add(model);
+      }
     }
-    double gain = gain(estimate, model, holders, place.get());
-    if (gain <= price) {
-      workspace.decline(
-          model.weights(), Reason.PRICE, "gain=%.1f price=%.1f".formatted(gain, price));
-      return false;
+    return crowded;
+  }
+
+  private static Optional<Option> bestOption(
+      Workspace workspace, LoadEstimate estimate, List<Model> crowded) {
+    Option best = null;
+    for (Model model : crowded) {
+      Optional<Place> place = bestPlace(workspace, estimate, model);
+      if (place.isPresent()) {
+        List<Place> holders = workspace.holders(model.weights());
+        double gain = gain(estimate, model, holders, place.get());
+        if (best == null || gain > best.gain()) {
+          best = new Option(model, place.get(), gain);
+        }
+      }
     }
-    workspace.load(model.weights(), place.get(), model.bytes(), Reason.DEMAND);
-    estimate.spread(model, holders, -1);
-    estimate.spread(model, workspace.holders(model.weights()), 1);
-    return true;
+    return Optional.ofNullable(best);
+  }
+
+  private static void declineForPrice(Workspace workspace, Option option, double price) {
+    workspace.decline(
+        option.model().weights(),
+        Reason.PRICE,
+        "gain=%.1f price=%.1f".formatted(option.gain(), price));
   }
 
-  /** Returns the requests that one more replica answers in time over the horizon. */
+  /**
+   * Returns the requests that one more replica answers in time: those of the demand now, over the
+   * horizon, and those of bursts to come.
+   */
   static double gain(LoadEstimate estimate, Model model, List<Place> holders, Place added) {
     List<Place> after = new ArrayList<>(holders);
     after.add(added);
-    double before = estimate.excess(after);
+    double excessBefore = estimate.excess(after);
+    double burstBefore = estimate.burstExcess(model, holders);
     estimate.spread(model, holders, -1);
     estimate.spread(model, after, 1);
-    double remaining = estimate.excess(after);
+    double excessAfter = estimate.excess(after);
+    double burstAfter = estimate.burstExcess(model, after);
     estimate.spread(model, after, -1);
     estimate.spread(model, holders, 1);
-    return (before - remaining) * HORIZON_SECONDS;
+    return (excessBefore - excessAfter) * HORIZON_SECONDS
+        + (burstBefore - burstAfter) * BURST_SECONDS;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/placement/RoomMaker.java
+++ b/src/main/java/org/magnoliavale/internal/placement/RoomMaker.java
@@ -21,27 +21,50 @@
     return evictSurplusFor(workspace, wanted) || relocateOne(workspace, wanted);
   }
 
-  /** Replaces a surplus replica by one of a model in demand, if that pays for two moves. */
-  static boolean evictSurplus(
+  /** A replacement that was considered: what goes, where, and what it brings beyond its cost. */
+  private record Replacement(List<ArtifactId> evicted, Place place, double profit) {}
+
+  /**
+   * Evicts surplus replicas for the model that profits most, if that pays for all the moves. One
+   * replacement a round: the room that it makes is used before the next is considered.
+   */
+  static void replaceSurplus(
+      Workspace workspace, LoadEstimate estimate, List<Model> crowded, double price) {
+    Replacement best = null;
+    for (Model wanted : crowded) {
+      if (isRoomUnderWay(workspace, wanted)) {
+        return;
+      }
+      Replacement candidate = bestReplacement(workspace, estimate, wanted, price);
+      if (candidate != null && (best == null || candidate.profit() > best.profit())) {
+        best = candidate;
+      }
+    }
+    if (best != null && best.profit() > 0) {
+      Place place = best.place();
+      best.evicted().forEach(spare -> workspace.unload(spare, place, Reason.MAKE_ROOM));
+    }
+  }
+
+  private static Replacement bestReplacement(
       Workspace workspace, LoadEstimate estimate, Model wanted, double price) {
     List<Place> holders = workspace.holders(wanted.weights());
+    Replacement best = null;
     for (Place place : byFreeBytes(workspace, wanted)) {
       Optional<List<ArtifactId>> evicted =
-          enough(workspace, surplusAt(workspace, place, wanted), place, wanted);
+          enough(workspace, settledSurplusAt(workspace, place, wanted), place, wanted);
       if (evicted.isEmpty()) {
         continue;
       }
-      double cost = price * (1 + evicted.get().size());
-      double gain =
+      double profit =
           Planner.gain(estimate, wanted, holders, place)
-              - loss(workspace, estimate, evicted.get(), place);
-      if (gain > cost) {
-        evicted.get().forEach(spare -> workspace.unload(spare, place, Reason.MAKE_ROOM));
-        return true;
+              - loss(workspace, estimate, evicted.get(), place)
+              - price * (1 + evicted.get().size());
+      if (best == null || profit > best.profit()) {
+        best = new Replacement(evicted.get(), place, profit);
       }
     }
-    workspace.decline(wanted.weights(), Reason.PRICE, "no replica is worth less");
-    return false;
+    return best;
   }
 
   private static double loss(
@@ -150,6 +173,12 @@
     return surplus;
   }
 
+  private static List<ArtifactId> settledSurplusAt(Workspace workspace, Place place, Model wanted) {
+    return surplusAt(workspace, place, wanted).stream()
+        .filter(artifact -> !place.placed().isFresh(artifact))
+        .toList();
+  }
+
   /** Of a version that is being replaced, one replica keeps the model reachable. */
   private static int replicasToKeep(Model model, ArtifactId artifact) {
     return artifact.version() == model.version() ? model.minimumReplicas() : 1;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/placement/StaticPlacement.java
@@ -0,0 +1,29 @@
+package org.magnoliavale.internal.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import org.magnoliavale.internal.document.Model;
+import org.magnoliavale.internal.placement.Move.Reason;
+import org.magnoliavale.internal.placement.Workspace.Place;
+
+/** A baseline: gives each model the replicas it must have and never moves anything after that. */
+public final class StaticPlacement implements PlacementPolicy {
+  @Override
+  public List<Move> plan(PlacementInput input) {
+    Workspace workspace = new Workspace(input);
+    for (Model model : input.models()) {
+      int missing = model.minimumReplicas() - workspace.holders(model.weights()).size();
+      for (int i = 0; i < missing; i++) {
+        workspace.usable().stream()
+            .filter(place -> !place.placed().artifacts().containsKey(model.weights()))
+            .filter(place -> !place.holds(model.weights()))
+            .filter(place -> place.freeBytes() >= model.bytesWithAdapters())
+            .max(Comparator.comparingLong(Place::freeBytes).thenComparing(Place::id))
+            .ifPresent(
+                place ->
+                    workspace.load(model.weights(), place, model.bytes(), Reason.MISSING_REPLICA));
+      }
+    }
+    return workspace.moves();
+  }
+}
--- a/src/test/java/org/magnoliavale/internal/order/FaultySender.java
+++ b/src/test/java/org/magnoliavale/internal/order/FaultySender.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.magnoliavale.internal.platform.FaultyTable;
 import org.magnoliavale.internal.traffic.AttemptRequest;
 import org.magnoliavale.internal.traffic.AttemptSender;
 import org.magnoliavale.internal.traffic.AttemptStart;
--- a/src/test/java/org/magnoliavale/internal/order/OrderAtMostOnceTest.java
+++ b/src/test/java/org/magnoliavale/internal/order/OrderAtMostOnceTest.java
@@ -29,6 +29,7 @@
 import org.magnoliavale.internal.document.PlainService;
 import org.magnoliavale.internal.document.TestDocuments;
 import org.magnoliavale.internal.http.EngineHeaders;
+import org.magnoliavale.internal.platform.FaultyTable;
 import org.magnoliavale.internal.platform.Table;
 import org.magnoliavale.internal.routing.Candidate;
 import org.magnoliavale.internal.routing.EndpointLoad;
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/placement/PlannerTest.java
@@ -0,0 +1,164 @@
+package org.magnoliavale.internal.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.document.Document;
+import org.magnoliavale.internal.document.DocumentReader;
+import org.magnoliavale.internal.document.TestDocuments;
+import org.magnoliavale.internal.identifier.ArtifactId;
+import org.magnoliavale.internal.identifier.EndpointId;
+import org.magnoliavale.internal.identifier.ModelId;
+import org.magnoliavale.internal.identifier.PoolId;
+import org.magnoliavale.internal.placement.Move.Reason;
+import org.magnoliavale.internal.placement.PlacedEndpoint.Occupancy;
+
+class PlannerTest {
+  private static final ArtifactId A1 = ArtifactId.parse("a@1");
+  private static final ArtifactId A2 = ArtifactId.parse("a@2");
+  private static final ArtifactId B1 = ArtifactId.parse("b@1");
+  private static final EndpointId ONE = new EndpointId("engine-1");
+  private static final EndpointId TWO = new EndpointId("engine-2");
+  private static final PoolId POOL = new PoolId("engines");
+
+  private final Map<EndpointId, Map<ArtifactId, Occupancy>> placed = new HashMap<>();
+  private final Map<ModelId, Double> demand = new HashMap<>();
+  private String text =
+      TestDocuments.base()
+          + TestDocuments.endpoint("engine-1", 1, 20, "checking")
+          + TestDocuments.endpoint("engine-2", 2, 20, "checking");
+
+  private void put(EndpointId endpoint, ArtifactId artifact, Occupancy occupancy) {
+    placed.computeIfAbsent(endpoint, ignored -> new HashMap<>()).put(artifact, occupancy);
+  }
+
+  private List<Move> plan() {
+    Document document = DocumentReader.readAccepted("d.ini", text, 1);
+    List<PlacedEndpoint> endpoints = new ArrayList<>();
+    for (var endpoint : document.endpointsOf(POOL)) {
+      Map<ArtifactId, Occupancy> artifacts = placed.getOrDefault(endpoint.id(), Map.of());
+      long used =
+          artifacts.keySet().stream()
+              .mapToLong(artifact -> document.models().get(artifact.model()).bytes())
+              .sum();
+      endpoints.add(
+          new PlacedEndpoint(
+              endpoint, !endpoint.leaving(), endpoint.placeableBytes() - used, artifacts));
+    }
+    return new Planner()
+        .plan(
+            new PlacementInput(
+                document.pools().get(POOL),
+                document.modelsOf(POOL),
+                endpoints,
+                demand,
+                Map.of(),
+                64));
+  }
+
+  @Nested
+  class MissingReplica {
+    @Test
+    void isLoadedWhereThereIsRoom() {
+      text += TestDocuments.model("a", 8);
+      assertThat(plan()).containsExactly(new Move.Load(A1, ONE, 8, Reason.MISSING_REPLICA));
+    }
+
+    @Test
+    void comesBeforeEverythingElse() {
+      text += TestDocuments.model("a", 8) + TestDocuments.model("b", 8);
+      put(ONE, A1, Occupancy.READY);
+      demand.put(A1.model(), 1_000.0);
+      assertThat(plan().getFirst()).isEqualTo(new Move.Load(B1, TWO, 8, Reason.MISSING_REPLICA));
+    }
+
+    @Test
+    void takesTheRoomOfASurplusReplica() {
+      text += TestDocuments.model("a", 15) + TestDocuments.model("b", 15);
+      put(ONE, A1, Occupancy.READY);
+      put(TWO, A1, Occupancy.READY);
+      assertThat(plan()).containsExactly(new Move.Unload(A1, ONE, Reason.MAKE_ROOM));
+    }
+
+    @Test
+    void isDeclinedWhenNothingCanGo() {
+      text += TestDocuments.model("a", 15) + TestDocuments.model("b", 15);
+      text += TestDocuments.model("c", 15);
+      put(ONE, A1, Occupancy.READY);
+      put(TWO, B1, Occupancy.READY);
+      assertThat(plan())
+          .singleElement()
+          .isInstanceOfSatisfying(
+              Move.Declined.class,
+              declined -> assertThat(declined.reason()).isEqualTo(Reason.NO_ROOM));
+    }
+  }
+
+  @Nested
+  class VersionChange {
+    @Test
+    void keepsTheOldVersionUntilTheNewOneIsReady() {
+      text += TestDocuments.model("a", 8) + "version = 2\n";
+      put(ONE, A1, Occupancy.READY);
+      put(TWO, A2, Occupancy.ARRIVING);
+      assertThat(plan()).isEmpty();
+    }
+
+    @Test
+    void removesTheOldVersionOnceTheNewOneIsReady() {
+      text += TestDocuments.model("a", 8) + "version = 2\n";
+      put(ONE, A1, Occupancy.READY);
+      put(TWO, A2, Occupancy.READY);
+      assertThat(plan()).containsExactly(new Move.Unload(A1, ONE, Reason.NOT_WANTED));
+    }
+  }
+
+  @Nested
+  class LeavingEndpoint {
+    @Test
+    void isEmptiedOnlyOnceTheModelIsReadyElsewhere() {
+      text = text.replace("[endpoint engine-1]\n", "[endpoint engine-1]\nleaving = true\n");
+      text += TestDocuments.model("a", 8);
+      put(ONE, A1, Occupancy.READY);
+      assertThat(plan()).containsExactly(new Move.Load(A1, TWO, 8, Reason.MISSING_REPLICA));
+      put(TWO, A1, Occupancy.READY);
+      assertThat(plan()).containsExactly(new Move.Unload(A1, ONE, Reason.ENDPOINT_LEAVING));
+    }
+  }
+
+  @Nested
+  class Demand {
+    @Test
+    void addsAReplicaThatIsWorthItsPrice() {
+      text += TestDocuments.model("a", 8);
+      put(ONE, A1, Occupancy.READY);
+      demand.put(A1.model(), 20.0);
+      assertThat(plan()).containsExactly(new Move.Load(A1, TWO, 8, Reason.DEMAND));
+    }
+
+    @Test
+    void movesNothingForLessThanThePrice() {
+      text = text.replace("loads-at-once = 9", "move-price = 100000") + TestDocuments.model("a", 8);
+      put(ONE, A1, Occupancy.READY);
+      demand.put(A1.model(), 20.0);
+      assertThat(plan())
+          .singleElement()
+          .isInstanceOfSatisfying(
+              Move.Declined.class,
+              declined -> assertThat(declined.reason()).isEqualTo(Reason.PRICE));
+    }
+
+    @Test
+    void leavesASurplusReplicaWhereItIs() {
+      text += TestDocuments.model("a", 8);
+      put(ONE, A1, Occupancy.READY);
+      put(TWO, A1, Occupancy.READY);
+      assertThat(plan()).isEmpty();
+    }
+  }
+}
--- a/src/test/java/org/magnoliavale/internal/order/FaultyTable.java
+++ b/src/test/java/org/magnoliavale/internal/platform/FaultyTable.java
@@ -1,15 +1,12 @@
-package org.magnoliavale.internal.order;
+package org.magnoliavale.internal.platform;
 
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import org.magnoliavale.internal.platform.Table;
-import org.magnoliavale.internal.platform.TableAnswer;
-import org.magnoliavale.internal.platform.Transaction;
 
 /** A table whose commits fail in a given way until it is healed. */
-final class FaultyTable implements Table {
+public final class FaultyTable implements Table {
   /** How a commit fails. */
-  enum Fault {
+  public enum Fault {
     NONE,
     DOWN,
     LOST_BEFORE_EFFECT,
@@ -25,7 +22,7 @@
   private int commits;
 
   /** Returns a table whose commits from {@code first} to {@code last} fail, counted from 1. */
-  FaultyTable(Table table, Fault fault, int first, int last) {
+  public FaultyTable(Table table, Fault fault, int first, int last) {
     this.table = table;
     this.fault = fault;
     this.firstFaulty = first;
@@ -66,7 +63,7 @@
   }
 
   /** Stands for the death of the process: the call never returns. */
-  static <T> T killed() {
+  public static <T> T killed() {
     try {
       new CountDownLatch(1).await();
     } catch (InterruptedException e) {
