Link instances, contain requests that crash endpoints, add a load tool

Cause: a change of the document spread only by polling, the lease holder saw only its own demand, and a request that crashes endpoints could be tried without end.

--- a/src/main/java/org/magnoliavale/internal/command/DemoCheckCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/DemoCheckCommand.java
@@ -20,14 +20,19 @@
 final class DemoCheckCommand implements Command {
   private static final long REACHABLE_TIMEOUT_MS = 60_000;
   private static final long POLL_MS = 200;
+  private static final long IN_FORCE_TIMEOUT_MS = 6_000;
+  private static final long IN_FORCE_POLL_MS = 20;
   private static final int TOKENS = 8;
   private static final int OK = 200;
 
   @Parameter(names = "--caller", required = true, description = "Caller addresses of instances")
   private List<String> callers = new ArrayList<>();
 
-  @Parameter(names = "--operator", required = true, description = "Operator address of an instance")
-  private String operator;
+  @Parameter(names = "--operator", required = true, description = "Operator addresses of instances")
+  private List<String> operators = new ArrayList<>();
+
+  @Parameter(names = "--token", required = true, description = "Administrator's token")
+  private String token;
 
   @Parameter(names = "--service", required = true, description = "Ordering service of the demo")
   private String service;
@@ -36,14 +41,15 @@
 
   @Override
   public int run() throws IOException, InterruptedException {
-    try (OperatorConnection operators = OperatorConnection.to(operator)) {
-      report("every model is reachable", awaitModels(operators));
+    try (OperatorConnection connection = OperatorConnection.to(operators.getFirst())) {
+      report("every model is reachable", awaitModels(connection));
     }
     for (String caller : callers) {
       try (OperatorConnection connection = OperatorConnection.to(caller)) {
         checkInstance(connection, caller);
       }
     }
+    checkDocument();
     System.out.println(failures == 0 ? "demo: all right" : "demo: failures=" + failures);
     return failures == 0 ? SUCCESS : FAILURE;
   }
@@ -150,6 +156,54 @@
         caller + " shows route sheets", status(connection.call("GET", sheets, Map.of(), "")) == OK);
   }
 
+  /** Changes the document at one instance and waits for it at all of them. */
+  private void checkDocument() throws IOException, InterruptedException {
+    String section = "[data-centre demo-check]\nowner = " + owner() + "\nregion = check\n";
+    Map<String, String> headers =
+        Map.of("Authorization", "Bearer " + token, "If-Match", Long.toString(version(0)));
+    try (OperatorConnection connection = OperatorConnection.to(operators.getFirst())) {
+      JsonAnswer put = connection.call("PUT", "/document", headers, section);
+      report("a document change is accepted", status(put) == OK);
+      JsonAnswer late = connection.call("PUT", "/document", headers, section);
+      report("a change on top of an old revision is refused", status(late) == 412);
+    }
+    long sentAt = System.currentTimeMillis();
+    long wanted = version(0);
+    boolean everywhere = true;
+    for (int index = 0; index < operators.size(); index++) {
+      while (version(index) < wanted && System.currentTimeMillis() - sentAt < IN_FORCE_TIMEOUT_MS) {
+        Thread.sleep(IN_FORCE_POLL_MS);
+      }
+      everywhere &= version(index) >= wanted;
+    }
+    System.out.println("in force everywhere after ms=" + (System.currentTimeMillis() - sentAt));
+    report("the change is in force on every instance within 6 s", everywhere);
+  }
+
+  private String owner() throws IOException {
+    try (OperatorConnection connection = OperatorConnection.to(operators.getFirst())) {
+      JsonAnswer answer = connection.call("GET", "/document", Map.of(), "");
+      String text =
+          answer instanceof JsonAnswer.Answered(int ignored, byte[] body)
+              ? new String(body, StandardCharsets.UTF_8)
+              : "";
+      return text.lines()
+          .filter(line -> line.startsWith("owner = "))
+          .findFirst()
+          .orElse("owner = none")
+          .substring("owner = ".length());
+    }
+  }
+
+  private long version(int index) throws IOException {
+    try (OperatorConnection connection = OperatorConnection.to(operators.get(index))) {
+      JsonAnswer answer = connection.call("GET", "/status", Map.of(), "");
+      return answer instanceof JsonAnswer.Answered(int status, byte[] body) && status == OK
+          ? Json.tree(body).path("documentVersion").asLong()
+          : 0;
+    }
+  }
+
   private static int status(JsonAnswer answer) {
     return answer instanceof JsonAnswer.Answered(int status, byte[] ignored) ? status : 0;
   }
--- a/src/main/java/org/magnoliavale/internal/command/Main.java
+++ b/src/main/java/org/magnoliavale/internal/command/Main.java
@@ -73,6 +73,7 @@
     commands.put("stand-in", new StandInCommand());
     commands.put("demo-check", new DemoCheckCommand());
     commands.put("experiment", new ExperimentCommand());
+    commands.put("load", new LoadCommand());
     return commands;
   }
 
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/containment/package-info.java
@@ -0,0 +1,2 @@
+/** Recognises requests that crash endpoints and stops them. */
+package org.magnoliavale.internal.containment;
--- a/src/main/java/org/magnoliavale/internal/instance/Instance.java
+++ b/src/main/java/org/magnoliavale/internal/instance/Instance.java
@@ -13,6 +13,9 @@
 import org.eclipse.jetty.server.Server;
 import org.jboss.logging.Logger;
 import org.magnoliavale.Service;
+import org.magnoliavale.internal.containment.CrashGuard;
+import org.magnoliavale.internal.containment.CrashRegistry;
+import org.magnoliavale.internal.containment.ReportProbe;
 import org.magnoliavale.internal.control.ControlCore;
 import org.magnoliavale.internal.control.ControlEvent;
 import org.magnoliavale.internal.control.ControlLoop;
@@ -27,7 +30,11 @@
 import org.magnoliavale.internal.http.HttpClients;
 import org.magnoliavale.internal.http.HttpServers;
 import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.identifier.ModelId;
 import org.magnoliavale.internal.lease.LeaseTimes;
+import org.magnoliavale.internal.link.Membership;
+import org.magnoliavale.internal.link.PeerIdentity;
+import org.magnoliavale.internal.link.PeerLinks;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.metrics.InstanceMetrics;
 import org.magnoliavale.internal.operator.DocumentCalls;
@@ -37,6 +44,7 @@
 import org.magnoliavale.internal.order.ClaimingOrderDesk;
 import org.magnoliavale.internal.placement.Planner;
 import org.magnoliavale.internal.platform.HttpPlatform;
+import org.magnoliavale.internal.platform.InstanceList;
 import org.magnoliavale.internal.routing.EndpointLoads;
 import org.magnoliavale.internal.routing.Router;
 import org.magnoliavale.internal.routing.RoutingSnapshot;
@@ -78,6 +86,10 @@
   private final Server callerServer;
   private final Server operatorServer;
   private final InstanceMetrics metrics = new InstanceMetrics();
+  private final Membership membership;
+  private final CrashRegistry crashes;
+  private final PeerExchange exchange;
+  private final PeerLinks links;
   private volatile RoutingSnapshot snapshot = RoutingSnapshot.EMPTY;
   private volatile boolean stopped;
   private int callerPort;
@@ -87,6 +99,7 @@
     settings = options.settings();
     clock = options.clock();
     incarnation = settings.instance().id() + "/" + UUID.randomUUID().toString().substring(0, 8);
+    membership = new Membership(settings.peer().silenceTimeout());
     controlClient =
         HttpClients.create(
             "control",
@@ -120,18 +133,14 @@
             () -> snapshot,
             ThreadLocalRandom::current,
             decisions);
+    crashes = new CrashRegistry(incarnation, clock);
+    CrashGuard guard = new CrashGuard(crashes, new ReportProbe(engines));
     Forwarder forwarder =
-        new Forwarder(endpointClient, settings.engine(), routing, new RetryBudget());
+        new Forwarder(endpointClient, settings.engine(), routing, new RetryBudget(), guard);
+    exchange = new PeerExchange(documents, membership, crashes, this::someoneLeaves);
+    links = peerLinks(platform);
     callerServer = callerServer(forwarder);
-    DocumentCalls documentCalls =
-        new DocumentCalls(store, documents, settings.operator().administratorTokenHash());
-    operatorServer =
-        HttpServers.create(
-            "operator",
-            settings.operator().address(),
-            settings.caller().maximumHeaderBytes(),
-            settings.caller().idleTimeout(),
-            new OperatorHandler(documentCalls, metrics, decisions, this));
+    operatorServer = operatorServer(store, decisions);
     documents.addListener(text -> documentInForce(text.toDocument()));
     registerMetrics();
   }
@@ -167,6 +176,27 @@
         new CallerHandler(settings.caller(), forwarder, orders, demand, gate, readiness));
   }
 
+  private Server operatorServer(DocumentStore store, DecisionMemory decisions) {
+    DocumentCalls calls =
+        new DocumentCalls(store, documents, settings.operator().administratorTokenHash());
+    return HttpServers.create(
+        "operator",
+        settings.operator().address(),
+        settings.caller().maximumHeaderBytes(),
+        settings.caller().idleTimeout(),
+        new OperatorHandler(calls, metrics, decisions, crashes, this));
+  }
+
+  private PeerLinks peerLinks(InstanceList list) {
+    return new PeerLinks(
+        settings.peer(),
+        new PeerIdentity(settings.instance().id().value(), incarnation),
+        list,
+        exchange,
+        exchange,
+        metrics.counter("link_frames_rejected"));
+  }
+
   private void registerMetrics() {
     metrics.registry().register("requests_in_progress", (Gauge<Integer>) gate::inProgress);
     metrics.registry().register("document_version", (Gauge<Long>) documents::version);
@@ -177,10 +207,15 @@
     control.post(new ControlEvent.DocumentInForce(document));
     poller.follow(document);
     readiness.set(!stopped);
+    links.announce();
+  }
+
+  private void someoneLeaves() {
+    control.post(new ControlEvent.FleetChanged(liveInstances(), true));
   }
 
   private int liveInstances() {
-    return 1;
+    return membership.instances(System.nanoTime());
   }
 
   @Override
@@ -192,6 +227,7 @@
     operatorPort = HttpServers.start(operatorServer);
     callerPort = HttpServers.start(callerServer);
     poller.start();
+    links.start();
     follower.start();
     Thread.ofVirtual().name("demand").start(this::demandLoop);
     LOG.infof(
@@ -203,6 +239,10 @@
     LOG.infof("Stopping. requests=%d", gate.inProgress());
     stopped = true;
     readiness.set(false);
+    exchange.setLeaving();
+    links.announce();
+    // Leases are handed over at once; routing goes on while requests finish.
+    control.post(new ControlEvent.StopRequested());
     sleep(settings.caller().drainWait());
     gate.close();
     boolean finished = awaitRequests();
@@ -210,6 +250,7 @@
     follower.stop();
     control.stop();
     poller.stop();
+    links.stop();
     HttpServers.stop(callerServer);
     HttpServers.stop(operatorServer);
     claims.stop();
@@ -230,10 +271,15 @@
   private void demandLoop() {
     while (!stopped) {
       sleep(DEMAND_INTERVAL);
-      TreeMap<org.magnoliavale.internal.identifier.ModelId, Double> rates = new TreeMap<>();
+      TreeMap<ModelId, Double> rates = new TreeMap<>();
       double seconds = DEMAND_INTERVAL.toMillis() / 1_000.0;
       demand.drain().forEach((model, count) -> rates.put(model, count / seconds));
+      exchange.setDemand(rates);
+      membership
+          .demand(System.nanoTime())
+          .forEach((model, rate) -> rates.merge(model, rate, Double::sum));
       control.post(new ControlEvent.DemandMeasured(rates));
+      control.post(new ControlEvent.FleetChanged(liveInstances(), false));
     }
   }
 
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/link/AcceptedLink.java
@@ -0,0 +1,89 @@
+package org.magnoliavale.internal.link;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.ReadTimeoutException;
+import org.jboss.logging.Logger;
+import org.magnoliavale.internal.link.protocol.Challenge;
+import org.magnoliavale.internal.link.protocol.Frame;
+import org.magnoliavale.internal.link.protocol.Heartbeat;
+import org.magnoliavale.internal.link.protocol.HeartbeatAnswer;
+import org.magnoliavale.internal.link.protocol.Hello;
+import org.magnoliavale.internal.link.protocol.Welcome;
+import org.magnoliavale.internal.logging.Logs;
+
+/** The accepting end of a link: receives another instance's heartbeats and answers them. */
+final class AcceptedLink extends SimpleChannelInboundHandler<Frame> {
+  private static final Logger LOG = Logs.of("link");
+
+  private final LinkContext link;
+  private final ByteString nonce = LinkProof.newNonce();
+  private String peer;
+
+  AcceptedLink(LinkContext link) {
+    this.link = link;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    Challenge challenge = Challenge.newBuilder().setNonce(nonce).build();
+    context.writeAndFlush(Frame.newBuilder().setChallenge(challenge).build());
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    if (peer == null) {
+      authenticate(context, frame);
+      return;
+    }
+    switch (frame.getBodyCase()) {
+      case HEARTBEAT -> heartbeat(context, frame.getHeartbeat());
+      case DOCUMENT_REQUEST -> context.writeAndFlush(Frames.documentBody(link.state().document()));
+      case DOCUMENT_BODY ->
+          link.listener().documentReceived(Frames.document(frame.getDocumentBody()));
+      default -> reject(context, "unexpected frame " + frame.getBodyCase());
+    }
+  }
+
+  private void authenticate(ChannelHandlerContext context, Frame frame) {
+    Hello hello = frame.getHello();
+    boolean valid =
+        frame.hasHello()
+            && !hello.getInstance().isEmpty()
+            && link.proof().isValid("hello", hello.getIncarnation(), nonce, hello.getProof());
+    if (!valid) {
+      reject(context, "peer did not prove the shared key");
+      return;
+    }
+    peer = hello.getInstance();
+    ByteString proof = link.proof().prove("welcome", hello.getIncarnation(), hello.getNonce());
+    context.writeAndFlush(
+        Frame.newBuilder().setWelcome(Welcome.newBuilder().setProof(proof)).build());
+  }
+
+  private void heartbeat(ChannelHandlerContext context, Heartbeat heartbeat) {
+    link.listener().heartbeatReceived(peer, heartbeat);
+    long own = link.state().document().version();
+    HeartbeatAnswer answer = HeartbeatAnswer.newBuilder().setDocumentVersion(own).build();
+    context.writeAndFlush(Frame.newBuilder().setHeartbeatAnswer(answer).build());
+    if (heartbeat.getDocumentVersion() > own) {
+      context.writeAndFlush(Frames.documentRequest());
+    }
+  }
+
+  private void reject(ChannelHandlerContext context, String reason) {
+    link.rejectedFrames().inc();
+    LOG.warnf("Link rejected. from=%s why=%s", context.channel().remoteAddress(), reason);
+    context.close();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof ReadTimeoutException || cause instanceof java.io.IOException) {
+      context.close();
+    } else {
+      reject(context, String.valueOf(cause.getMessage()));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/link/ConnectedLink.java
@@ -0,0 +1,102 @@
+package org.magnoliavale.internal.link;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.ReadTimeoutException;
+import org.jboss.logging.Logger;
+import org.magnoliavale.internal.link.protocol.Challenge;
+import org.magnoliavale.internal.link.protocol.Frame;
+import org.magnoliavale.internal.link.protocol.Hello;
+import org.magnoliavale.internal.logging.Logs;
+
+/** The connecting end of a link: sends this instance's heartbeats. */
+final class ConnectedLink extends SimpleChannelInboundHandler<Frame> {
+  private static final Logger LOG = Logs.of("link");
+
+  private final LinkContext link;
+  private final ByteString nonce = LinkProof.newNonce();
+  private volatile ChannelHandlerContext ready;
+
+  ConnectedLink(LinkContext link) {
+    this.link = link;
+  }
+
+  /** Sends a heartbeat, if the link is ready for it. */
+  void sendHeartbeat() {
+    ChannelHandlerContext context = ready;
+    if (context != null) {
+      context.writeAndFlush(Frame.newBuilder().setHeartbeat(link.state().heartbeat()).build());
+    }
+  }
+
+  boolean isReady() {
+    return ready != null;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    if (ready == null) {
+      handshake(context, frame);
+      return;
+    }
+    switch (frame.getBodyCase()) {
+      case HEARTBEAT_ANSWER -> {
+        if (frame.getHeartbeatAnswer().getDocumentVersion() > link.state().document().version()) {
+          context.writeAndFlush(Frames.documentRequest());
+        }
+      }
+      case DOCUMENT_REQUEST -> context.writeAndFlush(Frames.documentBody(link.state().document()));
+      case DOCUMENT_BODY ->
+          link.listener().documentReceived(Frames.document(frame.getDocumentBody()));
+      default -> reject(context, "unexpected frame " + frame.getBodyCase());
+    }
+  }
+
+  private void handshake(ChannelHandlerContext context, Frame frame) {
+    switch (frame.getBodyCase()) {
+      case CHALLENGE -> context.writeAndFlush(hello(frame.getChallenge()));
+      case WELCOME -> {
+        ByteString proof = frame.getWelcome().getProof();
+        if (link.proof().isValid("welcome", link.incarnation(), nonce, proof)) {
+          ready = context;
+          sendHeartbeat();
+        } else {
+          reject(context, "peer did not prove the shared key");
+        }
+      }
+      default -> reject(context, "unexpected frame " + frame.getBodyCase());
+    }
+  }
+
+  private Frame hello(Challenge challenge) {
+    Hello.Builder hello =
+        Hello.newBuilder()
+            .setInstance(link.instance())
+            .setIncarnation(link.incarnation())
+            .setNonce(nonce)
+            .setProof(link.proof().prove("hello", link.incarnation(), challenge.getNonce()));
+    return Frame.newBuilder().setHello(hello).build();
+  }
+
+  private void reject(ChannelHandlerContext context, String reason) {
+    link.rejectedFrames().inc();
+    LOG.warnf("Link rejected. to=%s why=%s", context.channel().remoteAddress(), reason);
+    context.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    ready = null;
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof ReadTimeoutException) {
+      LOG.infof("Link went silent. to=%s", context.channel().remoteAddress());
+    } else if (!(cause instanceof java.io.IOException)) {
+      link.rejectedFrames().inc();
+    }
+    context.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/link/Frames.java
@@ -0,0 +1,65 @@
+package org.magnoliavale.internal.link;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.magnoliavale.internal.document.DocumentText;
+import org.magnoliavale.internal.document.StoredSection;
+import org.magnoliavale.internal.link.protocol.DocumentBody;
+import org.magnoliavale.internal.link.protocol.DocumentRequest;
+import org.magnoliavale.internal.link.protocol.Frame;
+import org.magnoliavale.internal.link.protocol.Section;
+
+/** The form of frames on a link. */
+final class Frames {
+  /** Longest frame, in bytes; a document is at most as long as its text may be. */
+  static final int MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024;
+
+  private static final int LENGTH_BYTES = 4;
+
+  private Frames() {}
+
+  /** Sets up the codecs; a connection on which nothing arrives for too long is closed. */
+  static void addCodecs(Channel channel, Duration silenceTimeout) {
+    ChannelPipeline pipeline = channel.pipeline();
+    pipeline.addLast(
+        new ReadTimeoutHandler(silenceTimeout.toMillis(), TimeUnit.MILLISECONDS),
+        new LengthFieldBasedFrameDecoder(MAXIMUM_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+        new ProtobufDecoder(Frame.getDefaultInstance()),
+        new LengthFieldPrepender(LENGTH_BYTES),
+        new ProtobufEncoder());
+  }
+
+  static Frame documentRequest() {
+    return Frame.newBuilder().setDocumentRequest(DocumentRequest.getDefaultInstance()).build();
+  }
+
+  static Frame documentBody(DocumentText document) {
+    DocumentBody.Builder body = DocumentBody.newBuilder().setVersion(document.version());
+    for (StoredSection section : document.sections()) {
+      body.addSections(
+          Section.newBuilder()
+              .setHeading(section.heading())
+              .setRevision(section.revision())
+              .setText(section.text()));
+    }
+    return Frame.newBuilder().setDocumentBody(body).build();
+  }
+
+  static DocumentText document(DocumentBody body) {
+    return new DocumentText(
+        body.getVersion(),
+        body.getSectionsList().stream()
+            .map(
+                section ->
+                    new StoredSection(
+                        section.getHeading(), section.getRevision(), section.getText()))
+            .toList());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/link/LinkProof.java
@@ -0,0 +1,44 @@
+package org.magnoliavale.internal.link;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/** Proves with HMAC-SHA-256 that both ends of a link have the shared key. */
+final class LinkProof {
+  private static final String ALGORITHM = "HmacSHA256";
+  private static final int NONCE_BYTES = 32;
+  private static final SecureRandom RANDOM = new SecureRandom();
+
+  private final SecretKeySpec key;
+
+  LinkProof(String sharedKey) {
+    key = new SecretKeySpec(sharedKey.getBytes(StandardCharsets.UTF_8), ALGORITHM);
+  }
+
+  static ByteString newNonce() {
+    byte[] nonce = new byte[NONCE_BYTES];
+    RANDOM.nextBytes(nonce);
+    return ByteString.copyFrom(nonce);
+  }
+
+  /** Returns the proof for a nonce, bound to the role and name of the end that proves. */
+  ByteString prove(String role, String name, ByteString nonce) {
+    try {
+      Mac mac = Mac.getInstance(ALGORITHM);
+      mac.init(key);
+      mac.update((role + "\n" + name + "\n").getBytes(StandardCharsets.UTF_8));
+      return ByteString.copyFrom(mac.doFinal(nonce.toByteArray()));
+    } catch (GeneralSecurityException e) {
+      throw new AssertionError("every Java platform has " + ALGORITHM, e);
+    }
+  }
+
+  boolean isValid(String role, String name, ByteString nonce, ByteString proof) {
+    return MessageDigest.isEqual(prove(role, name, nonce).toByteArray(), proof.toByteArray());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
@@ -0,0 +1,163 @@
+package org.magnoliavale.internal.link;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.ini.Values;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.platform.InstanceList;
+import org.magnoliavale.internal.platform.ListedInstance;
+import org.magnoliavale.internal.settings.PeerSettings;
+
+/**
+ * This instance's links: it accepts links from others and keeps one to each instance of the
+ * platform's list. A link that breaks or goes silent is made anew with the next heartbeat.
+ */
+public final class PeerLinks implements Service {
+  private static final Logger LOG = Logs.of("link");
+  private static final long LIST_INTERVAL_MS = 1_000;
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+  private record Outgoing(Channel channel, ConnectedLink handler) {}
+
+  private final PeerSettings settings;
+  private final LinkContext context;
+  private final InstanceList list;
+  private final EventLoopGroup threads =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final Map<String, Outgoing> outgoing = new HashMap<>();
+  private volatile boolean stopped;
+  private Channel server;
+
+  /** Returns links that are not started yet. */
+  public PeerLinks(
+      PeerSettings settings,
+      PeerIdentity self,
+      InstanceList list,
+      PeerState state,
+      PeerListener listener,
+      com.codahale.metrics.Counter rejectedFrames) {
+    this.settings = settings;
+    this.list = list;
+    this.context =
+        new LinkContext(
+            self.instance(),
+            self.incarnation(),
+            new LinkProof(settings.sharedKey()),
+            state,
+            listener,
+            settings.silenceTimeout(),
+            rejectedFrames);
+  }
+
+  @Override
+  public void start() {
+    server =
+        new ServerBootstrap()
+            .group(threads)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    Frames.addCodecs(channel, settings.silenceTimeout());
+                    channel.pipeline().addLast(new AcceptedLink(context));
+                  }
+                })
+            .bind(settings.address())
+            .syncUninterruptibly()
+            .channel();
+    long heartbeatMs = settings.heartbeat().toMillis();
+    threads.scheduleAtFixedRate(
+        this::sendHeartbeats, heartbeatMs, heartbeatMs, TimeUnit.MILLISECONDS);
+    Thread.ofVirtual().name("instance-list").start(this::followList);
+  }
+
+  @Override
+  public void stop() {
+    stopped = true;
+    server.close().syncUninterruptibly();
+    threads.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  /** Sends a heartbeat to all peers now, for example because the document changed. */
+  public void announce() {
+    if (!stopped) {
+      threads.execute(this::sendHeartbeats);
+    }
+  }
+
+  private void sendHeartbeats() {
+    outgoing.values().forEach(link -> link.handler().sendHeartbeat());
+  }
+
+  private void followList() {
+    try {
+      while (!stopped) {
+        list.read().ifPresent(listed -> threads.execute(() -> connectTo(listed)));
+        Thread.sleep(LIST_INTERVAL_MS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Runs on the link thread, which alone touches the outgoing links. */
+  private void connectTo(List<ListedInstance> listed) {
+    if (stopped) {
+      return;
+    }
+    Set<String> names = new HashSet<>();
+    for (ListedInstance instance : listed) {
+      names.add(instance.id());
+      boolean self = instance.id().equals(context.instance());
+      boolean usable = !self && Values.isAddress(instance.peerAddress());
+      if (usable && !isOpen(outgoing.get(instance.id()))) {
+        connect(instance.id(), Values.address(instance.peerAddress()));
+      }
+    }
+    // An instance that left the list is not cut off: the list lags, and its link tells sooner.
+    outgoing.entrySet().removeIf(e -> !names.contains(e.getKey()) && !isOpen(e.getValue()));
+  }
+
+  private static boolean isOpen(Outgoing link) {
+    return link != null && link.channel().isOpen();
+  }
+
+  private void connect(String instance, InetSocketAddress address) {
+    ConnectedLink handler = new ConnectedLink(context);
+    Channel channel =
+        new Bootstrap()
+            .group(threads)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel opened) {
+                    Frames.addCodecs(opened, settings.silenceTimeout());
+                    opened.pipeline().addLast(handler);
+                  }
+                })
+            .connect(address)
+            .channel();
+    outgoing.put(instance, new Outgoing(channel, handler));
+    LOG.debugf("Connecting. instance=%s address=%s", instance, address);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/link/package-info.java
@@ -0,0 +1,2 @@
+/** Links between instances: Netty connections that carry protobuf frames. */
+package org.magnoliavale.internal.link;
--- a/src/main/java/org/magnoliavale/internal/operator/DocumentCalls.java
+++ b/src/main/java/org/magnoliavale/internal/operator/DocumentCalls.java
@@ -132,7 +132,12 @@
         response, callback, new Checked(findings.stream().map(Finding::toString).toList()));
   }
 
-  private Editor editor(Request request) {
+  /**
+   * Returns who sends a request.
+   *
+   * @throws MagnoliavaleException if the request carries no known token
+   */
+  Editor editor(Request request) {
     String authorization = request.getHeaders().get(HttpHeader.AUTHORIZATION);
     if (authorization == null || !authorization.startsWith(BEARER)) {
       throw MagnoliavaleException.of(ErrorCode.UNAUTHENTICATED, "expected a bearer token");
--- a/src/main/java/org/magnoliavale/internal/operator/OperatorHandler.java
+++ b/src/main/java/org/magnoliavale/internal/operator/OperatorHandler.java
@@ -7,6 +7,8 @@
 import org.eclipse.jetty.util.Callback;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.containment.CrashRegistry;
+import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.http.BlockingHandler;
 import org.magnoliavale.internal.http.Replies;
 import org.magnoliavale.internal.logging.Logs;
@@ -16,12 +18,14 @@
 /** Answers everything that comes in on the port for operators. */
 public final class OperatorHandler extends BlockingHandler {
   private static final String DOCUMENT_ROOT = "/document";
+  private static final String CRASHES_ROOT = "/crashes/";
   private static final String EXPLAIN_ROOT = "/explain/";
   private static final int OK = 200;
 
   private final DocumentCalls documents;
   private final InstanceMetrics metrics;
   private final DecisionMemory decisions;
+  private final CrashRegistry crashes;
   private final StatusSource status;
 
   /** Returns a handler over an instance's parts. */
@@ -29,11 +33,13 @@
       DocumentCalls documents,
       InstanceMetrics metrics,
       DecisionMemory decisions,
+      CrashRegistry crashes,
       StatusSource status) {
     super(Logs.of("operator"));
     this.documents = documents;
     this.metrics = metrics;
     this.decisions = decisions;
+    this.crashes = crashes;
     this.status = status;
   }
 
@@ -51,7 +57,14 @@
       Replies.json(response, callback, body);
       return;
     }
+    if (path.startsWith(CRASHES_ROOT) && request.getMethod().equals("DELETE")) {
+      documents.editor(request);
+      boolean lifted = crashes.lift(new Fingerprint(path.substring(CRASHES_ROOT.length())));
+      Replies.json(response, callback, Map.of("lifted", lifted));
+      return;
+    }
     switch (path) {
+      case "/crashes" -> Replies.json(response, callback, Map.of("suspects", crashes.suspects()));
       case "/metrics" ->
           Replies.write(response, callback, OK, "text/plain; version=0.0.4", metrics.text());
       case "/metrics.json" ->
--- a/src/main/java/org/magnoliavale/internal/order/ClaimingOrderDesk.java
+++ b/src/main/java/org/magnoliavale/internal/order/ClaimingOrderDesk.java
@@ -162,7 +162,7 @@
             routing.logFailure(context, attemptId, why);
             reason = why;
           }
-          case AttemptStart.Failed(String why) -> {
+          case AttemptStart.Failed(String why, boolean ignored) -> {
             routing.logFailure(context, attemptId, why);
             throw markUnknown(held, why);
           }
--- a/src/main/java/org/magnoliavale/internal/routing/EndpointLoad.java
+++ b/src/main/java/org/magnoliavale/internal/routing/EndpointLoad.java
@@ -16,6 +16,7 @@
   private volatile Reported reported = new Reported(0, 0, 0, 0);
   private volatile long ejectedUntilNanos;
   private volatile boolean everReported;
+  private volatile String incarnation = "";
   private volatile boolean draining;
   private final AtomicInteger failuresInRow = new AtomicInteger();
 
@@ -39,6 +40,7 @@
     reported = new Reported(outstanding, tokens, ownInFlight.get(), nowNanos);
     draining = report.draining();
     everReported = true;
+    incarnation = report.incarnation();
   }
 
   /** Returns this instance's requests in progress there. */
@@ -93,6 +95,11 @@
     return draining;
   }
 
+  /** Returns the incarnation of the latest report, empty if there is none. */
+  public String incarnation() {
+    return incarnation;
+  }
+
   /** Tells whether any report was ever read. */
   public boolean everReported() {
     return everReported;
--- a/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
@@ -8,6 +8,8 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.containment.CrashGuard;
+import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.document.Endpoint;
 import org.magnoliavale.internal.http.EngineHeaders;
 import org.magnoliavale.internal.identifier.EndpointId;
@@ -33,18 +35,23 @@
   private final EngineSettings settings;
   private final Routing routing;
   private final RetryBudget budget;
+  private final CrashGuard guard;
+  private final Fingerprint fingerprint;
   private final RequestContext context;
   private final Target target;
   private final CallTemplate template;
   private final Set<EndpointId> avoided = new HashSet<>();
   private int attempts;
   private String lastFailure = "";
+  private boolean followedSuspect;
 
   AttemptSeries(Forwarder forwarder, RequestContext context, Target target, CallTemplate template) {
     this.client = forwarder.client();
     this.settings = forwarder.settings();
     this.routing = forwarder.routing();
     this.budget = forwarder.budget();
+    this.guard = forwarder.guard();
+    this.fingerprint = Fingerprint.of(template.path(), template.body());
     this.context = context;
     this.target = target;
     this.template = template;
@@ -68,24 +75,36 @@
     }
   }
 
-  /** Notes that an opened attempt went wrong later; the next attempt avoids its endpoint. */
-  void failed(OpenedAttempt opened, String reason) {
+  /**
+   * Notes that an opened attempt went wrong later; the next attempt avoids its endpoint.
+   *
+   * @param connectionLost whether the endpoint closed or reset the connection
+   */
+  void failed(OpenedAttempt opened, String reason, boolean connectionLost) {
     opened.answer().abandon(reason);
-    opened.decision().candidate().load().end();
-    noteFailure(opened.decision(), opened.attemptId(), reason);
+    end(opened.decision());
+    noteFailure(opened.decision(), opened.attemptId(), reason, connectionLost);
   }
 
   /** Notes that an opened attempt went right to its end. */
   void succeeded(OpenedAttempt opened) {
-    EndpointLoad load = opened.decision().candidate().load();
-    load.end();
-    load.succeeded();
+    end(opened.decision());
+    opened.decision().candidate().load().succeeded();
+    guard.answered(fingerprint);
   }
 
   /** Gives an opened attempt up because the caller has gone. */
   void abandoned(OpenedAttempt opened) {
     opened.answer().abandon("the caller has gone");
-    opened.decision().candidate().load().end();
+    end(opened.decision());
+  }
+
+  private void end(RouteDecision decision) {
+    decision.candidate().load().end();
+    if (followedSuspect) {
+      guard.end(fingerprint, decision.candidate().endpoint().id());
+      followedSuspect = false;
+    }
   }
 
   private void checkMayAttempt() {
@@ -93,6 +112,7 @@
       throw MagnoliavaleException.of(
           ErrorCode.DEADLINE_EXCEEDED, "the deadline passed after " + attempts + " attempts");
     }
+    guard.checkMaySend(fingerprint);
     boolean first = attempts == 0;
     if (!first && (attempts >= MAXIMUM_ATTEMPTS || !budget.trySpend())) {
       throw upstreamFailed();
@@ -110,7 +130,9 @@
   private RouteDecision awaitDecision() {
     while (true) {
       long now = System.nanoTime();
-      Optional<RouteDecision> decision = routing.choose(target, avoided, now);
+      Set<EndpointId> closed = new HashSet<>(avoided);
+      closed.addAll(guard.closedTo(fingerprint));
+      Optional<RouteDecision> decision = routing.choose(target, closed, now);
       if (decision.isPresent()) {
         return decision.get();
       }
@@ -139,7 +161,10 @@
     routing.logDecision(context, attemptId, target, decision);
     EndpointLoad load = decision.candidate().load();
     load.begin();
+    followedSuspect = guard.begin(fingerprint, decision.candidate().endpoint().id());
     AttemptStart start = client.send(attemptRequest(attemptId, decision, resumeAfter));
+    boolean connectionLost =
+        start instanceof AttemptStart.Failed(String ignored, boolean lost) && lost;
     String failure =
         switch (start) {
           case AttemptStart.Opened(OpenAnswer answer) -> {
@@ -150,14 +175,14 @@
             yield "status " + answer.status();
           }
           case AttemptStart.NotSent(String reason) -> "not sent: " + reason;
-          case AttemptStart.Failed(String reason) -> reason;
+          case AttemptStart.Failed(String reason, boolean ignored) -> reason;
         };
     if (failure == null) {
       OpenAnswer answer = ((AttemptStart.Opened) start).answer();
       return Optional.of(new OpenedAttempt(attemptId, decision, answer));
     }
-    load.end();
-    noteFailure(decision, attemptId, failure);
+    end(decision);
+    noteFailure(decision, attemptId, failure, connectionLost);
     return Optional.empty();
   }
 
@@ -166,10 +191,14 @@
     return status >= SERVER_ERROR || status == TOO_MANY_REQUESTS || notResident;
   }
 
-  private void noteFailure(RouteDecision decision, String attemptId, String reason) {
+  private void noteFailure(
+      RouteDecision decision, String attemptId, String reason, boolean connectionLost) {
     lastFailure = reason;
     avoided.add(decision.candidate().endpoint().id());
     EndpointLoad load = decision.candidate().load();
+    if (connectionLost) {
+      guard.connectionLost(fingerprint, decision.candidate().endpoint(), load.incarnation());
+    }
     if (load.failed() >= FAILURES_UNTIL_EJECTION) {
       load.eject(System.nanoTime() + EJECTION_NANOS);
     }
--- a/src/main/java/org/magnoliavale/internal/traffic/AttemptStart.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/AttemptStart.java
@@ -8,6 +8,11 @@
   /** No byte was handed to a connection. */
   record NotSent(String reason) implements AttemptStart {}
 
-  /** Bytes may have left, and no answer with the attempt's own id has begun. */
-  record Failed(String reason) implements AttemptStart {}
+  /**
+   * Bytes may have left, and no answer with the attempt's own id has begun.
+   *
+   * @param reason what went wrong
+   * @param connectionLost whether the endpoint closed or reset the connection
+   */
+  record Failed(String reason, boolean connectionLost) implements AttemptStart {}
 }
--- a/src/main/java/org/magnoliavale/internal/traffic/EndpointClient.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/EndpointClient.java
@@ -94,13 +94,13 @@
     } catch (InterruptedException e) {
       request.abort(e);
       Thread.currentThread().interrupt();
-      return failed(begun.get(), "interrupted");
+      return failed(begun.get(), e, "interrupted");
     } catch (TimeoutException e) {
       request.abort(e);
       return failed(
-          begun.get(), "no answer within " + attempt.firstByteTimeout().toMillis() + " ms");
+          begun.get(), e, "no answer within " + attempt.firstByteTimeout().toMillis() + " ms");
     } catch (ExecutionException e) {
-      return failed(begun.get(), String.valueOf(e.getCause()));
+      return failed(begun.get(), e, String.valueOf(e.getCause()));
     }
   }
 
@@ -115,7 +115,8 @@
       boolean refusal = answered == null && response.getStatus() >= 500;
       answer.abandon("answer of another attempt");
       return new AttemptStart.Failed(
-          refusal ? "status " + response.getStatus() : "answer carries attempt id " + answered);
+          refusal ? "status " + response.getStatus() : "answer carries attempt id " + answered,
+          false);
     }
     return new AttemptStart.Opened(answer);
   }
@@ -138,7 +139,9 @@
     return request;
   }
 
-  private static AttemptStart failed(boolean begun, String reason) {
-    return begun ? new AttemptStart.Failed(reason) : new AttemptStart.NotSent(reason);
+  private static AttemptStart failed(boolean begun, Exception failure, String reason) {
+    return begun
+        ? new AttemptStart.Failed(reason, Failures.isConnectionLost(failure))
+        : new AttemptStart.NotSent(reason);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/traffic/Forwarder.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/Forwarder.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import org.magnoliavale.internal.containment.CrashGuard;
 import org.magnoliavale.internal.json.Json;
 import org.magnoliavale.internal.settings.EngineSettings;
 
@@ -12,9 +13,14 @@
  * @param settings limits and timeouts
  * @param routing chooses endpoints
  * @param budget limits retries over all requests
+ * @param guard stops requests that crash endpoints
  */
 public record Forwarder(
-    AttemptSender client, EngineSettings settings, Routing routing, RetryBudget budget) {
+    AttemptSender client,
+    EngineSettings settings,
+    Routing routing,
+    RetryBudget budget,
+    CrashGuard guard) {
   /** Starts the attempts of a request. */
   AttemptSeries begin(RequestContext context, Target target, CallTemplate template) {
     return new AttemptSeries(this, context, target, template);
@@ -30,7 +36,8 @@
         series.succeeded(opened);
         return answer;
       } catch (IOException e) {
-        series.failed(opened, "answer is not whole: " + e.getMessage());
+        series.failed(
+            opened, "answer is not whole: " + e.getMessage(), Failures.isConnectionLost(e));
       }
     }
   }
--- a/src/main/java/org/magnoliavale/internal/traffic/ModelCalls.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/ModelCalls.java
@@ -84,8 +84,8 @@
             callback.failed(new IOException("the caller has gone"));
             return;
           }
-          case StreamPump.Ending.Broken(String reason) -> {
-            series.failed(opened, reason);
+          case StreamPump.Ending.Broken(String reason, boolean connectionLost) -> {
+            series.failed(opened, reason, connectionLost);
             checkCanContinue(pump, opened, reason);
           }
         }
--- a/src/main/java/org/magnoliavale/internal/traffic/StreamPump.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/StreamPump.java
@@ -21,7 +21,7 @@
     record Complete() implements Ending {}
 
     /** The endpoint's side broke. */
-    record Broken(String reason) implements Ending {}
+    record Broken(String reason, boolean connectionLost) implements Ending {}
 
     /** The caller's side broke. */
     record CallerGone() implements Ending {}
@@ -63,14 +63,14 @@
       try {
         event = reader.next();
       } catch (IOException e) {
-        return new Ending.Broken(String.valueOf(e.getMessage()));
+        return new Ending.Broken(String.valueOf(e.getMessage()), Failures.isConnectionLost(e));
       }
       if (event.isEmpty()) {
-        return new Ending.Broken("stream ends without its end mark");
+        return new Ending.Broken("stream ends without its end mark", false);
       }
       String fault = faultIn(event.get());
       if (fault != null) {
-        return new Ending.Broken(fault);
+        return new Ending.Broken(fault, false);
       }
       boolean last = event.get().data().equals(END_OF_STREAM);
       if (!pass(event.get(), last || !reader.hasBuffered())) {
--- a/src/test/java/org/magnoliavale/internal/order/FaultySender.java
+++ b/src/test/java/org/magnoliavale/internal/order/FaultySender.java
@@ -58,7 +58,7 @@
     return switch (fault) {
       case NOT_SENT -> new AttemptStart.NotSent("refused");
       case KILLED_BEFORE_FIRST_BYTE -> FaultyTable.killed();
-      case CUT_BEFORE_RUN -> new AttemptStart.Failed("cut");
+      case CUT_BEFORE_RUN -> new AttemptStart.Failed("cut", true);
       case NONE -> {
         runs.incrementAndGet();
         yield opened(
@@ -66,7 +66,7 @@
       }
       case CUT_AFTER_RUN -> {
         runs.incrementAndGet();
-        yield new AttemptStart.Failed("cut");
+        yield new AttemptStart.Failed("cut", true);
       }
       case CUT_INSIDE_ANSWER -> {
         runs.incrementAndGet();
