Do not spend retries on endpoints that take no connection

Cause: the first poison request after a crash got 502 within 30 ms: its four attempts all went to endpoints that refused connections while they restarted.

Before: 502 upstream-failed with 'Connection refused'. After: an attempt of which nothing was sent costs no retry, and its endpoint gets nothing for 500 ms; the request waits for another within its deadline.

--- a/src/main/java/org/magnoliavale/internal/load/LoadRun.java
+++ b/src/main/java/org/magnoliavale/internal/load/LoadRun.java
@@ -122,6 +122,7 @@
         .POST("http://" + caller + "/v1/completions")
         .headers(fields -> fields.put(EngineHeaders.TIMEOUT, plan.deadline().toMillis()))
         .timeout(plan.deadline().toMillis() * 2, TimeUnit.MILLISECONDS)
+        .idleTimeout(plan.deadline().toMillis() * 2, TimeUnit.MILLISECONDS)
         .body(new BytesRequestContent("application/json", Json.bytes(body)));
   }
 
@@ -209,6 +210,7 @@
               .POST("http://" + caller + "/services/" + plan.service() + "/orders")
               .headers(fields -> fields.put(EngineHeaders.IDEMPOTENCY_KEY, order))
               .timeout(plan.deadline().toMillis() * 2, TimeUnit.MILLISECONDS)
+              .idleTimeout(plan.deadline().toMillis() * 2, TimeUnit.MILLISECONDS)
               .body(new BytesRequestContent("application/json", Json.bytes(Map.of("order", order))))
               .send();
       if (response.getStatus() == CREATED) {
--- a/src/main/java/org/magnoliavale/internal/routing/EndpointLoad.java
+++ b/src/main/java/org/magnoliavale/internal/routing/EndpointLoad.java
@@ -15,6 +15,7 @@
   private final AtomicInteger ownInFlight = new AtomicInteger();
   private volatile Reported reported = new Reported(0, 0, 0, 0);
   private volatile long ejectedUntilNanos;
+  private volatile long unreachableUntilNanos;
   private volatile boolean everReported;
   private volatile String incarnation = "";
   private volatile boolean draining;
@@ -73,6 +74,7 @@
   public void succeeded() {
     failuresInRow.set(0);
     ejectedUntilNanos = 0;
+    unreachableUntilNanos = 0;
   }
 
   /** Notes a failure and returns how many came in a row. */
@@ -85,6 +87,16 @@
     ejectedUntilNanos = untilNanos;
   }
 
+  /** Sends the endpoint nothing at all until {@code untilNanos}: no connection can be made. */
+  public void markUnreachable(long untilNanos) {
+    unreachableUntilNanos = untilNanos;
+  }
+
+  /** Tells whether no connection could be made lately. */
+  public boolean isUnreachable(long nowNanos) {
+    return unreachableUntilNanos != 0 && unreachableUntilNanos - nowNanos > 0;
+  }
+
   /** Tells whether the endpoint is to be avoided at {@code nowNanos}. */
   public boolean isEjected(long nowNanos) {
     return ejectedUntilNanos != 0 && ejectedUntilNanos - nowNanos > 0;
--- a/src/main/java/org/magnoliavale/internal/routing/Router.java
+++ b/src/main/java/org/magnoliavale/internal/routing/Router.java
@@ -103,13 +103,20 @@
     return Optional.of(new RouteDecision(chosen, usable.size(), reason(chosen, snapshot)));
   }
 
-  /** Leaves out what is avoided, draining or ejected; the ejected are used if nothing else is. */
+  /**
+   * Leaves out what is avoided, draining, unreachable or ejected; the ejected are used if nothing
+   * else is left.
+   */
   private static List<Candidate> usable(
       List<Candidate> fitting, Set<EndpointId> avoided, long nowNanos) {
     List<Candidate> healthy = new ArrayList<>(fitting.size());
     List<Candidate> ejected = new ArrayList<>();
     for (Candidate candidate : fitting) {
-      if (avoided.contains(candidate.endpoint().id()) || candidate.load().isDraining()) {
+      boolean closed =
+          avoided.contains(candidate.endpoint().id())
+              || candidate.load().isDraining()
+              || candidate.load().isUnreachable(nowNanos);
+      if (closed) {
         continue;
       }
       (candidate.load().isEjected(nowNanos) ? ejected : healthy).add(candidate);
--- a/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
@@ -25,6 +25,7 @@
   private static final int MAXIMUM_ATTEMPTS = 4;
   private static final int FAILURES_UNTIL_EJECTION = 3;
   private static final long EJECTION_NANOS = Duration.ofSeconds(2).toNanos();
+  private static final long UNREACHABLE_NANOS = Duration.ofMillis(500).toNanos();
   private static final long RESIDENCY_POLL_MS = 20;
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
   private static final int NOT_FOUND = 404;
@@ -113,11 +114,11 @@
           ErrorCode.DEADLINE_EXCEEDED, "the deadline passed after " + attempts + " attempts");
     }
     guard.checkMaySend(fingerprint);
+    // Only attempts of which something was sent count; the others put no load on anything.
     boolean first = attempts == 0;
     if (!first && (attempts >= MAXIMUM_ATTEMPTS || !budget.trySpend())) {
       throw upstreamFailed();
     }
-    attempts++;
   }
 
   private MagnoliavaleException upstreamFailed() {
@@ -177,6 +178,11 @@
           case AttemptStart.NotSent(String reason) -> "not sent: " + reason;
           case AttemptStart.Failed(String reason, boolean ignored) -> reason;
         };
+    if (start instanceof AttemptStart.NotSent) {
+      load.markUnreachable(System.nanoTime() + UNREACHABLE_NANOS);
+    } else {
+      attempts++;
+    }
     if (failure == null) {
       OpenAnswer answer = ((AttemptStart.Opened) start).answer();
       return Optional.of(new OpenedAttempt(attemptId, decision, answer));
