Choose placement steps by profit; weigh what room under way is for

Cause: the planner took one replacement a round and waited until all replicas of a model were ready, and it stopped counting gains at 0.8 of an endpoint's speed, where every overloaded endpoint looks the same.

--- a/src/main/java/org/magnoliavale/internal/placement/Freshness.java
+++ b/src/main/java/org/magnoliavale/internal/placement/Freshness.java
@@ -10,7 +10,7 @@
 /** Remembers since when artifacts have been ready, so that what has just come is not evicted. */
 public final class Freshness {
   /** Time for which an artifact counts as fresh, in milliseconds. */
-  public static final long FRESH_MS = 120_000;
+  public static final long FRESH_MS = 45_000;
 
   private final Map<EndpointId, Map<ArtifactId, Long>> readySinceMs = new HashMap<>();
 
--- a/src/main/java/org/magnoliavale/internal/placement/LoadEstimate.java
+++ b/src/main/java/org/magnoliavale/internal/placement/LoadEstimate.java
@@ -12,7 +12,7 @@
  */
 final class LoadEstimate {
   /** Share of its speed up to which an endpoint answers nearly everything in time. */
-  static final double COMFORTABLE_SHARE = 0.8;
+  static final double COMFORTABLE_SHARE = 0.95;
 
   /** Factor by which a model's demand moves within an hour. */
   private static final double BURST_FACTOR = 10;
--- a/src/main/java/org/magnoliavale/internal/placement/Planner.java
+++ b/src/main/java/org/magnoliavale/internal/placement/Planner.java
@@ -21,14 +21,6 @@
  * little.
  */
 public final class Planner implements PlacementPolicy {
-  /** Time over which a further replica must pay for its move, in seconds. */
-  private static final double HORIZON_SECONDS = 60;
-
-  /** Time that a model spends in bursts over the hours that a replica stays, in seconds. */
-  private static final double BURST_SECONDS = 60;
-
-  private static final int MAXIMUM_DEMAND_MOVES = 4;
-
   @Override
   public List<Move> plan(PlacementInput input) {
     Workspace workspace = new Workspace(input);
@@ -36,7 +28,7 @@
     restoreReplicas(workspace);
     loadAdapters(workspace);
     emptyLeavingEndpoints(workspace);
-    followDemand(workspace);
+    new DemandGrowth(workspace).run();
     return workspace.moves();
   }
 
@@ -121,7 +113,7 @@
   private static Optional<Place> bestPlace(
       Workspace workspace, LoadEstimate estimate, Model model) {
     return workspace.usable().stream()
-        .filter(place -> !occupiedBy(place, model.weights()))
+        .filter(place -> !workspace.isOccupied(place, model.weights()))
         .filter(place -> place.freeBytes() >= model.bytesWithAdapters())
         .min(
             Comparator.<Place>comparingDouble(estimate::utilisation)
@@ -129,10 +121,6 @@
                 .thenComparing(Place::id));
   }
 
-  private static boolean occupiedBy(Place place, ArtifactId artifact) {
-    return place.holds(artifact) || place.placed().artifacts().containsKey(artifact);
-  }
-
   private static void loadAdapters(Workspace workspace) {
     for (Model model : workspace.input().models()) {
       for (Place place : workspace.holders(model.weights())) {
@@ -146,7 +134,7 @@
   private static void loadAdapters(Workspace workspace, Model model, Place place) {
     for (AdapterId adapter : model.adapters()) {
       ArtifactId artifact = new ArtifactId(model.id(), model.version(), adapter);
-      if (occupiedBy(place, artifact)) {
+      if (workspace.isOccupied(place, artifact)) {
         continue;
       }
       if (place.unoccupiedBytes() >= model.adapterBytes()) {
@@ -170,91 +158,4 @@
       }
     }
   }
-
-  /** A further replica that was considered, and the requests that it would answer in time. */
-  private record Option(Model model, Place place, double gain) {}
-
-  /**
-   * Adds the replicas that gain most. The order by gain matters: memory that was freed for one
-   * model must not go back to the model that it was taken from.
-   */
-  private static void followDemand(Workspace workspace) {
-    LoadEstimate estimate = LoadEstimate.of(workspace);
-    double price = workspace.input().pool().movePrice();
-    List<Model> crowded = crowdedModels(workspace, estimate);
-    for (int moved = 0; moved < MAXIMUM_DEMAND_MOVES && !crowded.isEmpty(); moved++) {
-      Optional<Option> best = bestOption(workspace, estimate, crowded);
-      if (best.isEmpty() || best.get().gain() <= price) {
-        best.ifPresent(option -> declineForPrice(workspace, option, price));
-        break;
-      }
-      Model model = best.get().model();
-      List<Place> holders = workspace.holders(model.weights());
-      estimate.spread(model, holders, -1);
-      workspace.load(model.weights(), best.get().place(), model.bytes(), Reason.DEMAND);
-      estimate.spread(model, workspace.holders(model.weights()), 1);
-      // A replica on its way is waited for before the next of the same model is considered.
-      crowded.remove(model);
-    }
-    RoomMaker.replaceSurplus(workspace, estimate, crowded, price);
-  }
-
-  /** Returns the models whose replicas are all ready and would get too much, now or in a burst. */
-  private static List<Model> crowdedModels(Workspace workspace, LoadEstimate estimate) {
-    List<Model> crowded = new ArrayList<>();
-    for (Model model : workspace.input().models()) {
-      List<Place> holders = workspace.holders(model.weights());
-      boolean settled =
-          !holders.isEmpty() && holders.stream().allMatch(place -> place.isReady(model.weights()));
-      boolean demanded = workspace.input().demandOf(model.id()) > 0;
-      boolean tooMuch =
-          demanded && estimate.excess(holders) > 0 || estimate.burstExcess(model, holders) > 0;
-      if (settled && tooMuch) {
-        crowded.add(model);
-      }
-    }
-    return crowded;
-  }
-
-  private static Optional<Option> bestOption(
-      Workspace workspace, LoadEstimate estimate, List<Model> crowded) {
-    Option best = null;
-    for (Model model : crowded) {
-      Optional<Place> place = bestPlace(workspace, estimate, model);
-      if (place.isPresent()) {
-        List<Place> holders = workspace.holders(model.weights());
-        double gain = gain(estimate, model, holders, place.get());
-        if (best == null || gain > best.gain()) {
-          best = new Option(model, place.get(), gain);
-        }
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
-  private static void declineForPrice(Workspace workspace, Option option, double price) {
-    workspace.decline(
-        option.model().weights(),
-        Reason.PRICE,
-        "gain=%.1f price=%.1f".formatted(option.gain(), price));
-  }
-
-  /**
-   * Returns the requests that one more replica answers in time: those of the demand now, over the
-   * horizon, and those of bursts to come.
-   */
-  static double gain(LoadEstimate estimate, Model model, List<Place> holders, Place added) {
-    List<Place> after = new ArrayList<>(holders);
-    after.add(added);
-    double excessBefore = estimate.excess(after);
-    double burstBefore = estimate.burstExcess(model, holders);
-    estimate.spread(model, holders, -1);
-    estimate.spread(model, after, 1);
-    double excessAfter = estimate.excess(after);
-    double burstAfter = estimate.burstExcess(model, after);
-    estimate.spread(model, after, -1);
-    estimate.spread(model, holders, 1);
-    return (excessBefore - excessAfter) * HORIZON_SECONDS
-        + (burstBefore - burstAfter) * BURST_SECONDS;
-  }
 }
--- a/src/main/java/org/magnoliavale/internal/placement/RoomMaker.java
+++ b/src/main/java/org/magnoliavale/internal/placement/RoomMaker.java
@@ -21,73 +21,19 @@
     return evictSurplusFor(workspace, wanted) || relocateOne(workspace, wanted);
   }
 
-  /** A replacement that was considered: what goes, where, and what it brings beyond its cost. */
-  private record Replacement(List<ArtifactId> evicted, Place place, double profit) {}
-
-  /**
-   * Evicts surplus replicas for the model that profits most, if that pays for all the moves. One
-   * replacement a round: the room that it makes is used before the next is considered.
-   */
-  static void replaceSurplus(
-      Workspace workspace, LoadEstimate estimate, List<Model> crowded, double price) {
-    Replacement best = null;
-    for (Model wanted : crowded) {
-      if (isRoomUnderWay(workspace, wanted)) {
-        return;
-      }
-      Replacement candidate = bestReplacement(workspace, estimate, wanted, price);
-      if (candidate != null && (best == null || candidate.profit() > best.profit())) {
-        best = candidate;
-      }
-    }
-    if (best != null && best.profit() > 0) {
-      Place place = best.place();
-      best.evicted().forEach(spare -> workspace.unload(spare, place, Reason.MAKE_ROOM));
-    }
-  }
-
-  private static Replacement bestReplacement(
-      Workspace workspace, LoadEstimate estimate, Model wanted, double price) {
-    List<Place> holders = workspace.holders(wanted.weights());
-    Replacement best = null;
-    for (Place place : byFreeBytes(workspace, wanted)) {
-      Optional<List<ArtifactId>> evicted =
-          enough(workspace, settledSurplusAt(workspace, place, wanted), place, wanted);
-      if (evicted.isEmpty()) {
-        continue;
-      }
-      double profit =
-          Planner.gain(estimate, wanted, holders, place)
-              - loss(workspace, estimate, evicted.get(), place)
-              - price * (1 + evicted.get().size());
-      if (best == null || profit > best.profit()) {
-        best = new Replacement(evicted.get(), place, profit);
-      }
-    }
-    return best;
-  }
-
-  private static double loss(
-      Workspace workspace, LoadEstimate estimate, List<ArtifactId> evicted, Place place) {
-    double loss = 0;
-    for (ArtifactId spare : evicted) {
-      Model model = workspace.model(spare.model()).orElseThrow();
-      List<Place> rest = new ArrayList<>(workspace.holders(spare));
-      rest.remove(place);
-      loss += Planner.gain(estimate, model, rest, place);
-    }
-    return loss;
+  /** Returns the surplus replicas that leave enough room if they go, if there are any. */
+  static Optional<List<ArtifactId>> evictable(Workspace workspace, Place place, Model wanted) {
+    List<ArtifactId> settled =
+        surplusAt(workspace, place, wanted).stream()
+            .filter(artifact -> !place.placed().isFresh(artifact))
+            .toList();
+    return enough(workspace, settled, place, wanted);
   }
 
   /** Memory that departs already is enough for the model. */
   private static boolean isRoomUnderWay(Workspace workspace, Model wanted) {
     for (Place place : workspace.usable()) {
-      long departing = 0;
-      for (var entry : place.placed().artifacts().entrySet()) {
-        if (!place.holds(entry.getKey())) {
-          departing += bytesOf(workspace, entry.getKey());
-        }
-      }
+      long departing = workspace.departingBytes(place);
       boolean returns = place.placed().artifacts().containsKey(wanted.weights());
       if (departing > 0
           && !returns
@@ -98,13 +44,6 @@
     return false;
   }
 
-  private static long bytesOf(Workspace workspace, ArtifactId artifact) {
-    return workspace
-        .model(artifact.model())
-        .map(model -> artifact.adapter() == null ? model.bytes() : model.adapterBytes())
-        .orElse(0L);
-  }
-
   private static boolean evictSurplusFor(Workspace workspace, Model wanted) {
     for (Place place : byFreeBytes(workspace, wanted)) {
       Optional<List<ArtifactId>> evicted =
@@ -173,12 +112,6 @@
     return surplus;
   }
 
-  private static List<ArtifactId> settledSurplusAt(Workspace workspace, Place place, Model wanted) {
-    return surplusAt(workspace, place, wanted).stream()
-        .filter(artifact -> !place.placed().isFresh(artifact))
-        .toList();
-  }
-
   /** Of a version that is being replaced, one replica keeps the model reachable. */
   private static int replicasToKeep(Model model, ArtifactId artifact) {
     return artifact.version() == model.version() ? model.minimumReplicas() : 1;
--- a/src/main/java/org/magnoliavale/internal/placement/Workspace.java
+++ b/src/main/java/org/magnoliavale/internal/placement/Workspace.java
@@ -129,6 +129,32 @@
     return holders(artifact).stream().filter(place -> place.isReady(artifact)).count();
   }
 
+  /**
+   * Tells whether an artifact is at an endpoint in whatever way, so that it can't be loaded now.
+   */
+  boolean isOccupied(Place place, ArtifactId artifact) {
+    return place.holds(artifact) || place.placed().artifacts().containsKey(artifact);
+  }
+
+  /** Returns the memory that comes free at an endpoint once all that departs is gone. */
+  long departingBytes(Place place) {
+    long departing = 0;
+    for (ArtifactId artifact : place.placed().artifacts().keySet()) {
+      if (!place.holds(artifact)) {
+        departing += bytesOf(artifact);
+      }
+    }
+    return departing;
+  }
+
+  private long bytesOf(ArtifactId artifact) {
+    Model model = models.get(artifact.model());
+    if (model == null) {
+      return 0;
+    }
+    return artifact.adapter() == null ? model.bytes() : model.adapterBytes();
+  }
+
   void load(ArtifactId artifact, Place place, long bytes, Move.Reason reason) {
     place.added.add(artifact);
     place.freeBytes -= bytes;
--- a/src/main/java/org/magnoliavale/internal/standin/EngineStandIn.java
+++ b/src/main/java/org/magnoliavale/internal/standin/EngineStandIn.java
@@ -109,6 +109,9 @@
   /** Ends everything in progress and restarts with empty memory after a while. */
   public void crash() {
     crashes.incrementAndGet();
+    // What ran before is gone before any connection breaks, as in a process that died.
+    memory.restart();
+    published = report();
     LOG.infof("Engine stand-in crashes. endpoint=%s", endpoint.id());
     Thread.ofPlatform().daemon().start(this::crashAndRestart);
   }
@@ -116,7 +119,6 @@
   private synchronized void crashAndRestart() {
     HttpServers.stop(server);
     batcher.failAll();
-    memory.restart();
     openConnections.clear();
     silentConnections.clear();
     try {
