Make the cost of control independent of the fleet's size where it was not

Cause: each tick rebuilt the residency view, and a placement round weighed every endpoint for every model in every step.

--- a/bin/launcher.sh
+++ b/bin/launcher.sh
@@ -15,4 +15,4 @@
   echo "magnoliavale: needs Java 25 or newer; install one or set JAVA_HOME" >&2
   exit 1
 }
-exec "$java" -XX:+UseZGC -Xmx"${MAGNOLIAVALE_HEAP:-256m}" --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow -jar "$0" "$@"
+exec "$java" ${MAGNOLIAVALE_JAVA_OPTIONS:--XX:+UseSerialGC} -Xmx"${MAGNOLIAVALE_HEAP:-256m}" --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow -jar "$0" "$@"
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/collection/BoundedMap.java
@@ -0,0 +1,38 @@
+package org.magnoliavale.internal.collection;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * A map that holds a number of entries and drops the oldest to make room. Not thread-safe.
+ *
+ * @param <K> type of the keys
+ * @param <V> type of the values
+ */
+public final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
+  private static final long serialVersionUID = 1L;
+  private static final int INITIAL_CAPACITY = 16;
+  private static final float LOAD_FACTOR = 0.75f;
+
+  private final int maximumSize;
+
+  private BoundedMap(int maximumSize, boolean byUse) {
+    super(INITIAL_CAPACITY, LOAD_FACTOR, byUse);
+    this.maximumSize = maximumSize;
+  }
+
+  /** Returns a map that drops the entry that was put first. */
+  public static <K, V> BoundedMap<K, V> byAge(int maximumSize) {
+    return new BoundedMap<>(maximumSize, false);
+  }
+
+  /** Returns a map that drops the entry that was not used for longest. */
+  public static <K, V> BoundedMap<K, V> byUse(int maximumSize) {
+    return new BoundedMap<>(maximumSize, true);
+  }
+
+  @Override
+  protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+    return size() > maximumSize;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/collection/package-info.java
@@ -0,0 +1,2 @@
+/** Small collections that several parts share. */
+package org.magnoliavale.internal.collection;
--- a/src/main/java/org/magnoliavale/internal/command/DemoCheckCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/DemoCheckCommand.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import org.eclipse.jetty.http.HttpStatus;
 import org.magnoliavale.internal.http.EngineHeaders;
 import org.magnoliavale.internal.http.JsonAnswer;
 import org.magnoliavale.internal.json.Json;
@@ -23,7 +24,6 @@
   private static final long IN_FORCE_TIMEOUT_MS = 6_000;
   private static final long IN_FORCE_POLL_MS = 20;
   private static final int TOKENS = 8;
-  private static final int OK = 200;
 
   @Parameter(names = "--caller", required = true, description = "Caller addresses of instances")
   private List<String> callers = new ArrayList<>();
@@ -59,7 +59,8 @@
     long end = System.currentTimeMillis() + REACHABLE_TIMEOUT_MS;
     while (System.currentTimeMillis() < end) {
       JsonAnswer answer = operators.call("GET", "/placement", Map.of(), "");
-      if (answer instanceof JsonAnswer.Answered(int status, byte[] body) && status == OK) {
+      if (answer instanceof JsonAnswer.Answered(int status, byte[] body)
+          && status == HttpStatus.OK_200) {
         JsonNode models = Json.tree(body).path("models");
         boolean all = models.size() > 0;
         for (JsonNode endpoints : models) {
@@ -92,7 +93,8 @@
   private List<String> models(OperatorConnection connection) throws IOException {
     List<String> names = new ArrayList<>();
     JsonAnswer answer = connection.call("GET", "/v1/models", Map.of(), "");
-    if (answer instanceof JsonAnswer.Answered(int status, byte[] body) && status == OK) {
+    if (answer instanceof JsonAnswer.Answered(int status, byte[] body)
+        && status == HttpStatus.OK_200) {
       Json.tree(body).path("data").forEach(model -> names.add(model.path("id").asText()));
     }
     return names;
@@ -115,7 +117,7 @@
   private boolean checkWhole(OperatorConnection connection, String model) throws IOException {
     JsonAnswer answer = whole(connection, model);
     return answer instanceof JsonAnswer.Answered(int status, byte[] body)
-        && status == OK
+        && status == HttpStatus.OK_200
         && Json.tree(body)
             .path("choices")
             .path(0)
@@ -126,7 +128,8 @@
 
   private boolean checkStream(OperatorConnection connection, String model) throws IOException {
     JsonAnswer answer = completion(connection, model, "stream", true);
-    if (!(answer instanceof JsonAnswer.Answered(int status, byte[] body)) || status != OK) {
+    if (!(answer instanceof JsonAnswer.Answered(int status, byte[] body))
+        || status != HttpStatus.OK_200) {
       return false;
     }
     StringBuilder text = new StringBuilder();
@@ -153,7 +156,8 @@
         status(connection.call("POST", path, Map.of(), body)) == 400);
     String sheets = "/services/" + service + "/route-sheets";
     report(
-        caller + " shows route sheets", status(connection.call("GET", sheets, Map.of(), "")) == OK);
+        caller + " shows route sheets",
+        status(connection.call("GET", sheets, Map.of(), "")) == HttpStatus.OK_200);
   }
 
   /** Changes the document at one instance and waits for it at all of them. */
@@ -163,7 +167,7 @@
         Map.of("Authorization", "Bearer " + token, "If-Match", Long.toString(version(0)));
     try (OperatorConnection connection = OperatorConnection.to(operators.getFirst())) {
       JsonAnswer put = connection.call("PUT", "/document", headers, section);
-      report("a document change is accepted", status(put) == OK);
+      report("a document change is accepted", status(put) == HttpStatus.OK_200);
       JsonAnswer late = connection.call("PUT", "/document", headers, section);
       report("a change on top of an old revision is refused", status(late) == 412);
     }
@@ -198,7 +202,8 @@
   private long version(int index) throws IOException {
     try (OperatorConnection connection = OperatorConnection.to(operators.get(index))) {
       JsonAnswer answer = connection.call("GET", "/status", Map.of(), "");
-      return answer instanceof JsonAnswer.Answered(int status, byte[] body) && status == OK
+      return answer instanceof JsonAnswer.Answered(int status, byte[] body)
+              && status == HttpStatus.OK_200
           ? Json.tree(body).path("documentVersion").asLong()
           : 0;
     }
--- a/src/main/java/org/magnoliavale/internal/command/LoadCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/LoadCommand.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.MagnoliavaleException;
 import org.magnoliavale.internal.http.JsonAnswer;
 import org.magnoliavale.internal.json.Json;
 import org.magnoliavale.internal.load.LoadPlan;
@@ -78,6 +80,10 @@
         Json.tree(body).path("data").forEach(model -> names.add(model.path("id").asText()));
       }
     }
+    if (names.isEmpty()) {
+      throw MagnoliavaleException.of(
+          ErrorCode.NOT_FOUND, "no models at " + callers.getFirst() + "; is it running?");
+    }
     return names;
   }
 
--- a/src/main/java/org/magnoliavale/internal/containment/Fingerprint.java
+++ b/src/main/java/org/magnoliavale/internal/containment/Fingerprint.java
@@ -1,7 +1,6 @@
 package org.magnoliavale.internal.containment;
 
-import java.nio.charset.StandardCharsets;
-import org.magnoliavale.internal.document.TokenHash;
+import org.magnoliavale.internal.hash.Sha256;
 
 /**
  * Recognises a request that is sent again.
@@ -11,11 +10,7 @@
 public record Fingerprint(String value) {
   /** Returns the fingerprint of a request. */
   public static Fingerprint of(String path, byte[] body) {
-    byte[] head = (path + "\n").getBytes(StandardCharsets.UTF_8);
-    byte[] content = new byte[head.length + body.length];
-    System.arraycopy(head, 0, content, 0, head.length);
-    System.arraycopy(body, 0, content, head.length, body.length);
-    return new Fingerprint(TokenHash.of(content));
+    return new Fingerprint(Sha256.ofCall(path, body));
   }
 
   @Override
--- a/src/main/java/org/magnoliavale/internal/control/ControlCore.java
+++ b/src/main/java/org/magnoliavale/internal/control/ControlCore.java
@@ -62,7 +62,8 @@
   private boolean apply(ControlEvent event, long nowMs, List<ControlAction> actions) {
     switch (event) {
       case ControlEvent.Tick() -> {
-        return true;
+        // Only the grace of leaving endpoints ends by time alone.
+        return leaving.any();
       }
       case ControlEvent.DocumentInForce(Document newDocument) -> {
         install(newDocument);
@@ -87,7 +88,8 @@
             case LEDGER -> group.ledgerAnswered(answer, nowMs, actions);
           }
         }
-        return true;
+        // A ledger tells what is on its way out, which is not routed to.
+        return kind == ControlEvent.CallKind.LEDGER;
       }
       case ControlEvent.OrderAnswered(var pool, var endpoint, var transmission, var answer) -> {
         PlacementGroup group = groups.get(pool);
--- a/src/main/java/org/magnoliavale/internal/control/LeavingEndpoints.java
+++ b/src/main/java/org/magnoliavale/internal/control/LeavingEndpoints.java
@@ -19,6 +19,10 @@
 
   private final Map<EndpointId, Long> sinceMs = new HashMap<>();
 
+  boolean any() {
+    return !sinceMs.isEmpty();
+  }
+
   /** Removes from {@code ready} what leaving endpoints are not to serve any more. */
   void keepOnlyUnserved(
       Document document,
--- a/src/main/java/org/magnoliavale/internal/control/OrderBook.java
+++ b/src/main/java/org/magnoliavale/internal/control/OrderBook.java
@@ -2,9 +2,9 @@
 
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import org.magnoliavale.internal.collection.BoundedMap;
 import org.magnoliavale.internal.engine.EngineOrder;
 import org.magnoliavale.internal.engine.OrderAnswer;
 import org.magnoliavale.internal.identifier.EndpointId;
@@ -19,15 +19,7 @@
   private record InFlight(String transmission, long sentAtMs) {}
 
   private final Map<EndpointId, InFlight> inFlight = new HashMap<>();
-  private final Map<String, Boolean> settled =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-          return size() > REMEMBERED_SETTLED;
-        }
-      };
+  private final Map<String, Boolean> settled = BoundedMap.byAge(REMEMBERED_SETTLED);
   private final Map<String, Long> sentAt = new HashMap<>();
   private long fenceCounter;
 
--- a/src/main/java/org/magnoliavale/internal/control/PlacementRound.java
+++ b/src/main/java/org/magnoliavale/internal/control/PlacementRound.java
@@ -45,7 +45,7 @@
       DemandForecast demand) {}
 
   private static final double TOKENS_PER_REQUEST = 64;
-  private static final long ROUND_INTERVAL_MS = 200;
+  private static final long ROUND_INTERVAL_MS = 1_000;
 
   /** Decisions against a move that were logged already are not logged again. */
   private static final int REMEMBERED_DECLINED = 256;
@@ -65,9 +65,14 @@
     if (!scene.pool().engines() || source.nowMs() < nextRoundMs) {
       return;
     }
+    PlacementInput input = input(scene, source.nowMs());
+    if (input.endpoints().stream().noneMatch(PlacedEndpoint::usable)) {
+      // Before the first reports a round could only decline everything.
+      return;
+    }
     nextRoundMs = source.nowMs() + ROUND_INTERVAL_MS;
-    List<Move> moves = policy.plan(input(scene, source.nowMs()));
-    int[] running = runningLoads(scene);
+    List<Move> moves = policy.plan(input);
+    RunningLoads running = RunningLoads.of(scene.rows().values());
     for (Move move : moves) {
       switch (move) {
         case Move.Load load -> load(scene, load, running, source, edit, actions);
@@ -111,39 +116,25 @@
     return new PlacedEndpoint(endpoint, usable, ledger.freeBytes(), artifacts);
   }
 
-  /** Returns the loads that are running: of models, and of adapters. */
-  private static int[] runningLoads(Scene scene) {
-    int[] running = new int[2];
-    for (LedgerRow row : scene.rows().values()) {
-      for (LedgerEntry entry : row.ledger().entries()) {
-        if (entry.state() == EntryState.RESERVED) {
-          running[entry.id().adapter() == null ? 0 : 1]++;
-        }
-      }
-    }
-    return running;
-  }
-
   private void load(
       Scene scene,
       Move.Load load,
-      int[] running,
+      RunningLoads running,
       TransmissionSource source,
       LedgerEdit edit,
       List<ControlAction> actions) {
     LedgerRow row = scene.rows().get(load.endpoint());
     Ledger ledger = edit.ledger(load.endpoint(), row);
     boolean adapter = load.artifact().adapter() != null;
-    int limit = adapter ? scene.pool().adapterLoadsAtOnce() : scene.pool().loadsAtOnce();
     boolean blocked =
         isBusy(scene, load.endpoint(), source, edit)
             || ledger.freeBytes() < load.bytes()
             || ledger.entry(load.artifact()).isPresent()
-            || running[adapter ? 1 : 0] >= limit;
+            || !running.hasRoom(load.artifact(), scene.pool());
     if (blocked || !adapter && !allowance.trySpend(scene.pool(), source.nowMs())) {
       return;
     }
-    running[adapter ? 1 : 0]++;
+    running.add(load.artifact());
     Transmission transmission = source.next();
     edit.put(
         load.endpoint(),
--- a/src/main/java/org/magnoliavale/internal/document/Document.java
+++ b/src/main/java/org/magnoliavale/internal/document/Document.java
@@ -64,7 +64,7 @@
     Team found = null;
     for (Team team : teams.values()) {
       // Every team is compared, so that the time taken says nothing about which one matched.
-      if (TokenHash.matchesAny(tokenHash, team.tokenHashes())) {
+      if (team.hasToken(tokenHash)) {
         found = team;
       }
     }
--- a/src/main/java/org/magnoliavale/internal/document/DocumentEdit.java
+++ b/src/main/java/org/magnoliavale/internal/document/DocumentEdit.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.document;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * An operator's change to the document.
@@ -25,8 +26,6 @@
 
   /** Returns the headings of all sections that the edit touches. */
   public List<String> headings() {
-    return java.util.stream.Stream.concat(
-            written.stream().map(StoredSection::heading), deleted.stream())
-        .toList();
+    return Stream.concat(written.stream().map(StoredSection::heading), deleted.stream()).toList();
   }
 }
--- a/src/main/java/org/magnoliavale/internal/document/Team.java
+++ b/src/main/java/org/magnoliavale/internal/document/Team.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.document;
 
 import java.util.List;
+import org.magnoliavale.internal.hash.Sha256;
 import org.magnoliavale.internal.identifier.TeamId;
 
 /**
@@ -15,4 +16,13 @@
   public Team {
     tokenHashes = List.copyOf(tokenHashes);
   }
+
+  /** Tells whether a token with this hash is the team's; every hash is compared. */
+  public boolean hasToken(String hash) {
+    boolean found = false;
+    for (String own : tokenHashes) {
+      found |= Sha256.matches(hash, own);
+    }
+    return found;
+  }
 }
--- a/src/main/java/org/magnoliavale/internal/engine/HttpEngineControl.java
+++ b/src/main/java/org/magnoliavale/internal/engine/HttpEngineControl.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import org.eclipse.jetty.http.HttpStatus;
 import org.magnoliavale.internal.document.Endpoint;
 import org.magnoliavale.internal.http.JsonAnswer;
 import org.magnoliavale.internal.http.JsonClient;
@@ -16,10 +17,6 @@
   /** Path that takes orders. */
   public static final String ORDERS_PATH = "/engine/orders";
 
-  private static final int OK = 200;
-  private static final int ACCEPTED = 202;
-  private static final int CLIENT_ERROR = 400;
-
   private final JsonClient client;
   private final Duration timeout;
 
@@ -36,7 +33,8 @@
   @Override
   public Optional<EngineReport> report(Endpoint endpoint) {
     JsonAnswer answer = client.get(endpoint.address(), REPORT_PATH, timeout);
-    if (answer instanceof JsonAnswer.Answered(int status, byte[] body) && status == OK) {
+    if (answer instanceof JsonAnswer.Answered(int status, byte[] body)
+        && status == HttpStatus.OK_200) {
       try {
         return Optional.of(Json.read(body, EngineReport.class));
       } catch (IOException e) {
@@ -56,10 +54,10 @@
   }
 
   private static OrderAnswer answered(int status) {
-    if (status == OK || status == ACCEPTED) {
+    if (status == HttpStatus.OK_200 || status == HttpStatus.ACCEPTED_202) {
       return new OrderAnswer.Accepted();
     }
-    boolean refused = status >= CLIENT_ERROR && status < 500;
+    boolean refused = status >= HttpStatus.BAD_REQUEST_400 && status < 500;
     return refused
         ? new OrderAnswer.Refused("status " + status)
         : new OrderAnswer.Unknown("status " + status);
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/hash/Sha256.java
@@ -0,0 +1,42 @@
+package org.magnoliavale.internal.hash;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256 in hexadecimal. */
+public final class Sha256 {
+  private Sha256() {}
+
+  /** Returns the hash of a text. */
+  public static String of(String text) {
+    return hex(newDigest().digest(text.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** Returns the hash of a call: its heading, a line break, and its body. */
+  public static String ofCall(String heading, byte[] body) {
+    MessageDigest digest = newDigest();
+    digest.update(heading.getBytes(StandardCharsets.UTF_8));
+    digest.update((byte) '\n');
+    return hex(digest.digest(body));
+  }
+
+  /** Compares two hashes in a time that does not depend on where they differ. */
+  public static boolean matches(String hash, String other) {
+    return MessageDigest.isEqual(
+        hash.getBytes(StandardCharsets.US_ASCII), other.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static String hex(byte[] bytes) {
+    return HexFormat.of().formatHex(bytes);
+  }
+
+  private static MessageDigest newDigest() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new AssertionError("every Java platform has SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/hash/package-info.java
@@ -0,0 +1,2 @@
+/** Hashes of texts, tokens and calls. */
+package org.magnoliavale.internal.hash;
--- a/src/main/java/org/magnoliavale/internal/http/Replies.java
+++ b/src/main/java/org/magnoliavale/internal/http/Replies.java
@@ -3,25 +3,25 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.magnoliavale.internal.json.Json;
 
 /** Writes whole responses. */
 public final class Replies {
-  private static final int OK = 200;
 
   private Replies() {}
 
   /** Writes a value as JSON with status 200. */
   public static void json(Response response, Callback callback, Object value) {
-    write(response, callback, OK, "application/json", Json.bytes(value));
+    write(response, callback, HttpStatus.OK_200, "application/json", Json.bytes(value));
   }
 
   /** Writes text with status 200. */
   public static void text(Response response, Callback callback, String text) {
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-    write(response, callback, OK, "text/plain; charset=utf-8", bytes);
+    write(response, callback, HttpStatus.OK_200, "text/plain; charset=utf-8", bytes);
   }
 
   /** Writes a body with any status. */
--- a/src/main/java/org/magnoliavale/internal/instance/Instance.java
+++ b/src/main/java/org/magnoliavale/internal/instance/Instance.java
@@ -200,6 +200,7 @@
   private void registerMetrics() {
     metrics.registry().register("requests_in_progress", (Gauge<Integer>) gate::inProgress);
     metrics.registry().register("document_version", (Gauge<Long>) documents::version);
+    metrics.registry().register("link_bytes_sent", (Gauge<Long>) links::bytesSent);
     metrics.registry().register("control_backlog", (Gauge<Integer>) control::backlog);
   }
 
--- a/src/main/java/org/magnoliavale/internal/link/AcceptedLink.java
+++ b/src/main/java/org/magnoliavale/internal/link/AcceptedLink.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.ReadTimeoutException;
+import java.io.IOException;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.link.protocol.Challenge;
 import org.magnoliavale.internal.link.protocol.Frame;
@@ -80,7 +81,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    if (cause instanceof ReadTimeoutException || cause instanceof java.io.IOException) {
+    if (cause instanceof ReadTimeoutException || cause instanceof IOException) {
       context.close();
     } else {
       reject(context, String.valueOf(cause.getMessage()));
--- a/src/main/java/org/magnoliavale/internal/link/ConnectedLink.java
+++ b/src/main/java/org/magnoliavale/internal/link/ConnectedLink.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.ReadTimeoutException;
+import java.io.IOException;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.link.protocol.Challenge;
 import org.magnoliavale.internal.link.protocol.Frame;
@@ -94,7 +95,7 @@
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     if (cause instanceof ReadTimeoutException) {
       LOG.infof("Link went silent. to=%s", context.channel().remoteAddress());
-    } else if (!(cause instanceof java.io.IOException)) {
+    } else if (!(cause instanceof IOException)) {
       link.rejectedFrames().inc();
     }
     context.close();
--- a/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
+++ b/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.link;
 
+import com.codahale.metrics.Counter;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -10,6 +11,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.traffic.GlobalTrafficShapingHandler;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -41,6 +43,7 @@
   private final InstanceList list;
   private final EventLoopGroup threads =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final GlobalTrafficShapingHandler traffic = new GlobalTrafficShapingHandler(threads, 0);
   private final Map<String, Outgoing> outgoing = new HashMap<>();
   private volatile boolean stopped;
   private Channel server;
@@ -52,7 +55,7 @@
       InstanceList list,
       PeerState state,
       PeerListener listener,
-      com.codahale.metrics.Counter rejectedFrames) {
+      Counter rejectedFrames) {
     this.settings = settings;
     this.list = list;
     this.context =
@@ -76,6 +79,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(traffic);
                     Frames.addCodecs(channel, settings.silenceTimeout());
                     channel.pipeline().addLast(new AcceptedLink(context));
                   }
@@ -93,9 +97,15 @@
   public void stop() {
     stopped = true;
     server.close().syncUninterruptibly();
+    traffic.release();
     threads.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
+  /** Returns the bytes that all links have sent since the start. */
+  public long bytesSent() {
+    return traffic.trafficCounter().cumulativeWrittenBytes();
+  }
+
   /** Sends a heartbeat to all peers now, for example because the document changed. */
   public void announce() {
     if (!stopped) {
@@ -151,6 +161,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel opened) {
+                    opened.pipeline().addLast(traffic);
                     Frames.addCodecs(opened, settings.silenceTimeout());
                     opened.pipeline().addLast(handler);
                   }
--- a/src/main/java/org/magnoliavale/internal/load/LoadRun.java
+++ b/src/main/java/org/magnoliavale/internal/load/LoadRun.java
@@ -23,6 +23,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.InputStreamResponseListener;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpStatus;
 import org.magnoliavale.internal.http.EngineHeaders;
 import org.magnoliavale.internal.http.HttpClients;
 import org.magnoliavale.internal.json.Json;
@@ -34,8 +35,6 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration IDLE_CONNECTION = Duration.ofSeconds(2);
   private static final double NANOSECONDS_PER_SECOND = 1e9;
-  private static final int OK = 200;
-  private static final int CREATED = 201;
 
   private final LoadPlan plan;
   private final List<String> models;
@@ -129,7 +128,7 @@
   private Outcome whole(String caller, String model, String prompt, long due) {
     try {
       ContentResponse response = completion(caller, model, prompt, false).send();
-      if (response.getStatus() != OK) {
+      if (response.getStatus() != HttpStatus.OK_200) {
         return refused(response);
       }
       String text = Json.tree(response.getContent()).path("choices").path(0).path("text").asText();
@@ -163,7 +162,7 @@
     completion(caller, model, prompt, true).send(listener);
     try {
       var response = listener.get(plan.deadline().toMillis() * 2, TimeUnit.MILLISECONDS);
-      if (response.getStatus() != OK) {
+      if (response.getStatus() != HttpStatus.OK_200) {
         byte[] body = listener.getInputStream().readAllBytes();
         report.addRefusal(Json.tree(body).path("code").asText("none"));
         return Outcome.REFUSED;
@@ -213,7 +212,7 @@
               .idleTimeout(plan.deadline().toMillis() * 2, TimeUnit.MILLISECONDS)
               .body(new BytesRequestContent("application/json", Json.bytes(Map.of("order", order))))
               .send();
-      if (response.getStatus() == CREATED) {
+      if (response.getStatus() == HttpStatus.CREATED_201) {
         completeOrders.add(order);
         return Outcome.IN_TIME;
       }
--- a/src/main/java/org/magnoliavale/internal/operator/DocumentCalls.java
+++ b/src/main/java/org/magnoliavale/internal/operator/DocumentCalls.java
@@ -21,7 +21,7 @@
 import org.magnoliavale.internal.document.Editor;
 import org.magnoliavale.internal.document.StoredSection;
 import org.magnoliavale.internal.document.Team;
-import org.magnoliavale.internal.document.TokenHash;
+import org.magnoliavale.internal.hash.Sha256;
 import org.magnoliavale.internal.http.Replies;
 import org.magnoliavale.internal.http.RequestBodies;
 
@@ -142,9 +142,9 @@
     if (authorization == null || !authorization.startsWith(BEARER)) {
       throw MagnoliavaleException.of(ErrorCode.UNAUTHENTICATED, "expected a bearer token");
     }
-    String hash = TokenHash.of(authorization.substring(BEARER.length()).strip());
+    String hash = Sha256.of(authorization.substring(BEARER.length()).strip());
     boolean administrator =
-        !administratorTokenHash.isEmpty() && TokenHash.matches(hash, administratorTokenHash);
+        !administratorTokenHash.isEmpty() && Sha256.matches(hash, administratorTokenHash);
     if (administrator) {
       return new Editor.Administrator();
     }
--- a/src/main/java/org/magnoliavale/internal/operator/OperatorHandler.java
+++ b/src/main/java/org/magnoliavale/internal/operator/OperatorHandler.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -20,7 +21,6 @@
   private static final String DOCUMENT_ROOT = "/document";
   private static final String CRASHES_ROOT = "/crashes/";
   private static final String EXPLAIN_ROOT = "/explain/";
-  private static final int OK = 200;
 
   private final DocumentCalls documents;
   private final InstanceMetrics metrics;
@@ -66,9 +66,10 @@
     switch (path) {
       case "/crashes" -> Replies.json(response, callback, Map.of("suspects", crashes.suspects()));
       case "/metrics" ->
-          Replies.write(response, callback, OK, "text/plain; version=0.0.4", metrics.text());
+          Replies.write(
+              response, callback, HttpStatus.OK_200, "text/plain; version=0.0.4", metrics.text());
       case "/metrics.json" ->
-          Replies.write(response, callback, OK, "application/json", metrics.json());
+          Replies.write(response, callback, HttpStatus.OK_200, "application/json", metrics.json());
       case "/status" -> Replies.json(response, callback, status.status());
       case "/placement" -> Replies.json(response, callback, status.placement());
       default -> throw MagnoliavaleException.of(ErrorCode.NOT_FOUND, "no such path: " + path);
--- a/src/main/java/org/magnoliavale/internal/order/ClaimingOrderDesk.java
+++ b/src/main/java/org/magnoliavale/internal/order/ClaimingOrderDesk.java
@@ -12,7 +12,7 @@
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
 import org.magnoliavale.internal.document.PlainService;
-import org.magnoliavale.internal.document.TokenHash;
+import org.magnoliavale.internal.hash.Sha256;
 import org.magnoliavale.internal.http.EngineHeaders;
 import org.magnoliavale.internal.identifier.EndpointId;
 import org.magnoliavale.internal.json.Json;
@@ -86,7 +86,7 @@
           ErrorCode.INVALID_REQUEST,
           EngineHeaders.IDEMPOTENCY_KEY + " must have 1 to " + MAXIMUM_KEY_LENGTH + " characters");
     }
-    String rowKey = "claim/" + service.name() + "/" + TokenHash.of(context.team() + "\n" + key);
+    String rowKey = "claim/" + service.name() + "/" + Sha256.of(context.team() + "\n" + key);
     Claim claim = newClaim(context, template);
     return switch (claims.write(rowKey, Row.ABSENT, Json.text(claim))) {
       case ClaimWrite.Written(long version) ->
@@ -103,13 +103,9 @@
 
   private Claim newClaim(RequestContext context, CallTemplate template) {
     long leftMs = Math.max(0, context.leftMs(System.nanoTime()));
-    byte[] head = (template.method() + " " + template.path() + "\n").getBytes();
-    byte[] content = new byte[head.length + template.body().length];
-    System.arraycopy(head, 0, content, 0, head.length);
-    System.arraycopy(template.body(), 0, content, head.length, template.body().length);
     return new Claim(
         UUID.randomUUID().toString(),
-        TokenHash.of(content),
+        Sha256.ofCall(template.method() + " " + template.path(), template.body()),
         ClaimState.CLAIMED,
         clock.millis() + leftMs,
         null);
--- a/src/main/java/org/magnoliavale/internal/placement/DemandGrowth.java
+++ b/src/main/java/org/magnoliavale/internal/placement/DemandGrowth.java
@@ -33,6 +33,9 @@
   /** Models that are considered in a step; the rest lack less. */
   private static final int MAXIMUM_CONSIDERED = 16;
 
+  /** Endpoints that are considered in a step; the rest are used more. */
+  private static final int MAXIMUM_PLACES = 12;
+
   /**
    * A step that was considered: what goes, what comes, where, and what it brings beyond its cost.
    */
@@ -117,9 +120,10 @@
 
   private Optional<Step> bestStep() {
     Step best = null;
+    List<Place> places = leastUsedPlaces();
     for (Model model : crowdedModels()) {
-      for (Place place : workspace.usable()) {
-        if (promisedPlaces.contains(place) || workspace.isOccupied(place, model.weights())) {
+      for (Place place : places) {
+        if (workspace.isOccupied(place, model.weights())) {
           continue;
         }
         Optional<Step> step = step(model, place);
@@ -131,6 +135,14 @@
     return Optional.ofNullable(best);
   }
 
+  private List<Place> leastUsedPlaces() {
+    return workspace.usable().stream()
+        .filter(place -> !promisedPlaces.contains(place))
+        .sorted(Comparator.comparingDouble(estimate::utilisation).thenComparing(Place::id))
+        .limit(MAXIMUM_PLACES)
+        .toList();
+  }
+
   private Optional<Step> step(Model model, Place place) {
     if (place.freeBytes() >= model.bytesWithAdapters()) {
       return Optional.of(new Step(model, place, List.of(), gain(model, place) - price));
--- a/src/main/java/org/magnoliavale/internal/platform/HttpPlatform.java
+++ b/src/main/java/org/magnoliavale/internal/platform/HttpPlatform.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.eclipse.jetty.http.HttpStatus;
 import org.magnoliavale.internal.http.JsonAnswer;
 import org.magnoliavale.internal.http.JsonClient;
 import org.magnoliavale.internal.json.Json;
@@ -19,11 +20,6 @@
 
   private record Instances(List<ListedInstance> instances) {}
 
-  private static final int OK = 200;
-  private static final int CONFLICT = 409;
-  private static final int TOO_MANY_REQUESTS = 429;
-  private static final int SERVICE_UNAVAILABLE = 503;
-
   private final JsonClient client;
   private final InetSocketAddress address;
   private final Duration timeout;
@@ -57,7 +53,8 @@
   @Override
   public Optional<List<ListedInstance>> read() {
     return switch (client.get(address, "/instances", timeout)) {
-      case JsonAnswer.Answered(int status, byte[] body) when status == OK -> instances(body);
+      case JsonAnswer.Answered(int status, byte[] body) when status == HttpStatus.OK_200 ->
+          instances(body);
       case JsonAnswer.Answered ignored -> Optional.empty();
       case JsonAnswer.Lost ignored -> Optional.empty();
       case JsonAnswer.NotSent ignored -> Optional.empty();
@@ -75,9 +72,9 @@
   private static TableAnswer answered(int status, byte[] body) {
     try {
       return switch (status) {
-        case OK -> new TableAnswer.Done(Json.read(body, Rows.class).rows());
-        case CONFLICT -> new TableAnswer.Refused(Json.read(body, Rows.class).rows());
-        case TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE ->
+        case HttpStatus.OK_200 -> new TableAnswer.Done(Json.read(body, Rows.class).rows());
+        case HttpStatus.CONFLICT_409 -> new TableAnswer.Refused(Json.read(body, Rows.class).rows());
+        case HttpStatus.TOO_MANY_REQUESTS_429, HttpStatus.SERVICE_UNAVAILABLE_503 ->
             new TableAnswer.Unavailable("status " + status);
         default -> new TableAnswer.Unknown("status " + status);
       };
--- a/src/main/java/org/magnoliavale/internal/standin/Batcher.java
+++ b/src/main/java/org/magnoliavale/internal/standin/Batcher.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.locks.LockSupport;
 import org.magnoliavale.Service;
+import org.magnoliavale.internal.collection.BoundedMap;
 
 /**
  * Continuous batching: every step generates one token for each running request. A step takes longer
@@ -22,15 +22,7 @@
   private final double tokensPerSecond;
   private final List<Generation> running = new ArrayList<>();
   private final List<Generation> waiting = new ArrayList<>();
-  private final Map<Integer, Boolean> prefixes =
-      new LinkedHashMap<>(CACHED_PREFIXES, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Integer, Boolean> eldest) {
-          return size() > CACHED_PREFIXES;
-        }
-      };
+  private final Map<Integer, Boolean> prefixes = BoundedMap.byUse(CACHED_PREFIXES);
   private volatile double slowdown = 1;
   private volatile boolean stopped;
 
--- a/src/main/java/org/magnoliavale/internal/standin/EngineMemory.java
+++ b/src/main/java/org/magnoliavale/internal/standin/EngineMemory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import org.magnoliavale.internal.collection.BoundedMap;
 import org.magnoliavale.internal.document.Contract;
 import org.magnoliavale.internal.engine.EngineOrder;
 import org.magnoliavale.internal.engine.ResidentArtifact;
@@ -28,15 +29,7 @@
   private final long capacityBytes;
   private final Contract contract;
   private final Map<String, ResidentArtifact> residents = new LinkedHashMap<>();
-  private final Map<String, String> transmissions =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-          return size() > REMEMBERED_TRANSMISSIONS;
-        }
-      };
+  private final Map<String, String> transmissions = BoundedMap.byAge(REMEMBERED_TRANSMISSIONS);
   private String incarnation = UUID.randomUUID().toString();
   private long highestFence;
   private boolean everOvercommitted;
--- a/src/main/java/org/magnoliavale/internal/standin/EngineStandIn.java
+++ b/src/main/java/org/magnoliavale/internal/standin/EngineStandIn.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -47,10 +50,6 @@
   private static final Duration SILENCE = Duration.ofSeconds(50);
   private static final Duration RESTART_TIME = Duration.ofMillis(1_500);
   private static final Duration REPORT_LAG = Duration.ofMillis(200);
-  private static final int SERVICE_UNAVAILABLE = 503;
-  private static final int NOT_FOUND = 404;
-  private static final int ACCEPTED = 202;
-  private static final int CONFLICT = 409;
 
   private final Endpoint endpoint;
   private final WeightLoader weights;
@@ -243,7 +242,7 @@
       Replies.write(
           response,
           callback,
-          accepted ? ACCEPTED : CONFLICT,
+          accepted ? HttpStatus.ACCEPTED_202 : HttpStatus.CONFLICT_409,
           "application/json",
           Json.bytes(Map.of("accepted", accepted)));
     }
@@ -283,7 +282,7 @@
         Replies.write(
             response,
             callback,
-            NOT_FOUND,
+            HttpStatus.NOT_FOUND_404,
             "application/json",
             Json.bytes(Map.of("error", "not resident: " + artifact)));
         return;
@@ -337,10 +336,10 @@
       byte[] body = EngineAnswers.whole(completion, text.toString());
       if (takeOne(answersToCut)) {
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
-        byte[] half = java.util.Arrays.copyOf(body, body.length / 2);
+        byte[] half = Arrays.copyOf(body, body.length / 2);
         response.write(
             false,
-            java.nio.ByteBuffer.wrap(half),
+            ByteBuffer.wrap(half),
             Callback.from(() -> abort(request, callback), callback::failed));
         return;
       }
--- a/src/main/java/org/magnoliavale/internal/standin/ListedInstances.java
+++ b/src/main/java/org/magnoliavale/internal/standin/ListedInstances.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.http.HttpStatus;
 import org.magnoliavale.Service;
 import org.magnoliavale.internal.platform.ListedInstance;
 
@@ -25,7 +26,6 @@
    */
   public record Watched(String id, String callerAddress, String peerAddress) {}
 
-  private static final int OK = 200;
   private static final int PROBE_TIMEOUT_MS = 500;
 
   private final List<Watched> watched;
@@ -86,7 +86,7 @@
       HttpURLConnection connection = (HttpURLConnection) uri.toURL().openConnection();
       connection.setConnectTimeout(PROBE_TIMEOUT_MS);
       connection.setReadTimeout(PROBE_TIMEOUT_MS);
-      boolean ready = connection.getResponseCode() == OK;
+      boolean ready = connection.getResponseCode() == HttpStatus.OK_200;
       try (InputStream body = ready ? connection.getInputStream() : connection.getErrorStream()) {
         if (body != null) {
           body.readAllBytes();
--- a/src/main/java/org/magnoliavale/internal/standin/PlatformStandIn.java
+++ b/src/main/java/org/magnoliavale/internal/standin/PlatformStandIn.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
@@ -41,8 +42,6 @@
   private static final Logger LOG = Logs.of("platform-stand-in");
   private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
   private static final int MAXIMUM_HEADER_BYTES = 16_384;
-  private static final int OK = 200;
-  private static final int CONFLICT = 409;
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
   private final InMemoryTable table = new InMemoryTable();
@@ -170,8 +169,9 @@
 
     private void answer(TableAnswer answer, Response response, Callback callback) {
       switch (answer) {
-        case TableAnswer.Done(List<Row> rows) -> write(OK, rows, response, callback);
-        case TableAnswer.Refused(List<Row> rows) -> write(CONFLICT, rows, response, callback);
+        case TableAnswer.Done(List<Row> rows) -> write(HttpStatus.OK_200, rows, response, callback);
+        case TableAnswer.Refused(List<Row> rows) ->
+            write(HttpStatus.CONFLICT_409, rows, response, callback);
         case TableAnswer.Unknown(String reason) -> throw new IllegalStateException(reason);
         case TableAnswer.Unavailable(String reason) -> throw new IllegalStateException(reason);
       }
--- a/src/main/java/org/magnoliavale/internal/standin/ServiceStandIn.java
+++ b/src/main/java/org/magnoliavale/internal/standin/ServiceStandIn.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
@@ -61,7 +62,6 @@
   private static final int MAXIMUM_BODY_BYTES = 1024 * 1024;
   private static final int MAXIMUM_HEADER_BYTES = 16_384;
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
-  private static final int CREATED = 201;
 
   private final Endpoint endpoint;
   private final Runs runs;
@@ -166,7 +166,7 @@
         return;
       }
       byte[] answer = Json.bytes(Map.of("order", order.order(), "placed", true));
-      Replies.write(response, callback, CREATED, "application/json", answer);
+      Replies.write(response, callback, HttpStatus.CREATED_201, "application/json", answer);
     }
 
     private static void cut(Request request, Callback callback) {
--- a/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.UUID;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
 import org.magnoliavale.internal.containment.CrashGuard;
@@ -28,9 +29,6 @@
   private static final long UNREACHABLE_NANOS = Duration.ofMillis(500).toNanos();
   private static final long RESIDENCY_POLL_MS = 20;
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-  private static final int NOT_FOUND = 404;
-  private static final int TOO_MANY_REQUESTS = 429;
-  private static final int SERVER_ERROR = 500;
 
   private final AttemptSender client;
   private final EngineSettings settings;
@@ -193,8 +191,10 @@
   }
 
   private boolean mustRepeat(int status) {
-    boolean notResident = status == NOT_FOUND && target instanceof Target.OfModel;
-    return status >= SERVER_ERROR || status == TOO_MANY_REQUESTS || notResident;
+    boolean notResident = status == HttpStatus.NOT_FOUND_404 && target instanceof Target.OfModel;
+    return status >= HttpStatus.INTERNAL_SERVER_ERROR_500
+        || status == HttpStatus.TOO_MANY_REQUESTS_429
+        || notResident;
   }
 
   private void noteFailure(
--- a/src/main/java/org/magnoliavale/internal/traffic/CallerHandler.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/CallerHandler.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.traffic;
 
 import java.io.IOException;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -47,7 +48,7 @@
     }
     if (!readiness.isReady()) {
       // Tells a caller that keeps its connection to open its next one elsewhere.
-      response.getHeaders().put(org.eclipse.jetty.http.HttpHeader.CONNECTION, "close");
+      response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
     gate.enter();
     Callback leaving = Callback.from(callback, gate::leave);
--- a/src/main/java/org/magnoliavale/internal/traffic/DecisionMemory.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/DecisionMemory.java
@@ -1,24 +1,16 @@
 package org.magnoliavale.internal.traffic;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.magnoliavale.internal.collection.BoundedMap;
 
 /** Remembers the latest requests' decisions, so that an operator can ask why one went somewhere. */
 public final class DecisionMemory {
   private static final int REMEMBERED_REQUESTS = 4_096;
   private static final int LINES_PER_REQUEST = 16;
 
-  private final Map<String, List<String>> lines =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, List<String>> eldest) {
-          return size() > REMEMBERED_REQUESTS;
-        }
-      };
+  private final Map<String, List<String>> lines = BoundedMap.byAge(REMEMBERED_REQUESTS);
 
   /** Adds a line about a request. */
   public synchronized void remember(String requestId, String line) {
--- a/src/main/java/org/magnoliavale/internal/traffic/RequestContext.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/RequestContext.java
@@ -8,7 +8,7 @@
 import org.magnoliavale.MagnoliavaleException;
 import org.magnoliavale.internal.document.Document;
 import org.magnoliavale.internal.document.Team;
-import org.magnoliavale.internal.document.TokenHash;
+import org.magnoliavale.internal.hash.Sha256;
 import org.magnoliavale.internal.http.EngineHeaders;
 
 /**
@@ -73,7 +73,7 @@
     if (!authorization.startsWith(BEARER)) {
       throw MagnoliavaleException.of(ErrorCode.UNAUTHENTICATED, "expected a bearer token");
     }
-    String hash = TokenHash.of(authorization.substring(BEARER.length()).strip());
+    String hash = Sha256.of(authorization.substring(BEARER.length()).strip());
     return document
         .teamOfToken(hash)
         .map(Team::id)
--- a/src/main/java/org/magnoliavale/internal/traffic/StreamPump.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/StreamPump.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Response;
 import org.magnoliavale.MagnoliavaleException;
@@ -28,7 +29,6 @@
   }
 
   private static final String END_OF_STREAM = "[DONE]";
-  private static final int OK = 200;
   private static final long NO_EVENT = -1;
 
   private final Response response;
@@ -128,7 +128,7 @@
 
   private OutputStream output() {
     if (output == null) {
-      response.setStatus(OK);
+      response.setStatus(HttpStatus.OK_200);
       response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
       response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
       output = Content.Sink.asOutputStream(response);
--- a/src/test/java/org/magnoliavale/internal/document/TestDocuments.java
+++ b/src/test/java/org/magnoliavale/internal/document/TestDocuments.java
@@ -1,5 +1,7 @@
 package org.magnoliavale.internal.document;
 
+import org.magnoliavale.internal.hash.Sha256;
+
 /** Small documents for tests. */
 public final class TestDocuments {
   /** Token of the team {@code cooks}. */
@@ -44,7 +46,7 @@
     owner = cooks
     pool = desks
     """
-        .formatted(TokenHash.of(TOKEN));
+        .formatted(Sha256.of(TOKEN));
   }
 
   /** Returns the section of an engine. */
--- a/src/test/java/org/magnoliavale/internal/instance/Deployment.java
+++ b/src/test/java/org/magnoliavale/internal/instance/Deployment.java
@@ -13,7 +13,7 @@
 import org.magnoliavale.internal.document.DocumentReader;
 import org.magnoliavale.internal.document.Endpoint;
 import org.magnoliavale.internal.document.TestDocuments;
-import org.magnoliavale.internal.document.TokenHash;
+import org.magnoliavale.internal.hash.Sha256;
 import org.magnoliavale.internal.standin.EngineStandIn;
 import org.magnoliavale.internal.standin.ListedInstances;
 import org.magnoliavale.internal.standin.PlatformLimits;
@@ -138,7 +138,7 @@
             index,
             callerPorts.get(index),
             operatorPorts.get(index),
-            TokenHash.of(ADMINISTRATOR),
+            Sha256.of(ADMINISTRATOR),
             peerPorts.get(index),
             platformPort);
   }
