Compare a crash with the incarnation that the request was sent to

Cause: found while reading. The probe after a broken connection compared the endpoint's report with the incarnation read last; when a report of the next incarnation had been read in between, the crash was not counted, and a poison request could crash one more endpoint.

Before: isComparedWithTheIncarnationThatItWasSentTo fails with 'after'. After: it passes; the incarnation is kept from before the sending.

--- a/src/main/java/org/magnoliavale/internal/control/ReportPoller.java
+++ b/src/main/java/org/magnoliavale/internal/control/ReportPoller.java
@@ -83,7 +83,7 @@
     long askedAt = clock.millis();
     Optional<EngineReport> report = engines.report(endpoint);
     if (report.isPresent()) {
-      loads.of(endpoint.id()).report(report.get(), System.nanoTime());
+      loads.of(endpoint.id()).report(report.get());
       control.post(new ControlEvent.ReportRead(endpoint.id(), report.get(), askedAt));
     } else {
       control.post(new ControlEvent.ReportMissed(endpoint.id()));
--- a/src/main/java/org/magnoliavale/internal/identifier/ArtifactId.java
+++ b/src/main/java/org/magnoliavale/internal/identifier/ArtifactId.java
@@ -1,7 +1,5 @@
 package org.magnoliavale.internal.identifier;
 
-import java.util.Optional;
-
 /**
  * Names one thing that occupies accelerator memory: a version of a model, or an adapter of it.
  *
@@ -37,11 +35,6 @@
     return new ArtifactId(new ModelId(text.substring(0, at)), Integer.parseInt(version), adapter);
   }
 
-  /** Returns the adapter, if this artifact is one. */
-  public Optional<AdapterId> adapterIfAny() {
-    return Optional.ofNullable(adapter);
-  }
-
   /** Returns the artifact of the weights that this one needs or is. */
   public ArtifactId weights() {
     return adapter == null ? this : ofModel(model, version);
--- a/src/main/java/org/magnoliavale/internal/routing/EndpointLoad.java
+++ b/src/main/java/org/magnoliavale/internal/routing/EndpointLoad.java
@@ -10,13 +10,12 @@
 public final class EndpointLoad {
   private static final double DEFAULT_TOKENS_PER_REQUEST = 64;
 
-  private record Reported(int outstanding, double tokens, int ownInFlight, long atNanos) {}
+  private record Reported(int outstanding, double tokens, int ownInFlight) {}
 
   private final AtomicInteger ownInFlight = new AtomicInteger();
-  private volatile Reported reported = new Reported(0, 0, 0, 0);
+  private volatile Reported reported = new Reported(0, 0, 0);
   private volatile long ejectedUntilNanos;
   private volatile long unreachableUntilNanos;
-  private volatile boolean everReported;
   private volatile String incarnation = "";
   private volatile boolean draining;
   private final AtomicInteger failuresInRow = new AtomicInteger();
@@ -31,16 +30,15 @@
     ownInFlight.decrementAndGet();
   }
 
-  /** Takes in a report that was read at {@code nowNanos}. */
-  public void report(EngineReport report, long nowNanos) {
+  /** Takes in a report that was just read. */
+  public void report(EngineReport report) {
     int outstanding = report.running() + report.waiting();
     double tokens =
         outstanding == 0
             ? DEFAULT_TOKENS_PER_REQUEST
             : report.queuedTokens() / (double) outstanding;
-    reported = new Reported(outstanding, tokens, ownInFlight.get(), nowNanos);
+    reported = new Reported(outstanding, tokens, ownInFlight.get());
     draining = report.draining();
-    everReported = true;
     incarnation = report.incarnation();
   }
 
@@ -111,9 +109,4 @@
   public String incarnation() {
     return incarnation;
   }
-
-  /** Tells whether any report was ever read. */
-  public boolean everReported() {
-    return everReported;
-  }
 }
--- a/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/AttemptSeries.java
@@ -43,6 +43,7 @@
   private int attempts;
   private String lastFailure = "";
   private boolean followedSuspect;
+  private String sentToIncarnation = "";
 
   AttemptSeries(Forwarder forwarder, RequestContext context, Target target, CallTemplate template) {
     this.client = forwarder.client();
@@ -161,6 +162,8 @@
     EndpointLoad load = decision.candidate().load();
     load.begin();
     followedSuspect = guard.begin(fingerprint, decision.candidate().endpoint().id());
+    // By the time the connection breaks, a report of the next incarnation may have been read.
+    sentToIncarnation = load.incarnation();
     AttemptStart start = client.send(attemptRequest(attemptId, decision, resumeAfter));
     boolean connectionLost =
         start instanceof AttemptStart.Failed(String ignored, boolean lost) && lost;
@@ -203,7 +206,7 @@
     avoided.add(decision.candidate().endpoint().id());
     EndpointLoad load = decision.candidate().load();
     if (connectionLost) {
-      guard.connectionLost(fingerprint, decision.candidate().endpoint(), load.incarnation());
+      guard.connectionLost(fingerprint, decision.candidate().endpoint(), sentToIncarnation);
     }
     if (load.failed() >= FAILURES_UNTIL_EJECTION) {
       load.eject(System.nanoTime() + EJECTION_NANOS);
--- a/src/test/java/org/magnoliavale/internal/routing/RouterTest.java
+++ b/src/test/java/org/magnoliavale/internal/routing/RouterTest.java
@@ -116,7 +116,7 @@
     /** Share of requests that the most chosen endpoint gets from instances that see one report. */
     private double largestShare(String policy) {
       for (int i = 0; i < ENDPOINTS; i++) {
-        add(i, 2).load().report(report(i == 3 ? 0 : 4), NOW);
+        add(i, 2).load().report(report(i == 3 ? 0 : 4));
       }
       Map<EndpointId, Integer> chosen = new HashMap<>();
       int requests = 600;
@@ -141,7 +141,7 @@
   @Test
   void estimateCountsWhatWasSentSinceTheReportForEveryInstance() {
     EndpointLoad load = new EndpointLoad();
-    load.report(report(4), NOW);
+    load.report(report(4));
     load.begin();
     assertThat(load.estimatedOutstanding(8)).isEqualTo(12);
     load.end();
--- a/src/test/java/org/magnoliavale/internal/traffic/RetryTest.java
+++ b/src/test/java/org/magnoliavale/internal/traffic/RetryTest.java
@@ -22,6 +22,7 @@
 import org.magnoliavale.internal.document.Document;
 import org.magnoliavale.internal.document.DocumentReader;
 import org.magnoliavale.internal.document.TestDocuments;
+import org.magnoliavale.internal.engine.EngineReport;
 import org.magnoliavale.internal.routing.Candidate;
 import org.magnoliavale.internal.routing.EndpointLoad;
 import org.magnoliavale.internal.routing.ModelName;
@@ -51,6 +52,7 @@
       new CallTemplate("POST", "/v1/completions", HttpFields.EMPTY, "{}".getBytes(), false);
   private final Fingerprint fingerprint = Fingerprint.of("/v1/completions", "{}".getBytes());
   private final RoutingSnapshot snapshot = snapshot();
+  private final List<String> probedIncarnations = new ArrayList<>();
   private boolean endpointCrashed = true;
 
   private static RoutingSnapshot snapshot() {
@@ -78,7 +80,13 @@
             () -> snapshot,
             () -> RandomGeneratorFactory.of("L64X128MixRandom").create(1),
             new DecisionMemory());
-    CrashGuard guard = new CrashGuard(crashes, (endpoint, incarnation) -> endpointCrashed);
+    CrashGuard guard =
+        new CrashGuard(
+            crashes,
+            (endpoint, incarnation) -> {
+              probedIncarnations.add(incarnation);
+              return endpointCrashed;
+            });
     RequestContext context =
         new RequestContext(
             "request", System.nanoTime() + deadline.toNanos(), 0, RequestContext.ANONYMOUS, null);
@@ -179,6 +187,26 @@
       assertThat(crashes.crashes(fingerprint)).isZero();
     }
 
+    @Test
+    void isComparedWithTheIncarnationThatItWasSentTo() {
+      reportEverywhere("before");
+      sender
+          .then(CRASH)
+          .whileSending(() -> reportEverywhere("after"))
+          .then(ScriptedSender.whole(200, BODY));
+      forward();
+      assertThat(probedIncarnations).containsExactly("before");
+    }
+
+    private void reportEverywhere(String incarnation) {
+      EngineReport report =
+          new EngineReport(incarnation, 1, 0, 0, false, 0, 0, 0, List.of(), List.of());
+      snapshot
+          .models()
+          .values()
+          .forEach(holders -> holders.forEach(holder -> holder.load().report(report)));
+    }
+
     @Test
     void isForgivenOnceItIsAnswered() {
       sender.then(CRASH).then(CRASH).then(ScriptedSender.whole(200, BODY));
--- a/src/test/java/org/magnoliavale/internal/traffic/ScriptedSender.java
+++ b/src/test/java/org/magnoliavale/internal/traffic/ScriptedSender.java
@@ -25,12 +25,19 @@
 
   private final Deque<AttemptStart> script = new ArrayDeque<>();
   private final List<AttemptRequest> sent = new ArrayList<>();
+  private Runnable meanwhile = () -> {};
 
   ScriptedSender then(AttemptStart start) {
     script.add(start);
     return this;
   }
 
+  /** Does something while each attempt is on its way. */
+  ScriptedSender whileSending(Runnable task) {
+    meanwhile = task;
+    return this;
+  }
+
   static AttemptStart whole(int status, String body) {
     return new AttemptStart.Opened(new Answer(status, stream(body)));
   }
@@ -58,6 +65,7 @@
   @Override
   public AttemptStart send(AttemptRequest attempt) {
     sent.add(attempt);
+    meanwhile.run();
     return script.isEmpty() ? new AttemptStart.Failed("script is over", false) : script.poll();
   }
 
