Keep each instance within its share of the table's budget

Cause: the settings named the fleet's reads and writes a second, and nothing used them.

Before: an instance could make any number of calls.

Conclusion: the share follows the live instances that heartbeats show.

--- a/src/main/java/org/magnoliavale/internal/instance/Instance.java
+++ b/src/main/java/org/magnoliavale/internal/instance/Instance.java
@@ -43,8 +43,10 @@
 import org.magnoliavale.internal.order.ClaimTable;
 import org.magnoliavale.internal.order.ClaimingOrderDesk;
 import org.magnoliavale.internal.placement.Planner;
+import org.magnoliavale.internal.platform.BudgetedTable;
 import org.magnoliavale.internal.platform.HttpPlatform;
 import org.magnoliavale.internal.platform.InstanceList;
+import org.magnoliavale.internal.platform.Table;
 import org.magnoliavale.internal.routing.EndpointLoads;
 import org.magnoliavale.internal.routing.Router;
 import org.magnoliavale.internal.routing.RoutingSnapshot;
@@ -109,7 +111,14 @@
     JsonClient json = JsonClient.of(controlClient);
     HttpPlatform platform =
         HttpPlatform.of(json, settings.platform().address(), settings.platform().timeout());
-    DocumentStore store = DocumentStore.of(platform, clock);
+    Table table =
+        new BudgetedTable(
+            platform,
+            settings.platform().fleetReadsPerSecond(),
+            settings.platform().fleetWritesPerSecond(),
+            this::liveInstances,
+            System::nanoTime);
+    DocumentStore store = DocumentStore.of(table, clock);
     follower =
         new DocumentFollower(
             store, documents, settings.platform().documentPoll(), this::liveInstances);
@@ -118,13 +127,13 @@
     control =
         new ControlLoop(
             new ControlCore(controlOptions(), newRandom()),
-            platform,
+            table,
             engines,
             clock,
             view -> snapshot = snapshots.build(view));
     poller = new ReportPoller(engines, loads, control, clock, settings.engine().reportInterval());
     endpointClient = EndpointClient.of(settings.engine());
-    claims = ClaimTable.of(platform);
+    claims = ClaimTable.of(table);
     gate = new RequestGate(settings.caller().maximumRequests());
     DecisionMemory decisions = new DecisionMemory();
     Routing routing =
