Parse an accepted document once, drop accessors that nothing calls

Cause: found on reading the whole change again. The holder parsed a document that came in force, and the instance parsed the same text a second time for its own use. Views of the ledgers and a sum over a report had no caller.

Before: two parses a change of the document on each instance. After: one; the listeners get the document that the holder made.

--- a/src/main/java/org/magnoliavale/internal/control/ControlCore.java
+++ b/src/main/java/org/magnoliavale/internal/control/ControlCore.java
@@ -15,7 +15,6 @@
 import org.magnoliavale.internal.identifier.EndpointId;
 import org.magnoliavale.internal.identifier.PoolId;
 import org.magnoliavale.internal.lease.LeaseKeeper;
-import org.magnoliavale.internal.ledger.Ledger;
 import org.magnoliavale.internal.placement.DemandForecast;
 import org.magnoliavale.internal.routing.ResidencyView;
 
@@ -177,10 +176,4 @@
         .map(Map.Entry::getKey)
         .toList();
   }
-
-  /** Returns the ledgers of a pool, none unless this instance holds its lease. */
-  public List<Ledger> ledgers(PoolId pool) {
-    PlacementGroup group = groups.get(pool);
-    return group == null ? List.of() : group.ledgers();
-  }
 }
--- a/src/main/java/org/magnoliavale/internal/control/PlacementGroup.java
+++ b/src/main/java/org/magnoliavale/internal/control/PlacementGroup.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -93,11 +92,6 @@
     return releasing;
   }
 
-  /** Returns the ledgers, empty unless this instance holds the lease. */
-  List<Ledger> ledgers() {
-    return rows.values().stream().map(LedgerRow::ledger).toList();
-  }
-
   /** Advances as far as time and what is known allow. */
   void advance(long nowMs, List<ControlAction> actions) {
     lease.tick(nowMs).ifPresent(call -> actions.add(callTable(CallKind.LEASE, call)));
@@ -271,9 +265,4 @@
       throw new IllegalStateException("row " + row.key() + " is malformed", e);
     }
   }
-
-  /** Returns the rows by endpoint, for tests and the operator's view. */
-  Map<EndpointId, LedgerRow> rows() {
-    return new HashMap<>(rows);
-  }
 }
--- a/src/main/java/org/magnoliavale/internal/document/DocumentHolder.java
+++ b/src/main/java/org/magnoliavale/internal/document/DocumentHolder.java
@@ -12,7 +12,7 @@
 
   private record InForce(DocumentText text, Document document) {}
 
-  private final List<Consumer<DocumentText>> listeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<Document>> listeners = new CopyOnWriteArrayList<>();
   private volatile InForce inForce = new InForce(DocumentText.EMPTY, Document.EMPTY);
 
   private DocumentHolder() {}
@@ -23,7 +23,7 @@
   }
 
   /** Calls {@code listener} with every document that comes in force, on the installing thread. */
-  public void addListener(Consumer<DocumentText> listener) {
+  public void addListener(Consumer<Document> listener) {
     listeners.add(listener);
   }
 
@@ -35,7 +35,7 @@
       }
       inForce = new InForce(text, text.toDocument());
       LOG.infof("Document in force. version=%d source=%s", text.version(), source);
-      listeners.forEach(listener -> listener.accept(text));
+      listeners.forEach(listener -> listener.accept(document()));
     }
     return true;
   }
--- a/src/main/java/org/magnoliavale/internal/engine/EngineReport.java
+++ b/src/main/java/org/magnoliavale/internal/engine/EngineReport.java
@@ -46,9 +46,4 @@
     return transmissions.stream()
         .anyMatch(settled -> settled.id().equals(transmission) && settled.isFinal());
   }
-
-  /** Returns the memory that artifacts occupy, in bytes. */
-  public long occupiedBytes() {
-    return residents.stream().mapToLong(ResidentArtifact::bytes).sum();
-  }
 }
--- a/src/main/java/org/magnoliavale/internal/instance/Instance.java
+++ b/src/main/java/org/magnoliavale/internal/instance/Instance.java
@@ -150,7 +150,7 @@
     links = peerLinks(platform);
     callerServer = callerServer(forwarder);
     operatorServer = operatorServer(store, decisions);
-    documents.addListener(text -> documentInForce(text.toDocument()));
+    documents.addListener(this::documentInForce);
     registerMetrics();
   }
 
