--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -0,0 +1,376 @@
+package org.magnoliavale.internal.call;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpFields;
+import org.jboss.logging.Logger;
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.dispatch.CallResult;
+import org.magnoliavale.internal.dispatch.Choice;
+import org.magnoliavale.internal.dispatch.Generation;
+import org.magnoliavale.internal.dispatch.Selection;
+import org.magnoliavale.internal.http.Problems;
+import org.magnoliavale.internal.logging.Logs;
+
+/**
+ * One call from its arrival to its answer: chooses endpoints, sends attempts, and passes the answer
+ * on. All events come in through synchronized methods; time comes from outside.
+ *
+ * <p>A call that may not be repeated is sent again only after the endpoint said that it did not run
+ * it, or when no byte left. A resumable stream goes on at another endpoint after the last whole
+ * event that the caller was given.
+ */
+final class Call {
+  private static final Logger LOG = Logs.of("call");
+
+  /** Most endpoints that are tried when none of them ran the call. */
+  private static final int MAXIMUM_REFUSALS = 4;
+
+  /** Time left below which nothing is sent any more. */
+  private static final Duration SHORTEST_ATTEMPT = Duration.ofMillis(15);
+
+  /** Delay after which a caller that was refused may come back. */
+  private static final Duration RETURN_DELAY = Duration.ofMillis(400);
+
+  private enum State {
+    WAITING,
+    SENT,
+    ENDED
+  }
+
+  private final CallServices services;
+  private final CallPlan plan;
+  private final CallerPort caller;
+  private final Runnable ended;
+  private final Set<EndpointIdentity> excluded = new HashSet<>();
+  private State state = State.WAITING;
+  private Optional<Artifact> awaited = Optional.empty();
+  private Attempt attempt;
+  private int runs;
+  private int refusals;
+  private boolean begun;
+  private Optional<Long> lastEvent;
+  private String lastReason = "";
+
+  Call(CallServices services, CallPlan plan, CallerPort caller, Runnable ended) {
+    this.services = services;
+    this.plan = plan;
+    this.caller = caller;
+    this.ended = ended;
+    this.lastEvent = plan.facts().lastEventId();
+  }
+
+  CallPlan plan() {
+    return plan;
+  }
+
+  CallServices services() {
+    return services;
+  }
+
+  CallerPort caller() {
+    return caller;
+  }
+
+  /** Sends the first attempt. */
+  synchronized void start(long nowNanos) {
+    services.budget().request(plan.service(), nowNanos);
+    plan.facts()
+        .generation()
+        .map(Generation::artifact)
+        .ifPresent(artifact -> services.waiting().asked(artifact, nowNanos));
+    if (services.containment().isStopped(plan.fingerprint())) {
+      refuse(ErrorCode.REQUEST_CRASHES_ENDPOINTS, "the request crashes endpoints", nowNanos);
+      return;
+    }
+    dispatch(nowNanos);
+  }
+
+  /** Tries again if the call waits, and ends it when its time is over. */
+  synchronized void tick(long nowNanos) {
+    if (state == State.ENDED) {
+      return;
+    }
+    if (nowNanos - plan.deadlineNanos() >= 0) {
+      expire(nowNanos);
+      return;
+    }
+    switch (state) {
+      case WAITING -> dispatch(nowNanos);
+      case SENT -> attempt.tick(nowNanos);
+      case ENDED -> {}
+    }
+  }
+
+  /** Tries again at once, because endpoints have changed. */
+  synchronized void endpointsChanged(long nowNanos) {
+    if (state == State.WAITING) {
+      dispatch(nowNanos);
+    }
+  }
+
+  /** Stops the work for a caller that has left. */
+  synchronized void callerLeft(long nowNanos) {
+    if (state == State.ENDED) {
+      return;
+    }
+    LOG.infof("Caller left. request=%s attempts=%d begun=%s", plan.id(), runs, begun);
+    services.metrics().abandoned().inc();
+    cancelAttempt(CallResult.ABANDONED, nowNanos);
+    end();
+    caller.abort();
+  }
+
+  private void dispatch(long nowNanos) {
+    Selection selection =
+        new Selection(plan.service(), plan.facts().generation(), Set.copyOf(excluded));
+    switch (services.endpoints().choose(selection, plan.connectionLimit(), nowNanos)) {
+      case Choice.Send send -> send(send, nowNanos);
+      case Choice.AwaitArtifact(Artifact artifact) -> await(artifact);
+      case Choice.Unavailable(String reason) -> unavailable(reason, nowNanos);
+    }
+  }
+
+  private void send(Choice.Send choice, long nowNanos) {
+    stopWaiting();
+    Duration left = Duration.ofNanos(plan.deadlineNanos() - nowNanos);
+    state = State.SENT;
+    attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
+    LOG.infof(
+        "Sent. request=%s route=%s endpoint=%s artifact=%s load=%.0f report-age-ms=%d"
+            + " configuration=%d attempt=%d left-ms=%d",
+        plan.id(),
+        plan.route().name(),
+        choice.endpoint().identity(),
+        plan.artifactText(),
+        choice.load(),
+        choice.reportAgeMs(),
+        plan.configurationVersion(),
+        runs + refusals + 1,
+        left.toMillis());
+    HttpFields headers =
+        services
+            .protocol()
+            .outgoing(
+                plan.request().headers(),
+                new Forwarding(choice.endpoint().identity(), left, plan.urgency(), lastEvent));
+    attempt.send(
+        new AttemptOrder(
+            choice.endpoint(),
+            plan.request().method(),
+            plan.request().pathQuery(),
+            headers,
+            plan.request().body()));
+  }
+
+  private void await(Artifact artifact) {
+    if (awaited.isPresent()) {
+      return;
+    }
+    state = State.WAITING;
+    awaited = Optional.of(artifact);
+    LOG.infof("Waits. request=%s artifact=%s", plan.id(), artifact);
+    services.waiting().waits(artifact);
+  }
+
+  private void unavailable(String reason, long nowNanos) {
+    stopWaiting();
+    if (!excluded.isEmpty() && refusals < MAXIMUM_REFUSALS && runs == 0) {
+      // Every endpoint was tried once; a later try may find room.
+      refusals++;
+      excluded.clear();
+      state = State.WAITING;
+      return;
+    }
+    giveUp(reason, nowNanos);
+  }
+
+  private void stopWaiting() {
+    awaited.ifPresent(services.waiting()::waitsNoMore);
+    awaited = Optional.empty();
+  }
+
+  /** Takes the end of an attempt that the endpoint certainly did not run. */
+  void notRun(Attempt source, String reason, boolean reached, long nowNanos) {
+    refusals++;
+    lastReason = reason;
+    excluded.add(source.endpoint().identity());
+    state = State.WAITING;
+    boolean more = refusals <= MAXIMUM_REFUSALS && hasTime(nowNanos);
+    if (more && (!reached || services.budget().trySpend(plan.service(), nowNanos))) {
+      logRepeat(source, reason);
+      dispatch(nowNanos);
+    } else {
+      giveUp(reason, nowNanos);
+    }
+  }
+
+  /** Takes the end of an attempt that the endpoint may have run; tells whether it is repeated. */
+  boolean mayHaveRun(Attempt source, String reason, long nowNanos) {
+    runs++;
+    lastReason = reason;
+    excluded.add(source.endpoint().identity());
+    boolean repeat =
+        plan.route().isRepeatable()
+            && runs < plan.route().attempts()
+            && hasTime(nowNanos)
+            && !services.containment().isStopped(plan.fingerprint())
+            && services.budget().trySpend(plan.service(), nowNanos);
+    if (!repeat) {
+      return false;
+    }
+    logRepeat(source, reason);
+    state = State.WAITING;
+    dispatch(nowNanos);
+    return true;
+  }
+
+  private void logRepeat(Attempt source, String reason) {
+    services.metrics().repeated().inc();
+    LOG.infof(
+        "Sends again. request=%s endpoint=%s reason=%s runs=%d refusals=%d after-event=%s",
+        plan.id(),
+        source.endpoint().identity(),
+        reason,
+        runs,
+        refusals,
+        lastEvent.map(Object::toString).orElse("-"));
+  }
+
+  private boolean hasTime(long nowNanos) {
+    return plan.deadlineNanos() - nowNanos > SHORTEST_ATTEMPT.toNanos();
+  }
+
+  /** Notes that the caller gets a head now; tells whether it has none yet. */
+  boolean beginOnce() {
+    boolean first = !begun;
+    begun = true;
+    return first;
+  }
+
+  boolean hasBegun() {
+    return begun;
+  }
+
+  void passedEvent(Optional<Long> id) {
+    if (id.isPresent()) {
+      lastEvent = id;
+    }
+  }
+
+  boolean isCurrent(Attempt candidate) {
+    return state == State.SENT && attempt == candidate;
+  }
+
+  /** Ends the call with the endpoint's own whole answer. */
+  void answer(int status, HttpFields headers, ByteBuffer body) {
+    services.metrics().answered().inc();
+    LOG.infof("Answered. request=%s status=%d bytes=%d", plan.id(), status, body.remaining());
+    end();
+    caller.answer(status, headers, body);
+  }
+
+  /** Ends the call after the last event of a stream. */
+  void finish() {
+    services.metrics().answered().inc();
+    LOG.infof(
+        "Stream ended. request=%s last-event=%s",
+        plan.id(), lastEvent.map(Object::toString).orElse("-"));
+    end();
+    caller.finish();
+  }
+
+  private void expire(long nowNanos) {
+    boolean sent = state == State.SENT;
+    cancelAttempt(CallResult.ABANDONED, nowNanos);
+    stopWaiting();
+    if (begun) {
+      breakOff("timeout");
+    } else if (sent || runs > 0) {
+      fail(ErrorCode.DEADLINE_EXCEEDED, "no answer in time");
+    } else {
+      refuse(ErrorCode.MODEL_UNAVAILABLE, "not served in time", nowNanos);
+    }
+  }
+
+  private void giveUp(String reason, long nowNanos) {
+    stopWaiting();
+    if (begun) {
+      breakOff(reason);
+    } else if (runs > 0) {
+      fail(ErrorCode.UPSTREAM_FAILED, reason);
+    } else {
+      refuse(ErrorCode.MODEL_UNAVAILABLE, reason, nowNanos);
+    }
+  }
+
+  /** Ends a call that has not run and will not run. */
+  private void refuse(ErrorCode code, String reason, long nowNanos) {
+    services.metrics().refused().inc();
+    LOG.infof(
+        "Refused. request=%s route=%s reason=%s refusals=%d age-ms=%d",
+        plan.id(),
+        plan.route().name(),
+        reason,
+        refusals,
+        Duration.ofNanos(nowNanos - plan.request().arrivedNanos()).toMillis());
+    answerProblem(
+        ErrorCode.MODEL_UNAVAILABLE,
+        MagnoliavaleException.of(code, reason).withRetryAfter(RETURN_DELAY));
+  }
+
+  /** Ends a call that may have run. */
+  void fail(ErrorCode code, String reason) {
+    services.metrics().failed().inc();
+    LOG.infof(
+        "Failed. request=%s route=%s reason=%s runs=%d last=%s",
+        plan.id(), plan.route().name(), reason, runs, lastReason);
+    answerProblem(code, MagnoliavaleException.of(code, reason));
+  }
+
+  /** Ends a stream that can't be completed. */
+  void breakOff(String reason) {
+    services.metrics().failed().inc();
+    LOG.infof(
+        "Broken off. request=%s route=%s reason=%s last-event=%s",
+        plan.id(), plan.route().name(), reason, lastEvent.map(Object::toString).orElse("-"));
+    end();
+    caller.abort();
+  }
+
+  private void answerProblem(ErrorCode status, MagnoliavaleException problem) {
+    end();
+    HttpFields.Mutable headers =
+        HttpFields.build(services.protocol().own(plan.id()))
+            .put("Content-Type", "application/problem+json");
+    problem.retryAfter().ifPresent(delay -> headers.put("Retry-After", seconds(delay)));
+    caller.answer(status.httpStatus(), headers, ByteBuffer.wrap(Problems.body(problem)));
+  }
+
+  private static String seconds(Duration delay) {
+    double millisecondsPerSecond = 1_000;
+    return Double.toString(delay.toMillis() / millisecondsPerSecond);
+  }
+
+  private void cancelAttempt(CallResult result, long nowNanos) {
+    if (state == State.SENT) {
+      attempt.cancel(result, nowNanos);
+    }
+  }
+
+  private void end() {
+    stopWaiting();
+    state = State.ENDED;
+    ended.run();
+  }
+
+  long now() {
+    return services.nanoClock().getAsLong();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/call/CallMetrics.java
@@ -0,0 +1,49 @@
+package org.magnoliavale.internal.call;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Timer;
+import org.magnoliavale.internal.metrics.InstanceMetrics;
+
+/** Counters and times of calls. */
+public final class CallMetrics {
+  private final Counter answered;
+  private final Counter failed;
+  private final Counter refused;
+  private final Counter repeated;
+  private final Counter abandoned;
+  private final Timer firstByte;
+
+  /** Returns counters in {@code metrics}. */
+  public CallMetrics(InstanceMetrics metrics) {
+    answered = metrics.counter("calls_answered");
+    failed = metrics.counter("calls_failed");
+    refused = metrics.counter("calls_refused");
+    repeated = metrics.counter("calls_repeated");
+    abandoned = metrics.counter("calls_abandoned");
+    firstByte = metrics.timer("call_first_byte");
+  }
+
+  Counter answered() {
+    return answered;
+  }
+
+  Counter failed() {
+    return failed;
+  }
+
+  Counter refused() {
+    return refused;
+  }
+
+  Counter repeated() {
+    return repeated;
+  }
+
+  Counter abandoned() {
+    return abandoned;
+  }
+
+  Timer firstByte() {
+    return firstByte;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/call/EventSplitter.java
@@ -0,0 +1,89 @@
+package org.magnoliavale.internal.call;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Cuts a stream of server-sent events into whole events. Not thread-safe.
+ *
+ * <p>Bytes of an event that is not complete yet are kept back.
+ */
+final class EventSplitter {
+  /** Largest event that is kept back, in bytes. */
+  static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+
+  private static final byte LINE_END = '\n';
+  private static final byte CARRIAGE_RETURN = '\r';
+  private static final String ID_FIELD = "id:";
+
+  private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+  private Optional<Long> lastId = Optional.empty();
+
+  /** Takes bytes in and returns all whole events, possibly none. */
+  ByteBuffer feed(ByteBuffer bytes) {
+    byte[] added = new byte[bytes.remaining()];
+    bytes.get(added);
+    held.writeBytes(added);
+    byte[] all = held.toByteArray();
+    int end = endOfWholeEvents(all);
+    held.reset();
+    held.write(all, end, all.length - end);
+    if (end > 0) {
+      readIds(new String(all, 0, end, StandardCharsets.UTF_8));
+    }
+    return ByteBuffer.wrap(all, 0, end);
+  }
+
+  /** Tells whether a part of an event is kept back. */
+  boolean hasPartialEvent() {
+    return held.size() > 0;
+  }
+
+  /** Tells whether the part that is kept back has grown beyond every event. */
+  boolean isOversized() {
+    return held.size() > MAXIMUM_EVENT_BYTES;
+  }
+
+  /** Returns the id of the last whole event that carried one. */
+  Optional<Long> lastId() {
+    return lastId;
+  }
+
+  private static int endOfWholeEvents(byte[] all) {
+    int lineEnds = 0;
+    for (int i = all.length - 1; i >= 0; i--) {
+      if (all[i] == LINE_END) {
+        lineEnds++;
+        if (lineEnds == 2) {
+          return endOfBlankLine(all, i);
+        }
+      } else if (all[i] != CARRIAGE_RETURN) {
+        lineEnds = 0;
+      }
+    }
+    return 0;
+  }
+
+  private static int endOfBlankLine(byte[] all, int firstLineEnd) {
+    int next = firstLineEnd + 1;
+    while (all[next] != LINE_END) {
+      next++;
+    }
+    return next + 1;
+  }
+
+  private void readIds(String events) {
+    for (String line : events.split("\n")) {
+      if (line.startsWith(ID_FIELD)) {
+        try {
+          lastId = Optional.of(Long.parseLong(line.substring(ID_FIELD.length()).strip()));
+        } catch (NumberFormatException e) {
+          // An id that is no number can't be resumed after; the one before it stays.
+          continue;
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/call/package-info.java
@@ -0,0 +1,2 @@
+/** Carries calls of any route to endpoints and their answers back. */
+package org.magnoliavale.internal.call;
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/command/GatewayCommand.java
@@ -0,0 +1,34 @@
+package org.magnoliavale.internal.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.concurrent.CountDownLatch;
+import org.magnoliavale.internal.gateway.GatewayInstance;
+import org.magnoliavale.internal.gateway.GatewaySettings;
+import org.magnoliavale.internal.gateway.GatewaySettingsReader;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.platform.PlatformPorts;
+
+/** Runs an instance on the users' platform until the process is told to stop. */
+@Parameters(commandDescription = "Run an instance on the users' platform")
+final class GatewayCommand implements Command {
+  @Parameter(
+      names = "--settings",
+      description = "Settings file; by default the one that the environment names")
+  private String settingsFile = System.getenv(PlatformPorts.SETTINGS_VARIABLE);
+
+  @Override
+  public int run() throws InterruptedException {
+    if (settingsFile == null) {
+      System.err.println("magnoliavale: no settings file; give --settings");
+      return USAGE;
+    }
+    GatewaySettings settings = GatewaySettingsReader.read(settingsFile, Files.read(settingsFile));
+    Logs.install(settings.logLevel(), System.out);
+    GatewayInstance instance = GatewayInstance.create(settings, PlatformPorts::create);
+    instance.start();
+    StopHook.install(instance);
+    new CountDownLatch(1).await();
+    return SUCCESS;
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/command/Main.java
+++ b/src/main/java/org/magnoliavale/internal/command/Main.java
@@ -65,6 +65,7 @@
   private static Map<String, Command> commands() {
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("serve", new ServeCommand());
+    commands.put("gateway", new GatewayCommand());
     commands.put("check", new CheckCommand());
     commands.put("document", new DocumentCommand());
     commands.put("status", new QueryCommand("/status"));
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/dispatch/Artifact.java
@@ -0,0 +1,31 @@
+package org.magnoliavale.internal.dispatch;
+
+import java.util.Optional;
+
+/**
+ * A model, or an adapter of it, that a call needs on its endpoint.
+ *
+ * @param model the model's name
+ * @param adapter the adapter's name, if the call names one
+ */
+public record Artifact(String model, Optional<String> adapter) {
+  private static final char SEPARATOR = '/';
+
+  /** Reads {@code MODEL} or {@code MODEL/ADAPTER}. */
+  public static Artifact parse(String text) {
+    int slash = text.indexOf(SEPARATOR);
+    return slash < 0
+        ? new Artifact(text, Optional.empty())
+        : new Artifact(text.substring(0, slash), Optional.of(text.substring(slash + 1)));
+  }
+
+  /** Returns the model alone. */
+  public Artifact base() {
+    return adapter.isEmpty() ? this : new Artifact(model, Optional.empty());
+  }
+
+  @Override
+  public String toString() {
+    return adapter.map(name -> model + SEPARATOR + name).orElse(model);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -0,0 +1,176 @@
+package org.magnoliavale.internal.dispatch;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.HeldModel;
+
+/** What this instance knows of one incarnation of an endpoint. Not thread-safe. */
+final class EndpointState {
+  /** Age after which a reported load says nothing about the present. */
+  private static final long REPORT_VALIDITY_MS = 2_000;
+
+  /** Silence with calls in progress after which an endpoint gets no further ones. */
+  private static final long SILENCE_LIMIT_MS = 900;
+
+  /** Time for which an endpoint that refused a call as full gets no further ones. */
+  private static final long FULL_PAUSE_MS = 100;
+
+  /** Time for which an endpoint with repeated failures gets no further calls. */
+  private static final long EJECTION_MS = 1_000;
+
+  private static final int FAILURES_BEFORE_EJECTION = 3;
+  private static final double SMOOTHING = 0.2;
+
+  private final PromptMemory prompts = new PromptMemory();
+  private final Set<Artifact> refuted = new HashSet<>();
+  private final Set<Artifact> announced = new HashSet<>();
+  private DirectoryEntry entry;
+  private boolean gone;
+  private int inFlight;
+  private int inFlightAtReport;
+  private ReportedLoad report;
+  private long reportNanos;
+  private long heardNanos;
+  private long pausedUntilNanos;
+  private int failuresInRow;
+  private double failureShare;
+  private double firstByteMs;
+
+  EndpointState(DirectoryEntry entry, long nowNanos) {
+    this.entry = entry;
+    this.heardNanos = nowNanos;
+    this.pausedUntilNanos = nowNanos;
+  }
+
+  DirectoryEntry entry() {
+    return entry;
+  }
+
+  int inFlight() {
+    return inFlight;
+  }
+
+  PromptMemory prompts() {
+    return prompts;
+  }
+
+  double failureShare() {
+    return failureShare;
+  }
+
+  double firstByteMs() {
+    return firstByteMs;
+  }
+
+  void update(DirectoryEntry newer) {
+    if (newer.sequence() != entry.sequence() || !newer.models().equals(entry.models())) {
+      refuted.clear();
+      announced.clear();
+    }
+    entry = newer;
+  }
+
+  void markGone() {
+    gone = true;
+  }
+
+  boolean isOpen() {
+    return !gone && !entry.draining();
+  }
+
+  boolean isHealthy(long nowNanos) {
+    return nowNanos - pausedUntilNanos >= 0 && !isSilent(nowNanos);
+  }
+
+  boolean isSilent(long nowNanos) {
+    return inFlight > 0 && milliseconds(nowNanos - heardNanos) > SILENCE_LIMIT_MS;
+  }
+
+  boolean holds(Artifact artifact) {
+    if (refuted.contains(artifact) || refuted.contains(artifact.base())) {
+      return false;
+    }
+    if (announced.contains(artifact)) {
+      return true;
+    }
+    Optional<HeldModel> model = entry.model(artifact.model());
+    return model.isPresent()
+        && artifact.adapter().map(model.get().adapters()::contains).orElse(true);
+  }
+
+  void refute(Artifact artifact) {
+    announced.remove(artifact);
+    refuted.add(artifact);
+  }
+
+  void announce(Artifact artifact) {
+    refuted.remove(artifact);
+    announced.add(artifact);
+  }
+
+  void sent(Optional<Generation> generation, long nowNanos) {
+    if (inFlight == 0) {
+      // Silence is counted only while an answer is due.
+      heardNanos = nowNanos;
+    }
+    inFlight++;
+    generation.ifPresent(prompts::read);
+  }
+
+  void heard(long nowNanos) {
+    heardNanos = nowNanos;
+  }
+
+  void reported(ReportedLoad load, long nowNanos) {
+    report = load;
+    reportNanos = nowNanos;
+    inFlightAtReport = inFlight;
+  }
+
+  void firstByte(double milliseconds) {
+    firstByteMs += SMOOTHING * (milliseconds - firstByteMs);
+  }
+
+  void ended(CallResult result, long nowNanos) {
+    inFlight--;
+    switch (result) {
+      case ANSWERED -> {
+        failuresInRow = 0;
+        failureShare -= SMOOTHING * failureShare;
+      }
+      case FULL -> pause(FULL_PAUSE_MS, nowNanos);
+      case FAILED, UNREACHABLE -> {
+        failuresInRow++;
+        failureShare += SMOOTHING * (1 - failureShare);
+        if (failuresInRow >= FAILURES_BEFORE_EJECTION || result == CallResult.UNREACHABLE) {
+          pause(EJECTION_MS, nowNanos);
+        }
+      }
+      case ABANDONED -> {}
+    }
+  }
+
+  private void pause(long milliseconds, long nowNanos) {
+    pausedUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(milliseconds);
+  }
+
+  long reportAgeMs(long nowNanos) {
+    return report == null ? -1 : milliseconds(nowNanos - reportNanos);
+  }
+
+  /** Returns the requests that the endpoint has most likely now, those of other instances too. */
+  double load(int instances, long nowNanos) {
+    if (report == null || milliseconds(nowNanos - reportNanos) > REPORT_VALIDITY_MS) {
+      return (double) inFlight * Math.max(1, instances);
+    }
+    int others = Math.max(0, report.running() + report.waiting() - inFlightAtReport);
+    return others + inFlight;
+  }
+
+  private static long milliseconds(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nanos);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/gateway/FleetExchange.java
@@ -0,0 +1,192 @@
+package org.magnoliavale.internal.gateway;
+
+import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.magnoliavale.internal.call.ArtifactDemand;
+import org.magnoliavale.internal.containment.CrashNote;
+import org.magnoliavale.internal.containment.CrashRegistry;
+import org.magnoliavale.internal.containment.Fingerprint;
+import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.dispatch.EndpointPool;
+import org.magnoliavale.internal.document.DocumentText;
+import org.magnoliavale.internal.link.Membership;
+import org.magnoliavale.internal.link.PeerListener;
+import org.magnoliavale.internal.link.PeerState;
+import org.magnoliavale.internal.link.protocol.CrashRecord;
+import org.magnoliavale.internal.link.protocol.Heartbeat;
+import org.magnoliavale.internal.residency.ArtifactUse;
+import org.magnoliavale.internal.residency.FleetDemand;
+import org.magnoliavale.internal.residency.ResidencyLog;
+
+/** Passes between this instance's parts and its links: demand, changes of residency, crashes. */
+final class FleetExchange implements PeerState, PeerListener {
+  private static final DocumentText NO_DOCUMENT = new DocumentText(0, List.of());
+
+  private final String self;
+  private final Membership membership;
+  private final CrashRegistry crashes;
+  private final ArtifactDemand ownDemand;
+  private final FleetDemand fleetDemand;
+  private final EndpointPool endpoints;
+  private final LongSupplier nanoClock;
+  private ResidencyLog log = new ResidencyLog();
+  private Runnable residencyChanged = () -> {};
+  private Runnable demandChanged = () -> {};
+  private Runnable someoneLeaves = () -> {};
+  private long lastChange;
+  private volatile boolean leaving;
+
+  FleetExchange(
+      String self,
+      Membership membership,
+      CrashRegistry crashes,
+      ArtifactDemand ownDemand,
+      FleetDemand fleetDemand,
+      EndpointPool endpoints,
+      LongSupplier nanoClock) {
+    this.self = self;
+    this.membership = membership;
+    this.crashes = crashes;
+    this.ownDemand = ownDemand;
+    this.fleetDemand = fleetDemand;
+    this.endpoints = endpoints;
+    this.nanoClock = nanoClock;
+  }
+
+  /** Sets what is told and who hears of news, before links start. */
+  void connect(
+      ResidencyLog residencyLog, Runnable onResidency, Runnable onDemand, Runnable onLeaving) {
+    log = residencyLog;
+    residencyChanged = onResidency;
+    demandChanged = onDemand;
+    someoneLeaves = onLeaving;
+  }
+
+  void setLeaving() {
+    leaving = true;
+  }
+
+  /** Takes this instance's own demand and changes in, as if a peer had told them. */
+  void refreshOwn() {
+    fleetDemand.told(self, ownUses(), nanoClock.getAsLong());
+    apply(log.changes(nanoClock.getAsLong()));
+  }
+
+  private Map<Artifact, ArtifactUse> ownUses() {
+    Map<Artifact, ArtifactUse> uses = new HashMap<>();
+    ownDemand
+        .rates(nanoClock.getAsLong())
+        .forEach((artifact, rate) -> uses.put(artifact, new ArtifactUse(rate, 0)));
+    ownDemand
+        .waiting()
+        .forEach(
+            (artifact, count) ->
+                uses.merge(artifact, new ArtifactUse(0, count), ArtifactUse::plus));
+    return uses;
+  }
+
+  @Override
+  public Heartbeat heartbeat() {
+    Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setLeaving(leaving);
+    ownUses()
+        .forEach(
+            (artifact, use) ->
+                heartbeat
+                    .addUsesBuilder()
+                    .setArtifact(artifact.toString())
+                    .setRequestsPerSecond((float) use.perSecond())
+                    .setWaiting(use.waiting()));
+    for (ResidencyLog.Change change : log.changes(nanoClock.getAsLong())) {
+      heartbeat
+          .addChangesBuilder()
+          .setNumber(change.number())
+          .setEndpoint(change.endpointId())
+          .setArtifact(change.artifact().toString())
+          .setHeld(change.held());
+    }
+    for (CrashNote note : crashes.notes()) {
+      heartbeat
+          .addCrashesBuilder()
+          .setFingerprint(ByteString.copyFrom(HexFormat.of().parseHex(note.fingerprint().value())))
+          .setCrashes(note.crashes())
+          .setAgeMs(note.ageMs())
+          .setLifted(note.lifted());
+    }
+    return heartbeat.build();
+  }
+
+  @Override
+  public DocumentText document() {
+    return NO_DOCUMENT;
+  }
+
+  @Override
+  public void heartbeatReceived(String instance, Heartbeat heartbeat) {
+    long now = nanoClock.getAsLong();
+    if (membership.heard(instance, heartbeat, now)) {
+      someoneLeaves.run();
+    }
+    Map<Artifact, ArtifactUse> uses = new HashMap<>();
+    boolean waits = false;
+    for (var use : heartbeat.getUsesList()) {
+      uses.put(
+          Artifact.parse(use.getArtifact()),
+          new ArtifactUse(use.getRequestsPerSecond(), use.getWaiting()));
+      waits |= use.getWaiting() > 0;
+    }
+    fleetDemand.told(instance, uses, now);
+    if (waits) {
+      demandChanged.run();
+    }
+    for (CrashRecord record : heartbeat.getCrashesList()) {
+      String fingerprint = HexFormat.of().formatHex(record.getFingerprint().toByteArray());
+      crashes.merge(
+          instance,
+          new CrashNote(
+              new Fingerprint(fingerprint),
+              record.getCrashes(),
+              record.getAgeMs(),
+              record.getLifted()));
+    }
+    List<ResidencyLog.Change> changes =
+        heartbeat.getChangesList().stream()
+            .map(
+                change ->
+                    new ResidencyLog.Change(
+                        change.getNumber(),
+                        change.getEndpoint(),
+                        Artifact.parse(change.getArtifact()),
+                        change.getHeld()))
+            .toList();
+    if (apply(changes)) {
+      residencyChanged.run();
+    }
+  }
+
+  /** Applies changes that are new; each is told several times. */
+  private synchronized boolean apply(List<ResidencyLog.Change> changes) {
+    boolean applied = false;
+    for (ResidencyLog.Change change : changes) {
+      if (change.number() <= lastChange) {
+        continue;
+      }
+      lastChange = change.number();
+      applied = true;
+      if (change.held()) {
+        endpoints.announce(change.endpointId(), change.artifact());
+      } else {
+        endpoints.withdraw(change.endpointId(), change.artifact());
+      }
+    }
+    return applied;
+  }
+
+  @Override
+  public void documentReceived(DocumentText document) {
+    // Instances on a platform have no document of their own; the operator's is in the store.
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -0,0 +1,354 @@
+package org.magnoliavale.internal.gateway;
+
+import com.codahale.metrics.Gauge;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Server;
+import org.jboss.logging.Logger;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.call.ArtifactDemand;
+import org.magnoliavale.internal.call.CallMetrics;
+import org.magnoliavale.internal.call.CallRegistry;
+import org.magnoliavale.internal.call.CallServices;
+import org.magnoliavale.internal.call.CrashWatch;
+import org.magnoliavale.internal.containment.CrashRegistry;
+import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.DirectoryReading;
+import org.magnoliavale.internal.directory.EndpointDirectory;
+import org.magnoliavale.internal.dispatch.EndpointPool;
+import org.magnoliavale.internal.dispatch.FleetRetryBudget;
+import org.magnoliavale.internal.http.HttpAddresses;
+import org.magnoliavale.internal.http.HttpClients;
+import org.magnoliavale.internal.http.HttpServers;
+import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.lease.LeaseKeeper;
+import org.magnoliavale.internal.lease.LeaseTimes;
+import org.magnoliavale.internal.link.Membership;
+import org.magnoliavale.internal.link.PeerIdentity;
+import org.magnoliavale.internal.link.PeerLinks;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.metrics.InstanceMetrics;
+import org.magnoliavale.internal.platform.ListedInstance;
+import org.magnoliavale.internal.residency.FleetDemand;
+import org.magnoliavale.internal.residency.ResidencyController;
+import org.magnoliavale.internal.route.ConfigurationReading;
+import org.magnoliavale.internal.route.RouteTable;
+
+/**
+ * One instance on a platform: follows the operator's configuration and the list of endpoints,
+ * carries calls, and gives orders to engines while it holds the lease.
+ */
+public final class GatewayInstance implements Service {
+  private static final Logger LOG = Logs.of("instance");
+  private static final int CONTROL_CONNECTIONS = 64;
+  private static final int BODY_BYTES_WITHOUT_CONFIGURATION = 4 << 20;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+  private static final Duration CONTROL_IDLE = Duration.ofSeconds(4);
+
+  /** Time between two readings of the list of endpoints. */
+  private static final long DIRECTORY_INTERVAL_MS = 700;
+
+  /** The same while the effect of an order is awaited by its giver. */
+  private static final long DIRECTORY_HURRY_MS = 250;
+
+  private static final long TICK_MS = 50;
+  private static final long RETRY_MS = 300;
+
+  /** Time for which an instance serves on after the stop signal, so that the balancer sees it. */
+  private static final Duration SHORTEST_DRAIN = Duration.ofMillis(3_500);
+
+  /** Part of the grace period that is kept for ending the process. */
+  private static final Duration STOP_RESERVE = Duration.ofMillis(700);
+
+  private static final Duration LEASE_DRIFT = Duration.ofMillis(200);
+
+  private final GatewaySettings settings;
+  private final GatewayPorts ports;
+  private final HttpClient controlClient;
+  private final HttpClient endpointClient;
+  private final GatewayNetwork network = new GatewayNetwork();
+  private final InstanceMetrics metrics = new InstanceMetrics();
+  private final Membership membership;
+  private final EndpointPool endpoints;
+  private final EndpointDirectory directory = new EndpointDirectory();
+  private final CallRegistry calls;
+  private final FleetExchange exchange;
+  private final FleetRegistry registry;
+  private final PeerLinks links;
+  private final OrderLeaseKeeper lease;
+  private final ResidencyController residency;
+  private final CrashWatch crashWatch;
+  private final Server callerServer;
+  private final Server readinessServer;
+  private final Executor orders = Executors.newVirtualThreadPerTaskExecutor();
+  private volatile RouteTable routes;
+  private volatile boolean listed;
+  private volatile boolean leaving;
+  private volatile boolean stopped;
+
+  private GatewayInstance(GatewaySettings settings, GatewayPorts.Factory factory) {
+    this.settings = settings;
+    String incarnation = settings.instance() + "/" + UUID.randomUUID().toString().substring(0, 8);
+    controlClient = network.client("control", CONTROL_CONNECTIONS, CONNECT_TIMEOUT, CONTROL_IDLE);
+    endpointClient = network.endpointClient(CONNECT_TIMEOUT);
+    ports = factory.create(JsonClient.of(controlClient), settings);
+    membership = new Membership(settings.peers().silenceTimeout());
+    endpoints =
+        new EndpointPool(settings.dataCentre(), this::liveInstances, new java.util.Random());
+    CrashRegistry crashes = new CrashRegistry(incarnation, InstantSource.system());
+    crashWatch = new CrashWatch(crashes);
+    ArtifactDemand demand = new ArtifactDemand(this::announceDemand);
+    FleetDemand fleetDemand = new FleetDemand();
+    calls =
+        new CallRegistry(
+            new CallServices(
+                ports.protocol(),
+                new JettyEndpointConnector(endpointClient),
+                endpoints,
+                budget(),
+                demand,
+                crashWatch,
+                () -> routes,
+                new CallMetrics(metrics),
+                System::nanoTime),
+            ThreadLocalRandom.current());
+    exchange =
+        new FleetExchange(
+            settings.instance(),
+            membership,
+            crashes,
+            demand,
+            fleetDemand,
+            endpoints,
+            System::nanoTime);
+    registry =
+        new FleetRegistry(
+            ports.table(),
+            new ListedInstance(
+                settings.instance(), HttpAddresses.text(settings.peers().address()), "live"),
+            System::nanoTime);
+    lease = new OrderLeaseKeeper(leaseKeeper(incarnation), ports.table());
+    residency =
+        ResidencyController.builder()
+            .lease(lease)
+            .control(ports.control())
+            .demand(fleetDemand)
+            .routes(() -> routes)
+            .self(settings.instance())
+            .executor(orders)
+            .nanoClock(System::nanoTime)
+            .changed(this::announceResidency)
+            .ceilingWindowSeconds(settings.ceilingWindow().toSeconds())
+            .build();
+    links =
+        new PeerLinks(
+            settings.peers(),
+            new PeerIdentity(settings.instance(), incarnation),
+            registry,
+            exchange,
+            exchange,
+            metrics.counter("link_frames_rejected"));
+    exchange.connect(residency.log(), calls::endpointsChanged, this::demandChanged, lease::hurry);
+    callerServer =
+        network.server(
+            settings.callers(),
+            new GatewayHandler(calls, ports.protocol(), this::maximumBodyBytes, () -> leaving));
+    readinessServer = network.server(settings.readiness(), new ReadinessHandler(this::isReady));
+    registerMetrics();
+  }
+
+  /** Returns an instance that is not started yet. */
+  public static GatewayInstance create(GatewaySettings settings, GatewayPorts.Factory factory) {
+    return new GatewayInstance(settings, factory);
+  }
+
+  private FleetRetryBudget budget() {
+    return new FleetRetryBudget(
+        settings.repeatRatio(),
+        settings.repeatReserve(),
+        settings.repeatWindow().toNanos(),
+        this::liveInstances,
+        System.nanoTime());
+  }
+
+  private static LeaseKeeper leaseKeeper(String incarnation, LeaseTimes times) {
+    return new LeaseKeeper("orders", incarnation, times, new java.util.Random());
+  }
+
+  private LeaseKeeper leaseKeeper(String incarnation) {
+    return leaseKeeper(incarnation, LeaseTimes.of(settings.lease(), LEASE_DRIFT));
+  }
+
+  private void registerMetrics() {
+    metrics.registry().register("calls_in_progress", (Gauge<Integer>) calls::size);
+    metrics.registry().register("instances", (Gauge<Integer>) this::liveInstances);
+    metrics.registry().register("link_bytes_sent", (Gauge<Long>) links::bytesSent);
+    metrics
+        .registry()
+        .register(
+            "configuration_version", (Gauge<Long>) () -> routes == null ? 0 : routes.version());
+  }
+
+  private int liveInstances() {
+    return membership.instances(System.nanoTime());
+  }
+
+  private int maximumBodyBytes() {
+    RouteTable table = routes;
+    return table == null ? BODY_BYTES_WITHOUT_CONFIGURATION : table.maximumBodyBytes();
+  }
+
+  private boolean isReady() {
+    return routes != null && listed && !leaving;
+  }
+
+  private void announceDemand() {
+    exchange.refreshOwn();
+    links.announce();
+    demandChanged();
+  }
+
+  private void demandChanged() {
+    residency.tick();
+  }
+
+  private void announceResidency() {
+    exchange.refreshOwn();
+    links.announce();
+    calls.endpointsChanged();
+  }
+
+  @Override
+  public void start() {
+    HttpClients.start(controlClient);
+    network.startEndpointClient(endpointClient);
+    HttpServers.start(callerServer);
+    HttpServers.start(readinessServer);
+    Thread.ofVirtual().name("configuration").start(this::followConfiguration);
+    Thread.ofVirtual().name("directory").start(this::followDirectory);
+    links.start();
+    lease.start();
+    Thread.ofVirtual().name("tick").start(this::tickLoop);
+    LOG.infof(
+        "Started. instance=%s callers=%s readiness=%s store=%s",
+        settings.instance(), settings.callers(), settings.readiness(), settings.store());
+  }
+
+  private void followConfiguration() {
+    boolean available = true;
+    while (!stopped) {
+      ConfigurationReading reading = ports.configuration().poll();
+      switch (reading) {
+        case ConfigurationReading.Found(RouteTable found) -> install(found);
+        case ConfigurationReading.Unchanged() -> {}
+        case ConfigurationReading.Unavailable(String reason) -> {
+          if (available) {
+            LOG.infof("Configuration can't be read. reason=%s", reason);
+          }
+          sleep(RETRY_MS);
+        }
+      }
+      boolean reached = !(reading instanceof ConfigurationReading.Unavailable);
+      if (reached && !available) {
+        LOG.info("Configuration can be read again.");
+      }
+      available = reached;
+    }
+  }
+
+  private void install(RouteTable found) {
+    RouteTable current = routes;
+    if (current != null && found.version() <= current.version()) {
+      return;
+    }
+    routes = found;
+    LOG.infof(
+        "Configuration in force. version=%d routes=%d services=%d",
+        found.version(), found.size(), found.services().size());
+  }
+
+  private void followDirectory() {
+    boolean available = true;
+    while (!stopped) {
+      DirectoryReading reading = ports.directory().read();
+      switch (reading) {
+        case DirectoryReading.Entries(List<DirectoryEntry> entries) -> {
+          update(directory.update(entries, System.nanoTime()));
+          if (!available) {
+            LOG.infof("Endpoints can be read again. count=%d", entries.size());
+          }
+          available = true;
+        }
+        case DirectoryReading.Unavailable(String reason) -> {
+          directory.unavailable();
+          if (available) {
+            LOG.infof("Endpoints can't be read. reason=%s", reason);
+          }
+          available = false;
+        }
+      }
+      sleep(lease.isHeld() && residency.isAwaiting() ? DIRECTORY_HURRY_MS : DIRECTORY_INTERVAL_MS);
+    }
+  }
+
+  private void update(Collection<DirectoryEntry> entries) {
+    endpoints.update(entries, System.nanoTime());
+    residency.update(entries);
+    listed = true;
+    calls.endpointsChanged();
+  }
+
+  private void tickLoop() {
+    while (!stopped) {
+      calls.tick();
+      exchange.refreshOwn();
+      residency.tick();
+      sleep(TICK_MS);
+    }
+  }
+
+  @Override
+  public void stop() {
+    LOG.infof("Stopping. calls=%d", calls.size());
+    long startNanos = System.nanoTime();
+    leaving = true;
+    exchange.setLeaving();
+    lease.release();
+    links.announce();
+    long latest = settings.gracePeriod().minus(STOP_RESERVE).toNanos();
+    while (!isDrained(startNanos) && System.nanoTime() - startNanos < latest) {
+      sleep(TICK_MS);
+    }
+    LOG.infof("Drained. calls=%d", calls.size());
+    registry.leave();
+    stopped = true;
+    lease.stop();
+    LOG.info("Stopped.");
+  }
+
+  private boolean isDrained(long startNanos) {
+    return System.nanoTime() - startNanos >= SHORTEST_DRAIN.toNanos() && calls.size() == 0;
+  }
+
+  private static void sleep(long milliseconds) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(milliseconds);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Returns where callers connect. */
+  public InetSocketAddress callers() {
+    return settings.callers();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayNetwork.java
@@ -0,0 +1,107 @@
+package org.magnoliavale.internal.gateway;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.magnoliavale.internal.http.HttpClients;
+
+/**
+ * Jetty servers and clients that share one small pool of threads. Handlers never block, so calls
+ * are carried on the threads that read from the network.
+ */
+final class GatewayNetwork {
+  private static final int MINIMUM_THREADS = 4;
+  private static final int MAXIMUM_THREADS = 24;
+  private static final int ACCEPT_QUEUE = 1_024;
+  private static final int MAXIMUM_HEADER_BYTES = 32 * 1_024;
+
+  /** Longer than callers keep a connection idle, whatever the configuration says. */
+  private static final Duration CALLER_IDLE = Duration.ofMinutes(2);
+
+  /** Idle connections to endpoints are dropped before they can have gone silent for long. */
+  private static final Duration ENDPOINT_IDLE = Duration.ofSeconds(8);
+
+  private static final int CONNECTIONS_PER_ENDPOINT = 512;
+
+  private final QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, MINIMUM_THREADS);
+  private final ScheduledExecutorScheduler scheduler =
+      new ScheduledExecutorScheduler("timer", true);
+
+  GatewayNetwork() {
+    threads.setName("traffic");
+    threads.setReservedThreads(0);
+    threads.setDaemon(true);
+  }
+
+  /** Returns a server on an address, not started yet. */
+  Server server(InetSocketAddress address, Handler handler) {
+    Server server = new Server(threads, scheduler, null);
+    HttpConfiguration configuration = new HttpConfiguration();
+    configuration.setSendServerVersion(false);
+    configuration.setSendDateHeader(false);
+    configuration.setRequestHeaderSize(MAXIMUM_HEADER_BYTES);
+    // Paths are passed on as they are; the endpoint decides what they mean.
+    configuration.setUriCompliance(UriCompliance.UNSAFE);
+    ServerConnector connector =
+        new ServerConnector(
+            server, null, null, null, 0, 1, new HttpConnectionFactory(configuration));
+    connector.setHost(address.getAddress().getHostAddress());
+    connector.setPort(address.getPort());
+    connector.setIdleTimeout(CALLER_IDLE.toMillis());
+    connector.setAcceptQueueSize(ACCEPT_QUEUE);
+    server.addConnector(connector);
+    server.setHandler(handler);
+    server.setStopTimeout(0);
+    return server;
+  }
+
+  /** Returns a client for short calls, not started yet. */
+  HttpClient client(String name, int connections, Duration connectTimeout, Duration idle) {
+    HttpClient client = client(name);
+    client.setConnectTimeout(connectTimeout.toMillis());
+    client.setIdleTimeout(idle.toMillis());
+    client.setMaxConnectionsPerDestination(connections);
+    client.setMaxRequestsQueuedPerDestination(connections);
+    return client;
+  }
+
+  /** Returns a client for calls at endpoints, not started yet. */
+  HttpClient endpointClient(Duration connectTimeout) {
+    HttpClient client =
+        client("endpoints", CONNECTIONS_PER_ENDPOINT, connectTimeout, ENDPOINT_IDLE);
+    client.setDestinationIdleTimeout(ENDPOINT_IDLE.toMillis() * 2);
+    return client;
+  }
+
+  /** Starts a client for calls at endpoints; bodies are passed on as they are. */
+  void startEndpointClient(HttpClient client) {
+    HttpClients.start(client);
+    client.getContentDecoderFactories().clear();
+  }
+
+  private HttpClient client(String name) {
+    ClientConnector connector = new ClientConnector();
+    connector.setSelectors(1);
+    connector.setExecutor(threads);
+    connector.setScheduler(scheduler);
+    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    client.setName(name);
+    client.setExecutor(threads);
+    client.setScheduler(scheduler);
+    client.setFollowRedirects(false);
+    client.setUserAgentField(null);
+    client.setHttpCookieStore(new HttpCookieStore.Empty());
+    return client;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
@@ -0,0 +1,175 @@
+package org.magnoliavale.internal.gateway;
+
+import static org.magnoliavale.internal.ini.KeyDefinition.optional;
+import static org.magnoliavale.internal.ini.KeyDefinition.required;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+import org.magnoliavale.Finding;
+import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.ini.CheckedSection;
+import org.magnoliavale.internal.ini.Schema;
+import org.magnoliavale.internal.ini.SectionDefinition;
+import org.magnoliavale.internal.ini.ValueType;
+import org.magnoliavale.internal.settings.PeerSettings;
+
+/** Reads the settings of an instance on a platform. All findings are reported together. */
+public final class GatewaySettingsReader {
+  private static final ValueType ADDRESS = new ValueType.Address();
+  private static final ValueType SECONDS = new ValueType.WholeNumber(1, 3_600);
+  private static final ValueType MILLISECONDS = new ValueType.WholeNumber(1, 3_600_000);
+  private static final ValueType PORT = new ValueType.WholeNumber(1, 65_535);
+
+  private static final Schema SCHEMA =
+      new Schema(
+          List.of(
+              new SectionDefinition(
+                  "instance",
+                  false,
+                  "This instance.",
+                  List.of(
+                      required("id", new ValueType.Name(), "", "Name of the instance."),
+                      required("data-centre", new ValueType.Name(), "", "Where it runs."))),
+              new SectionDefinition(
+                  "callers",
+                  false,
+                  "Callers and the balancer.",
+                  List.of(
+                      required("address", ADDRESS, "", "Where callers connect."),
+                      required("readiness-address", ADDRESS, "", "Where the balancer asks."),
+                      optional(
+                          "grace-period-s",
+                          SECONDS,
+                          "seconds",
+                          "8",
+                          "Time from the stop signal to the kill."))),
+              new SectionDefinition(
+                  "peers",
+                  false,
+                  "Links between instances.",
+                  List.of(
+                      required(
+                          "host",
+                          new ValueType.Text("an address", Pattern.compile("[0-9a-fA-F.:]+")),
+                          "",
+                          "Numeric address of this instance."),
+                      required("port", PORT, "", "Port for other instances."),
+                      required("metrics-port", PORT, "", "Port for metrics."),
+                      required(
+                          "shared-key",
+                          new ValueType.Text("text", Pattern.compile(".+")),
+                          "",
+                          "Key that all instances share; guards against foreign processes."),
+                      optional(
+                          "heartbeat-ms",
+                          MILLISECONDS,
+                          "milliseconds",
+                          "500",
+                          "Time between heartbeats."),
+                      optional(
+                          "silence-timeout-ms",
+                          MILLISECONDS,
+                          "milliseconds",
+                          "2000",
+                          "Silence after which a link is replaced."))),
+              new SectionDefinition(
+                  "store",
+                  false,
+                  "The platform's store.",
+                  List.of(required("address", ADDRESS, "", "Where the store answers."))),
+              new SectionDefinition(
+                  "orders",
+                  false,
+                  "Orders to engines.",
+                  List.of(
+                      optional(
+                          "lease-ms",
+                          MILLISECONDS,
+                          "milliseconds",
+                          "3000",
+                          "Time between orders of two holders."),
+                      optional(
+                          "ceiling-window-s",
+                          SECONDS,
+                          "seconds",
+                          "5",
+                          "Window in which loads from the weight store are counted."))),
+              new SectionDefinition(
+                  "repeats",
+                  false,
+                  "What the fleet may send a second time.",
+                  List.of(
+                      optional(
+                          "ratio",
+                          new ValueType.Decimal(0, 1),
+                          "",
+                          "0.1",
+                          "Repeats for each request."),
+                      optional(
+                          "reserve",
+                          new ValueType.Decimal(0, 1_000_000),
+                          "",
+                          "20",
+                          "Repeats in a window whatever the requests."),
+                      optional("window-s", SECONDS, "seconds", "10", "Length of the window."))),
+              new SectionDefinition(
+                  "log",
+                  false,
+                  "The log, written to standard output.",
+                  List.of(
+                      optional(
+                          "level",
+                          new ValueType.Choice(List.of("error", "warn", "info", "debug")),
+                          "",
+                          "info",
+                          "Least important level that is written.")))));
+
+  private GatewaySettingsReader() {}
+
+  /** Returns the definition of all sections and keys, for the reference page. */
+  public static Schema schema() {
+    return SCHEMA;
+  }
+
+  /**
+   * Returns the settings that {@code text} holds.
+   *
+   * @throws MagnoliavaleException with every finding, if there is any
+   */
+  public static GatewaySettings read(String file, String text) {
+    List<Finding> findings = new ArrayList<>();
+    Map<String, CheckedSection> sections = SCHEMA.read(file, text, findings);
+    if (!findings.isEmpty()) {
+      throw MagnoliavaleException.ofFindings(findings);
+    }
+    CheckedSection instance = sections.get("instance");
+    CheckedSection callers = sections.get("callers");
+    CheckedSection peers = sections.get("peers");
+    CheckedSection orders = sections.get("orders");
+    CheckedSection repeats = sections.get("repeats");
+    String host = peers.text("host");
+    return new GatewaySettings(
+        instance.text("id"),
+        instance.text("data-centre"),
+        callers.address("address"),
+        callers.address("readiness-address"),
+        new InetSocketAddress(host, (int) peers.number("metrics-port")),
+        new PeerSettings(
+            new InetSocketAddress(host, (int) peers.number("port")),
+            peers.text("shared-key"),
+            Duration.ofMillis(peers.number("heartbeat-ms")),
+            Duration.ofMillis(peers.number("silence-timeout-ms"))),
+        sections.get("store").address("address"),
+        Duration.ofMillis(orders.number("lease-ms")),
+        Duration.ofSeconds(callers.number("grace-period-s")),
+        repeats.decimal("ratio"),
+        repeats.decimal("reserve"),
+        Duration.ofSeconds(repeats.number("window-s")),
+        Duration.ofSeconds(orders.number("ceiling-window-s")),
+        sections.get("log").text("level"));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/gateway/OrderLeaseKeeper.java
@@ -0,0 +1,123 @@
+package org.magnoliavale.internal.gateway;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import org.magnoliavale.internal.lease.LeaseKeeper;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.platform.Table;
+import org.magnoliavale.internal.platform.TableAnswer;
+import org.magnoliavale.internal.platform.TableCall;
+import org.magnoliavale.internal.residency.OrderLease;
+
+/**
+ * Keeps the lease of orders on a thread of its own.
+ *
+ * <p>The steady clock stands still while a machine is suspended. The time of day does not, so a
+ * jump of it against the steady clock makes the lease doubtful.
+ */
+final class OrderLeaseKeeper implements OrderLease {
+  private static final Logger LOG = Logs.of("lease");
+  private static final long TICK_MS = 60;
+
+  /** Jump of the time of day that makes the lease doubtful, in milliseconds. */
+  private static final long SUSPENSION_MS = 250;
+
+  private final LeaseKeeper keeper;
+  private final Table table;
+  private volatile boolean stopped;
+  private boolean wasHeld;
+  private long clockOffsetMs;
+
+  OrderLeaseKeeper(LeaseKeeper keeper, Table table) {
+    this.keeper = keeper;
+    this.table = table;
+    this.clockOffsetMs = offsetMs();
+  }
+
+  private static long steadyMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  private static long offsetMs() {
+    return System.currentTimeMillis() - steadyMs();
+  }
+
+  @Override
+  public boolean isHeld() {
+    synchronized (keeper) {
+      checkSuspension();
+      return keeper.isHeld(steadyMs());
+    }
+  }
+
+  @Override
+  public long fence() {
+    synchronized (keeper) {
+      return keeper.epoch();
+    }
+  }
+
+  private void checkSuspension() {
+    long offset = offsetMs();
+    long jump = offset - clockOffsetMs;
+    clockOffsetMs = offset;
+    if (jump > SUSPENSION_MS) {
+      boolean held = keeper.isHeld(steadyMs());
+      keeper.doubt(steadyMs());
+      LOG.infof("Clock jumped, lease is doubtful. jump-ms=%d held=%s", jump, held);
+    }
+  }
+
+  void start() {
+    Thread.ofVirtual().name("lease").start(this::loop);
+  }
+
+  /** Hands the lease over and takes it no more. */
+  void release() {
+    synchronized (keeper) {
+      keeper.stopWanting();
+    }
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  /** Looks at the lease at once, because its holder leaves. */
+  void hurry() {
+    synchronized (keeper) {
+      keeper.hurry();
+    }
+  }
+
+  private void loop() {
+    try {
+      while (!stopped) {
+        step();
+        Thread.sleep(TICK_MS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void step() {
+    Optional<TableCall> call;
+    synchronized (keeper) {
+      checkSuspension();
+      call = keeper.tick(steadyMs());
+    }
+    while (call.isPresent()) {
+      TableAnswer answer = call.get().make(table);
+      synchronized (keeper) {
+        call = keeper.answered(answer, steadyMs());
+      }
+    }
+    boolean held = isHeld();
+    if (held != wasHeld) {
+      wasHeld = held;
+      LOG.infof("Lease of orders %s. fence=%d", held ? "taken" : "lost", fence());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** An instance on a platform that lists endpoints and holds the configuration. */
+package org.magnoliavale.internal.gateway;
--- a/src/main/java/org/magnoliavale/internal/ini/Schema.java
+++ b/src/main/java/org/magnoliavale/internal/ini/Schema.java
@@ -1,8 +1,10 @@
 package org.magnoliavale.internal.ini;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.magnoliavale.Finding;
@@ -44,6 +46,27 @@
     return checked;
   }
 
+  /**
+   * Parses and checks a text whose sections stand once each.
+   *
+   * @return every section of the schema by its kind; an absent one reads as an empty one, so its
+   *     defaults hold and its required keys are missed
+   */
+  public Map<String, CheckedSection> read(String file, String text, List<Finding> findings) {
+    IniText parsed = IniText.parse(file, text, findings);
+    List<IniSection> present = new ArrayList<>(parsed.sections());
+    for (SectionDefinition definition : sections) {
+      String kind = definition.kind();
+      if (present.stream().noneMatch(section -> section.kind().equals(kind))) {
+        present.add(new IniSection(kind, "", 0, List.of()));
+      }
+    }
+    Map<String, CheckedSection> byKind = new HashMap<>();
+    check(new IniText(file, present), findings)
+        .forEach(section -> byKind.putIfAbsent(section.definition().kind(), section));
+    return byKind;
+  }
+
   private static void checkSection(
       SectionDefinition definition, IniSection section, Findings place) {
     if (definition.named() && !IdentifierRules.isValid(section.name())) {
--- a/src/main/java/org/magnoliavale/internal/logging/Logs.java
+++ b/src/main/java/org/magnoliavale/internal/logging/Logs.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.logging;
 
+import java.io.OutputStream;
 import java.util.Map;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -26,11 +27,16 @@
 
   /** Sends the log to standard error. {@code level} is a word of the settings. */
   public static void install(String level) {
+    install(level, System.err);
+  }
+
+  /** Sends the log to {@code output}. {@code level} is a word of the settings. */
+  public static void install(String level, OutputStream output) {
     java.util.logging.Logger root = LogManager.getLogManager().getLogger("");
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
     }
-    AsynchronousHandler handler = new AsynchronousHandler(System.err);
+    AsynchronousHandler handler = new AsynchronousHandler(output);
     handler.setLevel(Level.ALL);
     root.addHandler(handler);
     root.setLevel(Level.WARNING);
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
@@ -0,0 +1,118 @@
+package org.magnoliavale.internal.residency;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.route.EngineSpecification;
+import org.magnoliavale.internal.route.ModelSpecification;
+
+/**
+ * What an endpoint holds and is about to hold. Memory counts for everything that may be there: what
+ * it shows, what was ordered, and what an order without an answer may bring.
+ *
+ * @param entry its last entry
+ * @param engine what it can hold
+ * @param artifacts what it holds and what is coming, models and adapters
+ * @param coming the part of {@code artifacts} that is being loaded
+ * @param leaving what was ordered away and may still be there
+ * @param sequence orders that it has accepted
+ * @param busy whether a model order is in progress or its outcome is not known
+ */
+record EndpointView(
+    DirectoryEntry entry,
+    EngineSpecification engine,
+    Set<Artifact> artifacts,
+    Set<Artifact> coming,
+    Set<Artifact> leaving,
+    long sequence,
+    boolean busy) {
+  String id() {
+    return entry.identity().id();
+  }
+
+  boolean has(Artifact artifact) {
+    return artifacts.contains(artifact) && !leaving.contains(artifact);
+  }
+
+  boolean isReady(Artifact artifact) {
+    return has(artifact) && !coming.contains(artifact);
+  }
+
+  List<Artifact> models() {
+    List<Artifact> models = new ArrayList<>();
+    for (Artifact artifact : artifacts) {
+      if (artifact.adapter().isEmpty()) {
+        models.add(artifact);
+      }
+    }
+    return models;
+  }
+
+  List<Artifact> adapters() {
+    List<Artifact> adapters = new ArrayList<>();
+    for (Artifact artifact : artifacts) {
+      if (artifact.adapter().isPresent()) {
+        adapters.add(artifact);
+      }
+    }
+    return adapters;
+  }
+
+  double usedMb() {
+    double used = 0;
+    for (Artifact artifact : artifacts) {
+      used += size(engine, artifact);
+    }
+    return used;
+  }
+
+  boolean fits(Artifact artifact) {
+    boolean slot = artifact.adapter().isEmpty() || adapters().size() < engine.adapterSlots();
+    return slot && usedMb() + size(engine, artifact) <= engine.weightsMb();
+  }
+
+  static double size(EngineSpecification engine, Artifact artifact) {
+    Optional<ModelSpecification> model = engine.model(artifact.model());
+    if (model.isEmpty()) {
+      // A model that the configuration no longer names takes room all the same.
+      return engine.weightsMb() / 2;
+    }
+    return artifact.adapter().isEmpty() ? model.get().weightsMb() : model.get().adapterMb();
+  }
+
+  static Set<Artifact> held(DirectoryEntry entry) {
+    Set<Artifact> held = new HashSet<>();
+    entry
+        .models()
+        .forEach(
+            (name, model) -> {
+              held.add(new Artifact(name, Optional.empty()));
+              for (String adapter : model.adapters()) {
+                held.add(new Artifact(name, Optional.of(adapter)));
+              }
+            });
+    return held;
+  }
+
+  /** Counts replicas of each model that are there or coming and stay. */
+  static Map<Artifact, Integer> replicas(List<EndpointView> views) {
+    Map<Artifact, Integer> replicas = new HashMap<>();
+    for (EndpointView view : views) {
+      if (view.entry().draining()) {
+        continue;
+      }
+      for (Artifact model : view.models()) {
+        if (view.has(model)) {
+          replicas.merge(model, 1, Integer::sum);
+        }
+      }
+    }
+    return replicas;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/residency/OpenOrder.java
@@ -0,0 +1,32 @@
+package org.magnoliavale.internal.residency;
+
+import org.magnoliavale.internal.dispatch.Artifact;
+
+/**
+ * An order whose effect the endpoint's entry does not show yet.
+ *
+ * @param order the order
+ * @param sentNanos when it was sent last
+ * @param certain whether the endpoint said that it carries it out
+ */
+record OpenOrder(EndpointOrder order, long sentNanos, boolean certain) {
+  boolean isModel() {
+    return order.artifact().adapter().isEmpty();
+  }
+
+  boolean isLoad() {
+    return order.operation() == EndpointOrder.Operation.LOAD;
+  }
+
+  Artifact artifact() {
+    return order.artifact();
+  }
+
+  OpenOrder accepted() {
+    return new OpenOrder(order, sentNanos, true);
+  }
+
+  OpenOrder sentAgain(long nowNanos) {
+    return new OpenOrder(order, nowNanos, certain);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -0,0 +1,329 @@
+package org.magnoliavale.internal.residency;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.jboss.logging.Logger;
+import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.route.EngineSpecification;
+import org.magnoliavale.internal.route.RouteTable;
+import org.magnoliavale.internal.route.ServiceSpecification;
+
+/**
+ * Gives orders while this instance holds the lease. Guarded by its own lock; orders are sent on
+ * other threads, one at a time to an endpoint, and never without the lease.
+ */
+public final class ResidencyController {
+  private static final Logger LOG = Logs.of("residency");
+
+  /** Bits by which a fencing token is shifted in the numbers of changes. */
+  private static final int FENCE_SHIFT = 32;
+
+  private final OrderLease lease;
+  private final EndpointControl control;
+  private final FleetDemand demand;
+  private final Supplier<RouteTable> routes;
+  private final String self;
+  private final Executor executor;
+  private final LongSupplier nanoClock;
+  private final ResidencyLog log = new ResidencyLog();
+  private final Runnable changed;
+  private final LoadCeiling ceiling;
+  private final Map<EndpointIdentity, EndpointLedger> ledgers = new HashMap<>();
+  private final Map<EndpointIdentity, DirectoryEntry> entries = new HashMap<>();
+  private final Set<EndpointIdentity> sending = new HashSet<>();
+  private long knownFence;
+  private long changeCount;
+
+  private ResidencyController(Builder builder) {
+    lease = builder.lease;
+    control = builder.control;
+    demand = builder.demand;
+    routes = builder.routes;
+    self = builder.self;
+    executor = builder.executor;
+    nanoClock = builder.nanoClock;
+    changed = builder.changed;
+    ceiling = new LoadCeiling(builder.ceilingWindowSeconds);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Collects what a controller needs. */
+  public static final class Builder {
+    private OrderLease lease;
+    private EndpointControl control;
+    private FleetDemand demand;
+    private Supplier<RouteTable> routes;
+    private String self;
+    private Executor executor;
+    private LongSupplier nanoClock;
+    private Runnable changed = () -> {};
+    private long ceilingWindowSeconds = 5;
+
+    private Builder() {}
+
+    /** Sets the lease that allows orders. */
+    public Builder lease(OrderLease value) {
+      lease = value;
+      return this;
+    }
+
+    /** Sets how endpoints are reached. */
+    public Builder control(EndpointControl value) {
+      control = value;
+      return this;
+    }
+
+    /** Sets what is asked for. */
+    public Builder demand(FleetDemand value) {
+      demand = value;
+      return this;
+    }
+
+    /** Sets the configuration in force. */
+    public Builder routes(Supplier<RouteTable> value) {
+      routes = value;
+      return this;
+    }
+
+    /** Sets the name under which orders are given. */
+    public Builder self(String value) {
+      self = value;
+      return this;
+    }
+
+    /** Sets where orders are sent from. */
+    public Builder executor(Executor value) {
+      executor = value;
+      return this;
+    }
+
+    /** Sets the monotonic clock. */
+    public Builder nanoClock(LongSupplier value) {
+      nanoClock = value;
+      return this;
+    }
+
+    /** Sets what runs when there is a change to tell. */
+    public Builder changed(Runnable value) {
+      changed = value;
+      return this;
+    }
+
+    /** Sets the window of the weight store's ceiling, in seconds. */
+    public Builder ceilingWindowSeconds(long value) {
+      ceilingWindowSeconds = value;
+      return this;
+    }
+
+    /** Returns the controller. */
+    public ResidencyController build() {
+      return new ResidencyController(this);
+    }
+  }
+
+  /** Returns the changes that are told to all instances. */
+  public ResidencyLog log() {
+    return log;
+  }
+
+  /** Tells whether an order's effect is still awaited. */
+  public synchronized boolean isAwaiting() {
+    long now = nanoClock.getAsLong();
+    return engines().entrySet().stream()
+        .anyMatch(entry -> ledgers.get(entry.getKey()).view(entry.getValue(), now).busy());
+  }
+
+  /** Takes in the endpoints that are there. */
+  public synchronized void update(Collection<DirectoryEntry> listed) {
+    long now = nanoClock.getAsLong();
+    entries.clear();
+    for (DirectoryEntry entry : listed) {
+      entries.put(entry.identity(), entry);
+      ledgers
+          .computeIfAbsent(entry.identity(), ignored -> new EndpointLedger(entry))
+          .update(entry, now);
+    }
+    ledgers.keySet().retainAll(entries.keySet());
+  }
+
+  /** Gives the orders that are due. */
+  public synchronized void tick() {
+    RouteTable table = routes.get();
+    if (table == null || !lease.isHeld()) {
+      return;
+    }
+    long now = nanoClock.getAsLong();
+    Map<EndpointIdentity, EngineSpecification> engines = engines();
+    if (engines.isEmpty()) {
+      return;
+    }
+    double loadsPerSecond =
+        engines.values().stream().mapToDouble(EngineSpecification::loadsPerSecond).min().orElse(1);
+    if (lease.fence() != knownFence) {
+      takeOver(loadsPerSecond, now);
+    }
+    sendAgain(now);
+    List<EndpointView> views = new ArrayList<>();
+    engines.forEach((identity, engine) -> views.add(ledgers.get(identity).view(engine, now)));
+    boolean allowed = ceiling.allows(loadsPerSecond, now);
+    for (ResidencyPlanner.Step step : ResidencyPlanner.plan(views, demand.total(now), allowed)) {
+      take(step, loadsPerSecond, now);
+    }
+  }
+
+  private void takeOver(double loadsPerSecond, long now) {
+    knownFence = lease.fence();
+    changeCount = 0;
+    ceiling.takeOver(loadsPerSecond, now);
+    ledgers.clear();
+    entries.forEach((identity, entry) -> ledgers.put(identity, new EndpointLedger(entry)));
+    LOG.infof("Gives orders. fence=%d endpoints=%d", knownFence, entries.size());
+  }
+
+  private Map<EndpointIdentity, EngineSpecification> engines() {
+    Map<EndpointIdentity, EngineSpecification> engines = new HashMap<>();
+    RouteTable table = routes.get();
+    if (table == null) {
+      return engines;
+    }
+    for (DirectoryEntry entry : entries.values()) {
+      table
+          .service(entry.service())
+          .flatMap(ServiceSpecification::engine)
+          .ifPresent(engine -> engines.put(entry.identity(), engine));
+    }
+    return engines;
+  }
+
+  private void sendAgain(long now) {
+    for (DirectoryEntry entry : entries.values()) {
+      EndpointLedger ledger = ledgers.get(entry.identity());
+      for (EndpointOrder order : ledger.unanswered(now)) {
+        if (sending.add(entry.identity())) {
+          ledger.sentAgain(order, now);
+          executor.execute(() -> send(entry, order));
+        }
+      }
+    }
+  }
+
+  private void take(ResidencyPlanner.Step step, double loadsPerSecond, long now) {
+    EndpointView view = step.view();
+    EndpointIdentity identity = view.entry().identity();
+    if (!sending.add(identity)) {
+      return;
+    }
+    boolean load = step.operation() == EndpointOrder.Operation.LOAD;
+    boolean model = step.artifact().adapter().isEmpty();
+    boolean fromStore =
+        load
+            && model
+            && !view.entry().inMemory().contains(step.artifact().model())
+            && !view.entry().onDisk().contains(step.artifact().model());
+    if (fromStore) {
+      if (!ceiling.allows(loadsPerSecond, now)) {
+        sending.remove(identity);
+        return;
+      }
+      ceiling.begin(now);
+    }
+    EndpointOrder order =
+        new EndpointOrder(
+            identity, step.operation(), step.artifact(), view.sequence(), self, knownFence);
+    ledgers.get(identity).opened(order, now);
+    if (!load) {
+      tell(identity.id(), step.artifact(), false, now);
+    }
+    LOG.infof(
+        "Orders. endpoint=%s operation=%s artifact=%s sequence=%d fence=%d used-mb=%.0f"
+            + " from-store=%s why=%s",
+        identity,
+        step.operation(),
+        step.artifact(),
+        order.expectedSequence(),
+        knownFence,
+        view.usedMb(),
+        fromStore,
+        step.reason());
+    executor.execute(() -> send(view.entry(), order));
+  }
+
+  private void send(DirectoryEntry entry, EndpointOrder order) {
+    // The right to order is checked last, after every wait.
+    if (!lease.isHeld() || lease.fence() != order.fence()) {
+      settle(entry, order, EndpointOrderAnswer.NOT_SENT, Optional.empty());
+      return;
+    }
+    EndpointOrderAnswer answer = control.order(entry, order);
+    Optional<EndpointReport> report =
+        answer == EndpointOrderAnswer.CONFLICT ? control.report(entry) : Optional.empty();
+    settle(entry, order, answer, report);
+  }
+
+  private void settle(
+      DirectoryEntry entry,
+      EndpointOrder order,
+      EndpointOrderAnswer answer,
+      Optional<EndpointReport> report) {
+    synchronized (this) {
+      sending.remove(entry.identity());
+      LOG.infof(
+          "Order answered. endpoint=%s operation=%s artifact=%s answer=%s",
+          entry.identity(), order.operation(), order.artifact(), answer);
+      EndpointLedger ledger = ledgers.get(entry.identity());
+      if (ledger == null) {
+        return;
+      }
+      boolean load = order.operation() == EndpointOrder.Operation.LOAD;
+      switch (answer) {
+        case ACCEPTED -> ledger.accepted(order);
+        case DONE -> done(ledger, order);
+        case CONFLICT -> {
+          ledger.closed(order);
+          report.ifPresent(told -> ledger.reported(told.sequence()));
+        }
+        case FENCED, OTHER_INCARNATION, INVALID, NOT_SENT -> ledger.closed(order);
+        case UNKNOWN -> {}
+      }
+      boolean adapter = order.artifact().adapter().isPresent();
+      if (answer == EndpointOrderAnswer.ACCEPTED && load && adapter) {
+        tell(entry.identity().id(), order.artifact(), true, nanoClock.getAsLong());
+      }
+    }
+    changed.run();
+  }
+
+  /** An adapter is dropped at once, which counts as an order; else nothing has happened. */
+  private static void done(EndpointLedger ledger, EndpointOrder order) {
+    boolean dropped =
+        order.operation() == EndpointOrder.Operation.UNLOAD
+            && order.artifact().adapter().isPresent();
+    if (dropped) {
+      ledger.accepted(order);
+    } else {
+      ledger.closed(order);
+    }
+  }
+
+  private void tell(String endpointId, Artifact artifact, boolean held, long now) {
+    changeCount++;
+    long number = (knownFence << FENCE_SHIFT) + changeCount;
+    log.add(new ResidencyLog.Change(number, endpointId, artifact, held), now);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyLog.java
@@ -0,0 +1,43 @@
+package org.magnoliavale.internal.residency;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.magnoliavale.internal.dispatch.Artifact;
+
+/** The latest changes that orders made, told to all instances. Thread-safe. */
+public final class ResidencyLog {
+  /**
+   * A change.
+   *
+   * @param number grows with every change of any holder
+   * @param endpointId the endpoint
+   * @param artifact the artifact
+   * @param held whether the endpoint holds it from now on
+   */
+  public record Change(long number, String endpointId, Artifact artifact, boolean held) {}
+
+  private record Entry(Change change, long nanos) {}
+
+  /** Time for which a change is told; the endpoint's own entry shows it by then. */
+  private static final long TELLING_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  private final Deque<Entry> entries = new ArrayDeque<>();
+
+  /** Notes a change. */
+  public synchronized void add(Change change, long nowNanos) {
+    entries.addLast(new Entry(change, nowNanos));
+  }
+
+  /** Returns the changes to tell. */
+  public synchronized List<Change> changes(long nowNanos) {
+    while (!entries.isEmpty() && nowNanos - entries.getFirst().nanos() > TELLING_NANOS) {
+      entries.removeFirst();
+    }
+    List<Change> changes = new ArrayList<>();
+    entries.forEach(entry -> changes.add(entry.change()));
+    return changes;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -0,0 +1,269 @@
+package org.magnoliavale.internal.residency;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.route.EngineSpecification;
+import org.magnoliavale.internal.route.ModelSpecification;
+
+/**
+ * Decides which orders to give now. A pure function of what endpoints hold and what is asked for.
+ *
+ * <p>Every replica of a model has a worth: the first one serves all its requests, further ones only
+ * spread them. A model takes the place of others when its worth exceeds theirs by more than the
+ * move costs. Adapters go where their model is.
+ */
+final class ResidencyPlanner {
+  /**
+   * One step.
+   *
+   * @param view the endpoint
+   * @param operation what to do
+   * @param artifact with what
+   * @param reason why, for the log
+   */
+  record Step(
+      EndpointView view, EndpointOrder.Operation operation, Artifact artifact, String reason) {}
+
+  /** Worth of the first replica for each request a second, and for each waiting call. */
+  private static final double FIRST_REPLICA_WORTH = 20;
+
+  private static final double WAITING_WORTH = 30;
+
+  /** Worth of a second replica for each request a second; it serves when the first one fails. */
+  private static final double SECOND_REPLICA_WORTH = 1;
+
+  private static final double FURTHER_REPLICA_WORTH = 0.25;
+
+  /** Worth of a model that nobody asks for now; it makes a later request quick. */
+  private static final double STANDBY_WORTH = 0.2;
+
+  /** Requests a second below which one replica is enough. */
+  private static final double SECOND_REPLICA_RATE = 1.2;
+
+  /** Requests a second that one replica more is worth having for. */
+  private static final double RATE_PER_REPLICA = 8;
+
+  /** Factor by which a gain must exceed the loss of what makes way. */
+  private static final double HYSTERESIS = 1.3;
+
+  /** Worth that a second of loading costs. */
+  private static final double COST_PER_SECOND = 0.15;
+
+  private final List<EndpointView> views;
+  private final Map<Artifact, ArtifactUse> uses;
+  private final Map<Artifact, Integer> replicas;
+  private final boolean storeLoadAllowed;
+  private final Set<String> taken = new HashSet<>();
+  private final List<Step> steps = new ArrayList<>();
+
+  private ResidencyPlanner(
+      List<EndpointView> views, Map<Artifact, ArtifactUse> uses, boolean storeLoadAllowed) {
+    this.views = views.stream().filter(view -> !view.entry().draining()).toList();
+    this.uses = uses;
+    this.replicas = EndpointView.replicas(views);
+    this.storeLoadAllowed = storeLoadAllowed;
+  }
+
+  /** Returns the steps to take now, at most one for each endpoint. */
+  static List<Step> plan(
+      List<EndpointView> views, Map<Artifact, ArtifactUse> uses, boolean storeLoadAllowed) {
+    ResidencyPlanner planner = new ResidencyPlanner(views, uses, storeLoadAllowed);
+    planner.planModels();
+    planner.planAdapters();
+    return planner.steps;
+  }
+
+  private void planModels() {
+    Set<Artifact> models = new HashSet<>();
+    for (EndpointView view : views) {
+      view.engine().modelNames().forEach(name -> models.add(new Artifact(name, Optional.empty())));
+    }
+    Map<Artifact, Double> worth = new HashMap<>();
+    models.forEach(model -> worth.put(model, worthOfNext(model)));
+    List<Artifact> wanted = new ArrayList<>(models);
+    wanted.removeIf(model -> worth.get(model) <= 0);
+    wanted.sort(
+        Comparator.comparingDouble((Artifact model) -> -worth.get(model))
+            .thenComparing(Artifact::toString));
+    for (Artifact model : wanted) {
+      place(model, worth.get(model));
+    }
+  }
+
+  private ArtifactUse use(Artifact model) {
+    ArtifactUse total = uses.getOrDefault(model, ArtifactUse.NONE);
+    for (Map.Entry<Artifact, ArtifactUse> entry : uses.entrySet()) {
+      Artifact artifact = entry.getKey();
+      if (artifact.adapter().isPresent() && artifact.base().equals(model)) {
+        total = total.plus(entry.getValue());
+      }
+    }
+    return total;
+  }
+
+  /** Returns what one replica more is worth. */
+  private double worthOfNext(Artifact model) {
+    return worthOf(model, replicas.getOrDefault(model, 0) + 1);
+  }
+
+  /** Returns what the last one of so many replicas is worth. */
+  private double worthOf(Artifact model, int count) {
+    ArtifactUse use = use(model);
+    double rate = use.perSecond();
+    if (count <= 1) {
+      return STANDBY_WORTH + rate * FIRST_REPLICA_WORTH + use.waiting() * WAITING_WORTH;
+    }
+    if (count == 2) {
+      return rate >= SECOND_REPLICA_RATE ? rate * SECOND_REPLICA_WORTH : 0;
+    }
+    return rate >= RATE_PER_REPLICA * (count - 1) ? rate * FURTHER_REPLICA_WORTH : 0;
+  }
+
+  private void place(Artifact model, double worth) {
+    EndpointView best = null;
+    List<Artifact> bestVictims = List.of();
+    double bestGain = 0;
+    for (EndpointView view : views) {
+      if (view.busy() || taken.contains(view.id()) || view.artifacts().contains(model)) {
+        continue;
+      }
+      if (!isAtHand(view, model) && !storeLoadAllowed) {
+        continue;
+      }
+      List<Artifact> victims = victims(view, model);
+      if (victims == null) {
+        continue;
+      }
+      double loss = victims.stream().mapToDouble(this::worthOfLast).sum();
+      double gain = worth - loss * HYSTERESIS - loadSeconds(view, model) * COST_PER_SECOND;
+      if (gain > bestGain) {
+        best = view;
+        bestVictims = victims;
+        bestGain = gain;
+      }
+    }
+    if (best == null) {
+      return;
+    }
+    taken.add(best.id());
+    replicas.merge(model, 1, Integer::sum);
+    bestVictims.forEach(victim -> replicas.merge(victim, -1, Integer::sum));
+    if (bestVictims.isEmpty()) {
+      steps.add(new Step(best, EndpointOrder.Operation.LOAD, model, "worth " + rounded(worth)));
+    } else {
+      steps.add(
+          new Step(
+              best,
+              EndpointOrder.Operation.UNLOAD,
+              bestVictims.getFirst(),
+              "makes way for " + model + " gain " + rounded(bestGain)));
+    }
+  }
+
+  private static String rounded(double value) {
+    return String.valueOf(Math.round(value * 10) / 10.0);
+  }
+
+  private double worthOfLast(Artifact model) {
+    return worthOf(model, replicas.getOrDefault(model, 1));
+  }
+
+  /** Returns the models that must go so that another fits, cheapest first; null if none do. */
+  private List<Artifact> victims(EndpointView view, Artifact model) {
+    EngineSpecification engine = view.engine();
+    double missing = view.usedMb() + EndpointView.size(engine, model) - engine.weightsMb();
+    List<Artifact> victims = new ArrayList<>();
+    List<Artifact> candidates = new ArrayList<>(view.models());
+    candidates.removeIf(candidate -> view.coming().contains(candidate));
+    candidates.sort(
+        Comparator.comparingDouble(this::worthOfLast).thenComparing(Artifact::toString));
+    for (Artifact candidate : candidates) {
+      if (missing <= 0) {
+        break;
+      }
+      victims.add(candidate);
+      missing -= EndpointView.size(engine, candidate);
+    }
+    return missing <= 0 ? victims : null;
+  }
+
+  private static boolean isAtHand(EndpointView view, Artifact model) {
+    return view.entry().inMemory().contains(model.model())
+        || view.entry().onDisk().contains(model.model());
+  }
+
+  private static double loadSeconds(EndpointView view, Artifact model) {
+    Optional<ModelSpecification> known = view.engine().model(model.model());
+    if (known.isEmpty()) {
+      return 0;
+    }
+    double milliseconds;
+    if (view.entry().inMemory().contains(model.model())) {
+      milliseconds = known.get().memoryLoad().toMillis();
+    } else if (view.entry().onDisk().contains(model.model())) {
+      milliseconds = known.get().diskLoad().toMillis();
+    } else {
+      milliseconds = known.get().storeLoad().toMillis();
+    }
+    return milliseconds / 1_000;
+  }
+
+  private void planAdapters() {
+    List<Artifact> wanted = new ArrayList<>();
+    uses.forEach(
+        (artifact, use) -> {
+          if (artifact.adapter().isPresent() && use.waiting() > 0 && !isSomewhere(artifact)) {
+            wanted.add(artifact);
+          }
+        });
+    wanted.sort(
+        Comparator.comparingInt((Artifact artifact) -> -uses.get(artifact).waiting())
+            .thenComparing(Artifact::toString));
+    wanted.forEach(this::placeAdapter);
+  }
+
+  private boolean isSomewhere(Artifact artifact) {
+    return views.stream().anyMatch(view -> view.has(artifact));
+  }
+
+  private void placeAdapter(Artifact adapter) {
+    EndpointView best = null;
+    for (EndpointView view : views) {
+      boolean able =
+          view.isReady(adapter.base())
+              && !view.busy()
+              && !taken.contains(view.id())
+              && (view.fits(adapter) || leastUsedAdapter(view).isPresent());
+      if (able && (best == null || view.adapters().size() < best.adapters().size())) {
+        best = view;
+      }
+    }
+    if (best == null) {
+      return;
+    }
+    taken.add(best.id());
+    if (best.fits(adapter)) {
+      steps.add(new Step(best, EndpointOrder.Operation.LOAD, adapter, "waited for"));
+      return;
+    }
+    Artifact victim = leastUsedAdapter(best).orElseThrow();
+    steps.add(new Step(best, EndpointOrder.Operation.UNLOAD, victim, "makes way for " + adapter));
+  }
+
+  private Optional<Artifact> leastUsedAdapter(EndpointView view) {
+    return view.adapters().stream()
+        .filter(view::isReady)
+        .filter(adapter -> uses.getOrDefault(adapter, ArtifactUse.NONE).waiting() == 0)
+        .min(
+            Comparator.comparingDouble(
+                    (Artifact adapter) -> uses.getOrDefault(adapter, ArtifactUse.NONE).perSecond())
+                .thenComparing(Artifact::toString));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/route/ModelSpecification.java
@@ -0,0 +1,23 @@
+package org.magnoliavale.internal.route;
+
+import java.time.Duration;
+
+/**
+ * A model that the endpoints of a service can serve.
+ *
+ * @param name the model's name
+ * @param weightsMb size of its weights, in megabytes
+ * @param storeLoad time of a load from the weight store
+ * @param diskLoad time of a load from the endpoint's disk
+ * @param memoryLoad time of a load from the endpoint's main memory
+ * @param adapters number of its adapters
+ * @param adapterMb size of one adapter, in megabytes
+ */
+public record ModelSpecification(
+    String name,
+    double weightsMb,
+    Duration storeLoad,
+    Duration diskLoad,
+    Duration memoryLoad,
+    int adapters,
+    double adapterMb) {}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/route/RouteTable.java
@@ -0,0 +1,79 @@
+package org.magnoliavale.internal.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliavale.internal.identifier.ServiceId;
+
+/**
+ * One version of the configuration, immutable.
+ *
+ * <pre>{@code
+ * Optional<Route> route = table.match("menus.example:8080", "/notices/today");
+ * }</pre>
+ */
+public final class RouteTable {
+  private final long version;
+  private final int maximumBodyBytes;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<ServiceId, ServiceSpecification> services = new HashMap<>();
+
+  private RouteTable(
+      long version, List<Route> routes, List<ServiceSpecification> services, int maximumBodyBytes) {
+    this.version = version;
+    this.maximumBodyBytes = maximumBodyBytes;
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), ignored -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst = Comparator.comparingInt(route -> -route.prefix().length());
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+    services.forEach(service -> this.services.put(service.id(), service));
+  }
+
+  /** Returns a table of these routes and services. */
+  public static RouteTable of(
+      long version, List<Route> routes, List<ServiceSpecification> services, int maximumBodyBytes) {
+    return new RouteTable(version, routes, services, maximumBodyBytes);
+  }
+
+  /** Returns the operator's version number. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the longest body that a caller may send, in bytes. */
+  public int maximumBodyBytes() {
+    return maximumBodyBytes;
+  }
+
+  /** Returns all services. */
+  public List<ServiceSpecification> services() {
+    return List.copyOf(services.values());
+  }
+
+  /** Returns a service by its name. */
+  public Optional<ServiceSpecification> service(ServiceId id) {
+    return Optional.ofNullable(services.get(id));
+  }
+
+  /** Returns the number of routes. */
+  public int size() {
+    return routesByHost.values().stream().mapToInt(List::size).sum();
+  }
+
+  /** Returns the route with the longest prefix of {@code path} at {@code authority}. */
+  public Optional<Route> match(String authority, String path) {
+    List<Route> routes = routesByHost.getOrDefault(hostOf(authority), List.of());
+    return routes.stream().filter(route -> path.startsWith(route.prefix())).findFirst();
+  }
+
+  private static String hostOf(String authority) {
+    int colon = authority.lastIndexOf(':');
+    String host = colon < 0 ? authority : authority.substring(0, colon);
+    return host.toLowerCase(Locale.ROOT);
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/settings/SettingsReader.java
+++ b/src/main/java/org/magnoliavale/internal/settings/SettingsReader.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.magnoliavale.Finding;
@@ -10,9 +9,6 @@
 import org.magnoliavale.internal.identifier.DataCentreId;
 import org.magnoliavale.internal.identifier.InstanceId;
 import org.magnoliavale.internal.ini.CheckedSection;
-import org.magnoliavale.internal.ini.IniSection;
-import org.magnoliavale.internal.ini.IniText;
-import org.magnoliavale.internal.ini.SectionDefinition;
 
 /** Reads a settings file. All findings are reported together. */
 public final class SettingsReader {
@@ -21,7 +17,7 @@
   /** Returns all findings of a settings text, none if it is valid. */
   public static List<Finding> check(String file, String text) {
     List<Finding> findings = new ArrayList<>();
-    checkedSections(file, text, findings);
+    SettingsSchema.SCHEMA.read(file, text, findings);
     return findings;
   }
 
@@ -32,7 +28,7 @@
    */
   public static Settings read(String file, String text) {
     List<Finding> findings = new ArrayList<>();
-    Map<String, CheckedSection> sections = checkedSections(file, text, findings);
+    Map<String, CheckedSection> sections = SettingsSchema.SCHEMA.read(file, text, findings);
     if (!findings.isEmpty()) {
       throw MagnoliavaleException.ofFindings(findings);
     }
@@ -46,24 +42,6 @@
         sections.get("log").text("level"));
   }
 
-  private static Map<String, CheckedSection> checkedSections(
-      String file, String text, List<Finding> findings) {
-    IniText parsed = IniText.parse(file, text, findings);
-    List<IniSection> present = new ArrayList<>(parsed.sections());
-    for (SectionDefinition definition : SettingsSchema.SCHEMA.sections()) {
-      String kind = definition.kind();
-      if (present.stream().noneMatch(section -> section.kind().equals(kind))) {
-        // An absent section reads as an empty one: its defaults hold, its required keys are missed.
-        present.add(new IniSection(kind, "", 0, List.of()));
-      }
-    }
-    Map<String, CheckedSection> byKind = new HashMap<>();
-    SettingsSchema.SCHEMA
-        .check(new IniText(file, present), findings)
-        .forEach(section -> byKind.putIfAbsent(section.definition().kind(), section));
-    return byKind;
-  }
-
   private static InstanceSettings instance(CheckedSection section) {
     return new InstanceSettings(
         new InstanceId(section.text("id")), new DataCentreId(section.text("data-centre")));
--- /dev/null
+++ b/src/main/java/org/magnoliavale/platform/ConfigurationDecoder.java
@@ -0,0 +1,116 @@
+package org.magnoliavale.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.json.Json;
+import org.magnoliavale.internal.route.CallKind;
+import org.magnoliavale.internal.route.EngineSpecification;
+import org.magnoliavale.internal.route.ModelSpecification;
+import org.magnoliavale.internal.route.Route;
+import org.magnoliavale.internal.route.RouteTable;
+import org.magnoliavale.internal.route.ServiceSpecification;
+import org.magnoliavale.internal.route.WeightedService;
+
+/** Decodes the operator's configuration. */
+final class ConfigurationDecoder {
+  private static final int DEFAULT_BODY_BYTES = 4 << 20;
+  private static final double MILLISECONDS_PER_SECOND = 1_000;
+
+  private ConfigurationDecoder() {}
+
+  /** Decodes a configuration; the store accepts only valid ones. */
+  static RouteTable decode(byte[] bytes) throws IOException {
+    JsonNode tree = Json.tree(bytes);
+    try {
+      List<Route> routes = new ArrayList<>();
+      tree.path("routes").forEach(route -> routes.add(route(route)));
+      List<ServiceSpecification> services = new ArrayList<>();
+      tree.path("services").forEach(service -> services.add(service(service)));
+      int bodyBytes = tree.path("limits").path("body-bytes").asInt(DEFAULT_BODY_BYTES);
+      return RouteTable.of(tree.path("version").asLong(), routes, services, bodyBytes);
+    } catch (IllegalArgumentException e) {
+      throw new IOException(e.getMessage(), e);
+    }
+  }
+
+  private static Route route(JsonNode route) {
+    return new Route(
+        route.path("name").asText(),
+        route.path("host").asText().toLowerCase(Locale.ROOT),
+        route.path("prefix").asText(),
+        kind(route.path("kind").asText()),
+        route.path("resumable").asBoolean(),
+        route.path("priority").asInt(),
+        Math.max(1, route.path("attempts").asInt(1)),
+        Duration.ofMillis(route.path("timeout-ms").asLong()),
+        Duration.ofMillis(route.path("target-latency-ms").asLong()),
+        shares(route));
+  }
+
+  private static CallKind kind(String word) {
+    return switch (word) {
+      case "safe" -> CallKind.SAFE;
+      case "stream" -> CallKind.STREAM;
+      // A kind that is not known is carried as one that may not be repeated.
+      default -> CallKind.UNSAFE;
+    };
+  }
+
+  private static List<WeightedService> shares(JsonNode route) {
+    List<WeightedService> shares = new ArrayList<>();
+    for (JsonNode share : route.path("split")) {
+      shares.add(
+          new WeightedService(
+              new ServiceId(share.path("service").asText()), share.path("weight").asDouble()));
+    }
+    if (shares.isEmpty()) {
+      shares.add(new WeightedService(new ServiceId(route.path("service").asText()), 1));
+    }
+    return shares;
+  }
+
+  private static ServiceSpecification service(JsonNode service) {
+    JsonNode engine = service.path("engine");
+    return new ServiceSpecification(
+        new ServiceId(service.path("name").asText()),
+        service.path("connection-limit").asInt(Integer.MAX_VALUE),
+        engine.isObject() ? Optional.of(engine(engine)) : Optional.empty());
+  }
+
+  private static EngineSpecification engine(JsonNode engine) {
+    Map<String, ModelSpecification> models = new LinkedHashMap<>();
+    for (JsonNode model : engine.path("models")) {
+      String name = model.path("name").asText();
+      models.put(
+          name,
+          new ModelSpecification(
+              name,
+              model.path("weights-mb").asDouble(),
+              seconds(model, "load-s", "load-s"),
+              seconds(model, "disk-s", "load-s"),
+              seconds(model, "warm-s", "load-s"),
+              model.path("adapters").asInt(),
+              model.path("adapter-mb").asDouble()));
+    }
+    return new EngineSpecification(
+        engine.path("slots").asInt(),
+        engine.path("kv-cache-tokens").asLong(),
+        engine.path("weights-mb").asDouble(),
+        engine.path("adapter-slots").asInt(),
+        engine.path("loads-per-s").asDouble(),
+        models);
+  }
+
+  private static Duration seconds(JsonNode node, String key, String otherwise) {
+    double seconds = node.path(key).asDouble(node.path(otherwise).asDouble());
+    return Duration.ofMillis((long) (seconds * MILLISECONDS_PER_SECOND));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/platform/EndpointListing.java
@@ -0,0 +1,110 @@
+package org.magnoliavale.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.DirectoryReading;
+import org.magnoliavale.internal.directory.DirectorySource;
+import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.HeldModel;
+import org.magnoliavale.internal.identifier.IdentifierRules;
+import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.ini.Values;
+import org.magnoliavale.internal.json.Json;
+
+/** The rows that the platform's workers write about themselves. */
+final class EndpointListing implements DirectorySource {
+  private static final String TABLE = "servers";
+  private static final Set<String> STATES = Set.of("ready", "draining");
+
+  private final StoreConnection store;
+
+  EndpointListing(StoreConnection store) {
+    this.store = store;
+  }
+
+  @Override
+  public DirectoryReading read() {
+    return switch (store.readAll(TABLE, "")) {
+      case StoreConnection.Answer.Done(var rows, long ignored) ->
+          new DirectoryReading.Entries(entries(rows));
+      case StoreConnection.Answer.Refused(String reason) ->
+          new DirectoryReading.Unavailable(reason);
+      case StoreConnection.Answer.Lost(String reason) -> new DirectoryReading.Unavailable(reason);
+      case StoreConnection.Answer.ConditionFailed(var ignored) ->
+          new DirectoryReading.Unavailable("unexpected answer");
+      case StoreConnection.Answer.HistoryGone() -> new DirectoryReading.Unavailable("history gone");
+    };
+  }
+
+  private static List<DirectoryEntry> entries(List<StoreConnection.StoredRow> rows) {
+    List<DirectoryEntry> entries = new ArrayList<>();
+    rows.forEach(row -> entry(row.key(), row.value()).ifPresent(entries::add));
+    return entries;
+  }
+
+  /** Decodes an entry; one that another writer left, or that is damaged, names no endpoint. */
+  static Optional<DirectoryEntry> entry(String id, byte[] value) {
+    try {
+      JsonNode tree = Json.tree(value);
+      String service = text(tree, "service");
+      String address = text(tree, "address");
+      String state = text(tree, "state");
+      JsonNode sequence = tree.path("sequence");
+      boolean valid =
+          IdentifierRules.isValid(id)
+              && IdentifierRules.isValid(service)
+              && Values.isAddress(address)
+              && STATES.contains(state)
+              && (sequence.isMissingNode() || sequence.isIntegralNumber());
+      if (!valid) {
+        return Optional.empty();
+      }
+      return Optional.of(
+          new DirectoryEntry(
+              new EndpointIdentity(id, tree.path("born").asLong()),
+              new ServiceId(service),
+              Values.address(address),
+              text(tree, "zone"),
+              state.equals("draining"),
+              tree.path("slots").asInt(1),
+              sequence.asLong(),
+              models(tree.path("models")),
+              names(tree.path("at-hand").path("in-memory")),
+              names(tree.path("at-hand").path("on-disk"))));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static String text(JsonNode tree, String key) {
+    JsonNode node = tree.path(key);
+    return node.isTextual() ? node.asText() : "";
+  }
+
+  /** Decodes the models that a worker holds, as its entry and its report show them. */
+  static Map<String, HeldModel> models(JsonNode list) {
+    List<HeldModel> models = new ArrayList<>();
+    for (JsonNode model : list) {
+      models.add(new HeldModel(model.path("name").asText(), names(model.path("adapters"))));
+    }
+    return DirectoryEntry.byName(models);
+  }
+
+  private static Set<String> names(JsonNode list) {
+    Set<String> names = new HashSet<>();
+    for (JsonNode name : list) {
+      // An adapter may be listed with its version after an "@"; only its name is ordered.
+      String text = name.isTextual() ? name.asText() : name.path("name").asText();
+      int version = text.indexOf('@');
+      names.add(version < 0 ? text : text.substring(0, version));
+    }
+    return names;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/platform/PlatformPorts.java
@@ -0,0 +1,33 @@
+package org.magnoliavale.platform;
+
+import java.time.Duration;
+import org.magnoliavale.internal.gateway.GatewayPorts;
+import org.magnoliavale.internal.gateway.GatewaySettings;
+import org.magnoliavale.internal.http.JsonClient;
+
+/** The users' platform as the product's ports. */
+public final class PlatformPorts {
+  /** Variable that holds the path of the settings file. */
+  public static final String SETTINGS_VARIABLE = "MAGNOLIAVALE_SETTINGS";
+
+  /** Time after which a call of the store counts as unanswered. */
+  private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
+
+  /** Time for which the store holds a call until the configuration changes. */
+  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1_500);
+
+  private static final Duration WORKER_TIMEOUT = Duration.ofMillis(300);
+
+  private PlatformPorts() {}
+
+  /** Returns the ports. */
+  public static GatewayPorts create(JsonClient client, GatewaySettings settings) {
+    StoreConnection store = new StoreConnection(client, settings.store(), STORE_TIMEOUT);
+    return new GatewayPorts(
+        new StoreTable(store),
+        new OperatorConfiguration(store, CONFIGURATION_WAIT),
+        new EndpointListing(store),
+        new WorkerProtocol(),
+        new WorkerControl(client, WORKER_TIMEOUT));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/platform/WorkerControl.java
@@ -0,0 +1,95 @@
+package org.magnoliavale.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.http.JsonAnswer;
+import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.json.Json;
+import org.magnoliavale.internal.residency.EndpointControl;
+import org.magnoliavale.internal.residency.EndpointOrder;
+import org.magnoliavale.internal.residency.EndpointOrderAnswer;
+import org.magnoliavale.internal.residency.EndpointReport;
+
+/** Orders to the platform's workers and their reports. */
+final class WorkerControl implements EndpointControl {
+  private static final String EXPECTED_INSTANCE = "X-Expected-Instance";
+
+  private final JsonClient client;
+  private final Duration timeout;
+
+  WorkerControl(JsonClient client, Duration timeout) {
+    this.client = client;
+    this.timeout = timeout;
+  }
+
+  @Override
+  public EndpointOrderAnswer order(DirectoryEntry endpoint, EndpointOrder order) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("operation", order.operation() == EndpointOrder.Operation.LOAD ? "load" : "unload");
+    body.put("model", order.artifact().model());
+    order.artifact().adapter().ifPresent(adapter -> body.put("adapter", adapter));
+    // The platform calls the expected sequence a revision here.
+    body.put("expected-revision", order.expectedSequence());
+    body.put("holder", order.holder());
+    body.put("fencing-token", order.fence());
+    JsonAnswer answer =
+        client.send(
+            "POST", endpoint.address(), "/-/order", expected(endpoint), Json.bytes(body), timeout);
+    return switch (answer) {
+      case JsonAnswer.NotSent ignored -> EndpointOrderAnswer.NOT_SENT;
+      case JsonAnswer.Lost ignored -> EndpointOrderAnswer.UNKNOWN;
+      case JsonAnswer.Answered(int status, byte[] ignored) -> meaning(status);
+    };
+  }
+
+  private static EndpointOrderAnswer meaning(int status) {
+    return switch (status) {
+      case 202 -> EndpointOrderAnswer.ACCEPTED;
+      case 200 -> EndpointOrderAnswer.DONE;
+      case 409 -> EndpointOrderAnswer.CONFLICT;
+      case 412 -> EndpointOrderAnswer.FENCED;
+      case 421 -> EndpointOrderAnswer.OTHER_INCARNATION;
+      case 400 -> EndpointOrderAnswer.INVALID;
+      default -> EndpointOrderAnswer.UNKNOWN;
+    };
+  }
+
+  private static Map<String, String> expected(DirectoryEntry endpoint) {
+    return Map.of(EXPECTED_INSTANCE, endpoint.identity().id());
+  }
+
+  @Override
+  public Optional<EndpointReport> report(DirectoryEntry endpoint) {
+    InetSocketAddress address = endpoint.address();
+    JsonAnswer answer =
+        client.send("GET", address, "/-/report", expected(endpoint), new byte[0], timeout);
+    if (!(answer instanceof JsonAnswer.Answered(int status, byte[] body)) || status != 200) {
+      return Optional.empty();
+    }
+    try {
+      JsonNode tree = Json.tree(body);
+      Set<String> coming = new HashSet<>();
+      for (JsonNode name : tree.path("coming")) {
+        coming.add(name.asText().split("@")[0]);
+      }
+      return Optional.of(
+          new EndpointReport(
+              EndpointListing.models(tree.path("models")),
+              tree.path("busy").asBoolean(),
+              tree.path("sequence").asLong(),
+              tree.path("born").asLong(),
+              coming));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -0,0 +1,204 @@
+package org.magnoliavale.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.magnoliavale.internal.call.AnswerFacts;
+import org.magnoliavale.internal.call.CallFacts;
+import org.magnoliavale.internal.call.CallProtocol;
+import org.magnoliavale.internal.call.Forwarding;
+import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.dispatch.Generation;
+import org.magnoliavale.internal.dispatch.PromptPart;
+import org.magnoliavale.internal.dispatch.ReportedLoad;
+
+/** The headers of the platform's clients and workers. */
+final class WorkerProtocol implements CallProtocol {
+  private static final String ATTEMPT_ID = "X-Request-Attempt-Id";
+  private static final String TIME_REMAINING = "X-Time-Remaining";
+  private static final String LAST_EVENT_ID = "Last-Event-Id";
+  private static final String EXPECTED_INSTANCE = "X-Expected-Instance";
+  private static final String INSTANCE_ID = "X-Instance-Id";
+  private static final String SIGNATURE = "X-Response-Signature";
+  private static final String LOAD = "X-Server-Load";
+  private static final String NOT_EXECUTED = "X-Not-Executed";
+  private static final String MODEL = "X-Model";
+  private static final String TOKEN_COUNTS = "X-Token-Counts";
+  private static final String PROMPT_PREFIX = "X-Prompt-Prefix";
+  private static final String PRIORITY = "X-Request-Priority";
+
+  private static final int MISDIRECTED = 421;
+
+  /** Headers that concern one connection only. */
+  private static final Set<String> CONNECTION_HEADERS =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "expect",
+          "content-length");
+
+  /** Headers that only the system may set towards a worker. */
+  private static final Set<String> SYSTEM_HEADERS =
+      Set.of(
+          "x-hold",
+          "x-pin-duration",
+          "x-key-value-backup",
+          "kv-from",
+          "kv-fetch",
+          "x-request-priority",
+          "x-expected-instance",
+          "x-time-remaining",
+          "last-event-id",
+          "accept-encoding");
+
+  /** Headers of a worker's answer that are meant for the system. */
+  private static final Set<String> WORKER_HEADERS =
+      Set.of("x-server-load", "x-instance-id", "x-not-executed");
+
+  @Override
+  public CallFacts facts(HttpFields fromCaller) {
+    String id = fromCaller.get(ATTEMPT_ID);
+    return new CallFacts(
+        id == null ? "" : id,
+        number(fromCaller.get(TIME_REMAINING)).map(Duration::ofMillis),
+        number(fromCaller.get(LAST_EVENT_ID)),
+        generation(fromCaller));
+  }
+
+  private static Optional<Generation> generation(HttpFields headers) {
+    String model = headers.get(MODEL);
+    if (model == null) {
+      return Optional.empty();
+    }
+    String counts = headers.get(TOKEN_COUNTS);
+    String[] numbers = counts == null ? new String[0] : counts.split(",");
+    int prompt = numbers.length > 0 ? number(numbers[0]).orElse(0L).intValue() : 0;
+    int output = numbers.length > 1 ? number(numbers[1]).orElse(0L).intValue() : 0;
+    return Optional.of(
+        new Generation(Artifact.parse(model), prompt, output, parts(headers.get(PROMPT_PREFIX))));
+  }
+
+  private static List<PromptPart> parts(String prefix) {
+    List<PromptPart> parts = new ArrayList<>();
+    if (prefix == null) {
+      return parts;
+    }
+    for (String part : prefix.split(",")) {
+      int colon = part.indexOf(':');
+      if (colon > 0) {
+        int tokens = number(part.substring(colon + 1)).orElse(0L).intValue();
+        parts.add(new PromptPart(part.substring(0, colon).strip(), tokens));
+      }
+    }
+    return parts;
+  }
+
+  @Override
+  public HttpFields outgoing(HttpFields fromCaller, Forwarding forwarding) {
+    HttpFields.Mutable headers = endToEnd(fromCaller, SYSTEM_HEADERS);
+    headers.put(EXPECTED_INSTANCE, forwarding.endpoint().id());
+    headers.put(TIME_REMAINING, Long.toString(forwarding.timeRemaining().toMillis()));
+    headers.put(PRIORITY, Integer.toString(forwarding.urgency()));
+    forwarding.lastEventId().ifPresent(id -> headers.put(LAST_EVENT_ID, Long.toString(id)));
+    return headers;
+  }
+
+  @Override
+  public AnswerFacts answer(int status, HttpFields fromEndpoint) {
+    String id = fromEndpoint.get(ATTEMPT_ID);
+    String type = fromEndpoint.get("Content-Type");
+    boolean notExecuted = fromEndpoint.contains(NOT_EXECUTED) || status == MISDIRECTED;
+    return new AnswerFacts(
+        status,
+        id == null ? "" : id,
+        fromEndpoint.contains(SIGNATURE),
+        notExecuted,
+        // A worker that is not the expected one names itself.
+        status == MISDIRECTED && fromEndpoint.contains(INSTANCE_ID),
+        type != null && type.startsWith("text/event-stream"),
+        fromEndpoint.contains("Content-Encoding"),
+        load(fromEndpoint.get(LOAD)));
+  }
+
+  /** The header holds running, waiting and slots, separated by commas. */
+  private static Optional<ReportedLoad> load(String value) {
+    if (value == null) {
+      return Optional.empty();
+    }
+    String[] parts = value.split(",");
+    if (parts.length < 3) {
+      return Optional.empty();
+    }
+    return number(parts[0])
+        .flatMap(
+            running ->
+                number(parts[1])
+                    .flatMap(
+                        waiting ->
+                            number(parts[2])
+                                .map(
+                                    slots ->
+                                        new ReportedLoad(
+                                            running.intValue(),
+                                            waiting.intValue(),
+                                            slots.intValue()))));
+  }
+
+  @Override
+  public HttpFields returned(HttpFields fromEndpoint) {
+    return endToEnd(fromEndpoint, WORKER_HEADERS);
+  }
+
+  @Override
+  public HttpFields own(String attemptId) {
+    return attemptId.isEmpty() ? HttpFields.EMPTY : HttpFields.build().put(ATTEMPT_ID, attemptId);
+  }
+
+  private static HttpFields.Mutable endToEnd(HttpFields headers, Set<String> dropped) {
+    Set<String> named = connectionTokens(headers);
+    HttpFields.Mutable result = HttpFields.build();
+    for (HttpField field : headers) {
+      String name = field.getLowerCaseName();
+      if (!CONNECTION_HEADERS.contains(name) && !dropped.contains(name) && !named.contains(name)) {
+        result.add(field);
+      }
+    }
+    return result;
+  }
+
+  /** Headers that the Connection header names concern that connection only, too. */
+  private static Set<String> connectionTokens(HttpFields headers) {
+    String value = headers.get("Connection");
+    if (value == null) {
+      return Set.of();
+    }
+    Set<String> names = new java.util.HashSet<>();
+    for (String name : value.toLowerCase(Locale.ROOT).split(",")) {
+      names.add(name.strip());
+    }
+    return names;
+  }
+
+  private static Optional<Long> number(String text) {
+    if (text == null) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(Long.parseLong(text.strip()));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
