Take the sequence of orders from reports, remember what room is made for

Cause: an entry's 'sequence' counts heartbeats, a report's counts orders. Orders named the former, so three of four were refused, and one model made room on several endpoints at once. Ruled out: refusals over the fence (none).

--- a/src/main/java/org/magnoliavale/internal/directory/DirectoryEntry.java
+++ b/src/main/java/org/magnoliavale/internal/directory/DirectoryEntry.java
@@ -17,7 +17,7 @@
  * @param dataCentre where it runs
  * @param draining whether it is about to leave
  * @param slots requests that it runs at once
- * @param sequence orders that it has accepted
+ * @param heartbeat counts what it has said of itself since its start
  * @param models models that it holds, by name
  * @param inMemory models whose weights lie in its main memory
  * @param onDisk models whose weights lie on its disk
@@ -29,7 +29,7 @@
     String dataCentre,
     boolean draining,
     int slots,
-    long sequence,
+    long heartbeat,
     Map<String, HeldModel> models,
     Set<String> inMemory,
     Set<String> onDisk) {
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -66,7 +66,7 @@
   }
 
   void update(DirectoryEntry newer) {
-    if (newer.sequence() != entry.sequence() || !newer.models().equals(entry.models())) {
+    if (newer.heartbeat() != entry.heartbeat()) {
       refuted.clear();
       announced.clear();
     }
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyCallerPort.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyCallerPort.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.BufferUtil;
@@ -13,7 +14,7 @@
 
 /** A caller behind Jetty's server. */
 final class JettyCallerPort implements CallerPort {
-  private static final class Aborted extends Exception {
+  private static final class Aborted extends Exception implements QuietException {
     private static final long serialVersionUID = 1L;
 
     Aborted() {
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
@@ -2,8 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.directory.DirectoryEntry;
@@ -16,7 +17,7 @@
  *
  * <p>Each order names the sequence that it expects, so of an order and its copies at most one takes
  * effect, and none once another order was accepted. Memory counts for each open order until the
- * entry's sequence has passed it.
+ * entry shows its effect or it can take effect no more.
  */
 final class EndpointLedger {
   /** Time after which an accepted adapter load is taken as done. */
@@ -28,42 +29,55 @@
   /** Time after which an order that got no answer is sent again with the same sequence. */
   private static final long RESEND_MS = 400;
 
+  /** Time by which a report lags behind at most. */
+  private static final long REPORT_LAG_MS = 800;
+
+  /** Time after which room that was made for a model is given up. */
+  private static final long GOAL_MS = 15_000;
+
   private final List<OpenOrder> open = new ArrayList<>();
   private DirectoryEntry entry;
-  private long sequence;
+  private OptionalLong sequence = OptionalLong.empty();
+  private long acceptedNanos;
+  private Optional<Artifact> goal = Optional.empty();
+  private long goalNanos;
 
   EndpointLedger(DirectoryEntry entry) {
     this.entry = entry;
-    this.sequence = entry.sequence();
+  }
+
+  /** Tells whether the endpoint must report before it can be given orders. */
+  boolean needsReport() {
+    return sequence.isEmpty();
   }
 
   /** Takes in the endpoint's entry and settles the orders that it shows. */
   void update(DirectoryEntry newer, long nowNanos) {
     entry = newer;
-    sequence = Math.max(sequence, newer.sequence());
     Set<Artifact> held = EndpointView.held(newer);
-    Iterator<OpenOrder> orders = open.iterator();
-    while (orders.hasNext()) {
-      OpenOrder order = orders.next();
-      long expected = order.order().expectedSequence();
-      boolean passed = newer.sequence() > expected;
-      boolean shows = held.contains(order.artifact()) == order.isLoad();
-      boolean late = milliseconds(nowNanos - order.sentNanos()) > LATENESS_MS;
-      // An entry whose sequence has passed an uncertain order without its effect shows that
-      // another order was accepted in its place, so the uncertain one can take effect no more.
-      boolean overtaken = passed && !order.certain() && newer.sequence() > expected + 1;
-      if (passed && shows || overtaken || late) {
-        orders.remove();
-      }
+    open.removeIf(
+        order -> {
+          boolean shows = held.contains(order.artifact()) == order.isLoad();
+          return order.certain() && shows || age(order.sentNanos(), nowNanos) > LATENESS_MS;
+        });
+    if (goal.isPresent() && age(goalNanos, nowNanos) > GOAL_MS) {
+      goal = Optional.empty();
     }
   }
 
   void opened(EndpointOrder order, long nowNanos) {
-    open.add(new OpenOrder(order, nowNanos, false));
+    open.add(new OpenOrder(order, nowNanos, false, 0));
   }
 
-  void accepted(EndpointOrder order) {
-    sequence = Math.max(sequence, order.expectedSequence() + 1);
+  /** Notes that the endpoint carries an order out; older ones can take effect no more. */
+  void accepted(EndpointOrder order, long nowNanos) {
+    sequence = OptionalLong.of(Math.max(sequence.orElse(0), order.expectedSequence() + 1));
+    acceptedNanos = nowNanos;
+    open.removeIf(
+        known ->
+            !known.certain()
+                && !known.order().equals(order)
+                && known.order().expectedSequence() <= order.expectedSequence());
     open.replaceAll(known -> known.order().equals(order) ? known.accepted() : known);
   }
 
@@ -71,20 +85,37 @@
     open.replaceAll(known -> known.order().equals(order) ? known.sentAgain(nowNanos) : known);
   }
 
+  boolean wasSentAgain(EndpointOrder order) {
+    return open.stream().anyMatch(known -> known.order().equals(order) && known.copies() > 0);
+  }
+
   void closed(EndpointOrder order) {
     open.removeIf(known -> known.order().equals(order));
   }
 
-  /** Takes the sequence that the endpoint reported after it refused an order over it. */
-  void reported(long reportedSequence) {
-    sequence = reportedSequence;
+  /** Takes the sequence that the endpoint reported; a report lags behind. */
+  void reported(long reportedSequence, long nowNanos) {
+    boolean settled = age(acceptedNanos, nowNanos) > REPORT_LAG_MS;
+    if (sequence.isEmpty() || settled || reportedSequence > sequence.getAsLong()) {
+      sequence = OptionalLong.of(reportedSequence);
+    }
+  }
+
+  /** Makes room for a model from now on. */
+  void setGoal(Artifact model, long nowNanos) {
+    goal = Optional.of(model);
+    goalNanos = nowNanos;
+  }
+
+  void clearGoal() {
+    goal = Optional.empty();
   }
 
   /** Returns orders without an answer that are due to be sent again. */
   List<EndpointOrder> unanswered(long nowNanos) {
     List<EndpointOrder> due = new ArrayList<>();
     for (OpenOrder order : open) {
-      if (!order.certain() && milliseconds(nowNanos - order.sentNanos()) > RESEND_MS) {
+      if (!order.certain() && age(order.sentNanos(), nowNanos) > RESEND_MS) {
         due.add(order.order());
       }
     }
@@ -95,12 +126,12 @@
     Set<Artifact> artifacts = new HashSet<>(EndpointView.held(entry));
     Set<Artifact> coming = new HashSet<>();
     Set<Artifact> leaving = new HashSet<>();
-    boolean busy = false;
+    boolean busy = sequence.isEmpty();
     for (OpenOrder order : open) {
       boolean settled =
           order.certain()
               && !order.isModel()
-              && milliseconds(nowNanos - order.sentNanos()) > ADAPTER_LOAD_MS;
+              && age(order.sentNanos(), nowNanos) > ADAPTER_LOAD_MS;
       busy |= order.isModel() || !order.certain();
       if (order.isLoad()) {
         artifacts.add(order.artifact());
@@ -113,10 +144,11 @@
         leaving.add(order.artifact());
       }
     }
-    return new EndpointView(entry, engine, artifacts, coming, leaving, sequence, busy);
+    return new EndpointView(
+        entry, engine, artifacts, coming, leaving, sequence.orElse(0), busy, goal);
   }
 
-  private static long milliseconds(long nanos) {
-    return TimeUnit.NANOSECONDS.toMillis(nanos);
+  private static long age(long sinceNanos, long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
@@ -22,7 +22,8 @@
  * @param coming the part of {@code artifacts} that is being loaded
  * @param leaving what was ordered away and may still be there
  * @param sequence orders that it has accepted
- * @param busy whether a model order is in progress or its outcome is not known
+ * @param busy whether it can take no order now
+ * @param goal the model that room is being made for
  */
 record EndpointView(
     DirectoryEntry entry,
@@ -31,7 +32,8 @@
     Set<Artifact> coming,
     Set<Artifact> leaving,
     long sequence,
-    boolean busy) {
+    boolean busy,
+    Optional<Artifact> goal) {
   String id() {
     return entry.identity().id();
   }
@@ -112,6 +114,9 @@
           replicas.merge(model, 1, Integer::sum);
         }
       }
+      view.goal()
+          .filter(goal -> !view.has(goal))
+          .ifPresent(goal -> replicas.merge(goal, 1, Integer::sum));
     }
     return replicas;
   }
--- a/src/main/java/org/magnoliavale/internal/residency/OpenOrder.java
+++ b/src/main/java/org/magnoliavale/internal/residency/OpenOrder.java
@@ -8,8 +8,9 @@
  * @param order the order
  * @param sentNanos when it was sent last
  * @param certain whether the endpoint said that it carries it out
+ * @param copies how often it was sent again
  */
-record OpenOrder(EndpointOrder order, long sentNanos, boolean certain) {
+record OpenOrder(EndpointOrder order, long sentNanos, boolean certain, int copies) {
   boolean isModel() {
     return order.artifact().adapter().isEmpty();
   }
@@ -23,10 +24,10 @@
   }
 
   OpenOrder accepted() {
-    return new OpenOrder(order, sentNanos, true);
+    return new OpenOrder(order, sentNanos, true, copies);
   }
 
   OpenOrder sentAgain(long nowNanos) {
-    return new OpenOrder(order, nowNanos, certain);
+    return new OpenOrder(order, nowNanos, certain, copies + 1);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -178,6 +178,7 @@
     if (lease.fence() != knownFence) {
       takeOver(loadsPerSecond, now);
     }
+    askForReports();
     sendAgain(now);
     List<EndpointView> views = new ArrayList<>();
     engines.forEach((identity, engine) -> views.add(ledgers.get(identity).view(engine, now)));
@@ -211,6 +212,27 @@
     return engines;
   }
 
+  private void askForReports() {
+    for (DirectoryEntry entry : engineEntries()) {
+      EndpointLedger ledger = ledgers.get(entry.identity());
+      if (ledger.needsReport() && sending.add(entry.identity())) {
+        executor.execute(() -> askForReport(entry, ledger));
+      }
+    }
+  }
+
+  private List<DirectoryEntry> engineEntries() {
+    return engines().keySet().stream().map(entries::get).toList();
+  }
+
+  private void askForReport(DirectoryEntry entry, EndpointLedger ledger) {
+    Optional<EndpointReport> report = control.report(entry);
+    synchronized (this) {
+      sending.remove(entry.identity());
+      report.ifPresent(told -> ledger.reported(told.sequence(), nanoClock.getAsLong()));
+    }
+  }
+
   private void sendAgain(long now) {
     for (DirectoryEntry entry : entries.values()) {
       EndpointLedger ledger = ledgers.get(entry.identity());
@@ -246,7 +268,9 @@
     EndpointOrder order =
         new EndpointOrder(
             identity, step.operation(), step.artifact(), view.sequence(), self, knownFence);
-    ledgers.get(identity).opened(order, now);
+    EndpointLedger ledger = ledgers.get(identity);
+    ledger.opened(order, now);
+    step.goal().ifPresentOrElse(goal -> ledger.setGoal(goal, now), () -> clearGoal(ledger, step));
     if (!load) {
       tell(identity.id(), step.artifact(), false, now);
     }
@@ -264,6 +288,12 @@
     executor.execute(() -> send(view.entry(), order));
   }
 
+  private static void clearGoal(EndpointLedger ledger, ResidencyPlanner.Step step) {
+    if (step.artifact().adapter().isEmpty()) {
+      ledger.clearGoal();
+    }
+  }
+
   private void send(DirectoryEntry entry, EndpointOrder order) {
     // The right to order is checked last, after every wait.
     if (!lease.isHeld() || lease.fence() != order.fence()) {
@@ -291,13 +321,11 @@
         return;
       }
       boolean load = order.operation() == EndpointOrder.Operation.LOAD;
+      long now = nanoClock.getAsLong();
       switch (answer) {
-        case ACCEPTED -> ledger.accepted(order);
-        case DONE -> done(ledger, order);
-        case CONFLICT -> {
-          ledger.closed(order);
-          report.ifPresent(told -> ledger.reported(told.sequence()));
-        }
+        case ACCEPTED -> ledger.accepted(order, now);
+        case DONE -> done(ledger, order, now);
+        case CONFLICT -> conflict(ledger, order, report, now);
         case FENCED, OTHER_INCARNATION, INVALID, NOT_SENT -> ledger.closed(order);
         case UNKNOWN -> {}
       }
@@ -309,13 +337,30 @@
     changed.run();
   }
 
+  /**
+   * Of an order that was sent again, a higher sequence shows that an earlier copy was accepted:
+   * nobody else gives orders.
+   */
+  private static void conflict(
+      EndpointLedger ledger, EndpointOrder order, Optional<EndpointReport> report, long now) {
+    long reported = report.map(EndpointReport::sequence).orElse(order.expectedSequence());
+    if (ledger.wasSentAgain(order)) {
+      if (reported > order.expectedSequence()) {
+        ledger.accepted(order, now);
+      }
+    } else {
+      ledger.closed(order);
+    }
+    report.ifPresent(told -> ledger.reported(told.sequence(), now));
+  }
+
   /** An adapter is dropped at once, which counts as an order; else nothing has happened. */
-  private static void done(EndpointLedger ledger, EndpointOrder order) {
+  private static void done(EndpointLedger ledger, EndpointOrder order, long now) {
     boolean dropped =
         order.operation() == EndpointOrder.Operation.UNLOAD
             && order.artifact().adapter().isPresent();
     if (dropped) {
-      ledger.accepted(order);
+      ledger.accepted(order, now);
     } else {
       ledger.closed(order);
     }
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -26,10 +26,15 @@
    * @param view the endpoint
    * @param operation what to do
    * @param artifact with what
+   * @param goal the model that the step makes room for, if it does
    * @param reason why, for the log
    */
   record Step(
-      EndpointView view, EndpointOrder.Operation operation, Artifact artifact, String reason) {}
+      EndpointView view,
+      EndpointOrder.Operation operation,
+      Artifact artifact,
+      Optional<Artifact> goal,
+      String reason) {}
 
   /** Worth of the first replica for each request a second, and for each waiting call. */
   private static final double FIRST_REPLICA_WORTH = 20;
@@ -75,6 +80,7 @@
   static List<Step> plan(
       List<EndpointView> views, Map<Artifact, ArtifactUse> uses, boolean storeLoadAllowed) {
     ResidencyPlanner planner = new ResidencyPlanner(views, uses, storeLoadAllowed);
+    planner.continueGoals();
     planner.planModels();
     planner.planAdapters();
     return planner.steps;
@@ -97,6 +103,35 @@
     }
   }
 
+  /** Goes on with endpoints that are making room for a model. */
+  private void continueGoals() {
+    for (EndpointView view : views) {
+      if (view.goal().isEmpty() || view.artifacts().contains(view.goal().get())) {
+        continue;
+      }
+      taken.add(view.id());
+      Artifact goal = view.goal().get();
+      List<Artifact> victims = view.busy() ? null : victims(view, goal);
+      if (victims == null || !isAtHand(view, goal) && !storeLoadAllowed) {
+        continue;
+      }
+      steps.add(step(view, goal, victims, "goes on"));
+    }
+  }
+
+  private static Step step(
+      EndpointView view, Artifact model, List<Artifact> victims, String reason) {
+    if (victims.isEmpty()) {
+      return new Step(view, EndpointOrder.Operation.LOAD, model, Optional.empty(), reason);
+    }
+    return new Step(
+        view,
+        EndpointOrder.Operation.UNLOAD,
+        victims.getFirst(),
+        Optional.of(model),
+        "makes way for " + model + ", " + reason);
+  }
+
   private ArtifactUse use(Artifact model) {
     ArtifactUse total = uses.getOrDefault(model, ArtifactUse.NONE);
     for (Map.Entry<Artifact, ArtifactUse> entry : uses.entrySet()) {
@@ -155,16 +190,8 @@
     taken.add(best.id());
     replicas.merge(model, 1, Integer::sum);
     bestVictims.forEach(victim -> replicas.merge(victim, -1, Integer::sum));
-    if (bestVictims.isEmpty()) {
-      steps.add(new Step(best, EndpointOrder.Operation.LOAD, model, "worth " + rounded(worth)));
-    } else {
-      steps.add(
-          new Step(
-              best,
-              EndpointOrder.Operation.UNLOAD,
-              bestVictims.getFirst(),
-              "makes way for " + model + " gain " + rounded(bestGain)));
-    }
+    String reason = "worth " + rounded(worth) + " gain " + rounded(bestGain);
+    steps.add(step(best, model, bestVictims, reason));
   }
 
   private static String rounded(double value) {
@@ -250,11 +277,11 @@
     }
     taken.add(best.id());
     if (best.fits(adapter)) {
-      steps.add(new Step(best, EndpointOrder.Operation.LOAD, adapter, "waited for"));
+      steps.add(new Step(best, EndpointOrder.Operation.LOAD, adapter, Optional.empty(), "waited for"));
       return;
     }
     Artifact victim = leastUsedAdapter(best).orElseThrow();
-    steps.add(new Step(best, EndpointOrder.Operation.UNLOAD, victim, "makes way for " + adapter));
+    steps.add(new Step(best, EndpointOrder.Operation.UNLOAD, victim, Optional.empty(), "makes way for " + adapter));
   }
 
   private Optional<Artifact> leastUsedAdapter(EndpointView view) {
--- a/src/main/java/org/magnoliavale/platform/EndpointListing.java
+++ b/src/main/java/org/magnoliavale/platform/EndpointListing.java
@@ -74,6 +74,7 @@
               text(tree, "zone"),
               state.equals("draining"),
               tree.path("slots").asInt(1),
+              // In an entry this counts heartbeats; in a report the same name counts orders.
               sequence.asLong(),
               models(tree.path("models")),
               names(tree.path("at-hand").path("in-memory")),
