Let later orders overtake earlier ones in the ledger; count placements in calls

An adapter that was dropped and loaded again left the drop open, so it was taken off the endpoint's count and nine stood in eight places. An entry that was on its way showed the state before an order. Endpoints that take no connection were ordered ten times a second and still counted as holding their models.

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -102,12 +102,22 @@
       return;
     }
     switch (state) {
-      case WAITING -> dispatch(nowNanos);
+      case WAITING -> {
+        dispatch(nowNanos);
+        checkWait(nowNanos);
+      }
       case SENT -> attempt.tick(nowNanos);
       case ENDED -> {}
     }
   }
 
+  private void checkWait(long nowNanos) {
+    boolean tooLong = nowNanos - plan.request().arrivedNanos() > plan.longestWaitNanos();
+    if (state == State.WAITING && tooLong) {
+      giveUp("artifact is not held", nowNanos);
+    }
+  }
+
   /** Tries again at once, because endpoints have changed. */
   synchronized void endpointsChanged(long nowNanos) {
     if (state == State.WAITING) {
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -35,6 +35,16 @@
   private static final double SAFE_SILENCE_SHARE = 2.0;
   private static final int LEAST_URGENT = 9;
 
+  /** Callers leave a stream that does not begin within this time, or the targets below. */
+  private static final long SHORTEST_PATIENCE_MS = 2_000;
+
+  private static final int PATIENCE_TARGETS = 4;
+
+  /** Share of the caller's patience for which a call waits before it is told to come back. */
+  private static final double PATIENCE_SHARE = 0.5;
+
+  private static final double DEADLINE_SHARE = 0.6;
+
   /** Target latency from which a stream yields to others of its rank, in milliseconds. */
   private static final long PATIENT_TARGET_MS = 4_000;
 
@@ -61,6 +71,17 @@
     return Math.min(LEAST_URGENT, 1 + 2 * route.priority() + patient);
   }
 
+  /** Returns how long the call may wait for an endpoint that can take it. */
+  long longestWaitNanos() {
+    long patienceMs =
+        Math.max(SHORTEST_PATIENCE_MS, PATIENCE_TARGETS * route.targetLatency().toMillis());
+    double share =
+        Math.min(
+            TimeUnit.MILLISECONDS.toNanos(patienceMs) * PATIENCE_SHARE,
+            (deadlineNanos() - request.arrivedNanos()) * DEADLINE_SHARE);
+    return (long) share;
+  }
+
   String id() {
     return facts.attemptId();
   }
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -235,6 +235,22 @@
     return state != null && state.isOpen();
   }
 
+  /** Returns the endpoints that are about to leave. */
+  public synchronized List<String> draining() {
+    return endpoints.values().stream()
+        .map(EndpointState::entry)
+        .filter(DirectoryEntry::draining)
+        .map(entry -> entry.identity().toString())
+        .toList();
+  }
+
+  /** Notes that an endpoint is about to leave, before its entry was read here. */
+  public synchronized void drains(String identity) {
+    endpoints.values().stream()
+        .filter(state -> state.entry().identity().toString().equals(identity))
+        .forEach(EndpointState::markGone);
+  }
+
   /** Returns the number of endpoints of a service that take calls. */
   public synchronized int size(ServiceId service) {
     return (int)
--- a/src/main/java/org/magnoliavale/internal/gateway/FleetExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/FleetExchange.java
@@ -5,6 +5,8 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.magnoliavale.internal.call.ArtifactDemand;
 import org.magnoliavale.internal.containment.CrashNote;
@@ -26,6 +28,9 @@
 final class FleetExchange implements PeerState, PeerListener {
   private static final DocumentText NO_DOCUMENT = new DocumentText(0, List.of());
 
+  /** Silence of the instance that gives orders after which its lease is looked at. */
+  private static final long HOLDER_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_100);
+
   private final String self;
   private final Membership membership;
   private final CrashRegistry crashes;
@@ -39,6 +44,8 @@
   private Runnable someoneLeaves = () -> {};
   private long lastChange;
   private volatile boolean leaving;
+  private volatile long holderHeardNanos = Long.MIN_VALUE;
+  private BooleanSupplier givesOrders = () -> false;
 
   FleetExchange(
       String self,
@@ -59,13 +66,24 @@
 
   /** Sets what is told and who hears of news, before links start. */
   void connect(
-      ResidencyLog residencyLog, Runnable onResidency, Runnable onDemand, Runnable onLeaving) {
+      BooleanSupplier holdsLease,
+      ResidencyLog residencyLog,
+      Runnable onResidency,
+      Runnable onDemand,
+      Runnable onLeaving) {
+    givesOrders = holdsLease;
     log = residencyLog;
     residencyChanged = onResidency;
     demandChanged = onDemand;
     someoneLeaves = onLeaving;
   }
 
+  /** Tells whether the instance that gives orders was heard of lately. */
+  boolean isHolderHeard() {
+    long heard = holderHeardNanos;
+    return heard != Long.MIN_VALUE && nanoClock.getAsLong() - heard < HOLDER_SILENCE_NANOS;
+  }
+
   void setLeaving() {
     leaving = true;
   }
@@ -92,6 +110,10 @@
   @Override
   public Heartbeat heartbeat() {
     Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setLeaving(leaving);
+    if (givesOrders.getAsBoolean()) {
+      heartbeat.setGivesOrders(true);
+      heartbeat.addAllDrainingEndpoints(endpoints.draining());
+    }
     ownUses()
         .forEach(
             (artifact, use) ->
@@ -130,6 +152,10 @@
     if (membership.heard(instance, heartbeat, now)) {
       someoneLeaves.run();
     }
+    if (heartbeat.getGivesOrders() && !heartbeat.getLeaving()) {
+      holderHeardNanos = now;
+    }
+    heartbeat.getDrainingEndpointsList().forEach(endpoints::drains);
     Map<Artifact, ArtifactUse> uses = new HashMap<>();
     boolean waits = false;
     for (var use : heartbeat.getUsesList()) {
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -55,7 +55,10 @@
   private static final Duration CONTROL_IDLE = Duration.ofSeconds(4);
 
   /** Time between two readings of the list of endpoints. */
-  private static final long DIRECTORY_INTERVAL_MS = 700;
+  private static final long DIRECTORY_INTERVAL_MS = 1_200;
+
+  /** The same for the instance that gives orders, which tells the others what is urgent. */
+  private static final long DIRECTORY_HOLDER_MS = 500;
 
   /** The same while the effect of an order is awaited by its giver. */
   private static final long DIRECTORY_HURRY_MS = 250;
@@ -92,6 +95,7 @@
   private final Executor orders = Executors.newVirtualThreadPerTaskExecutor();
   private volatile RouteTable routes;
   private volatile boolean listed;
+  private List<String> drainingTold = List.of();
   private volatile boolean leaving;
   private volatile boolean stopped;
 
@@ -136,7 +140,7 @@
             new ListedInstance(
                 settings.instance(), HttpAddresses.text(settings.peers().address()), "live"),
             System::nanoTime);
-    lease = new OrderLeaseKeeper(leaseKeeper(incarnation), ports.table());
+    lease = new OrderLeaseKeeper(leaseKeeper(incarnation), ports.table(), exchange::isHolderHeard);
     residency =
         ResidencyController.builder()
             .lease(lease)
@@ -157,7 +161,8 @@
             exchange,
             exchange,
             metrics.counter("link_frames_rejected"));
-    exchange.connect(residency.log(), calls::endpointsChanged, this::demandChanged, lease::hurry);
+    exchange.connect(
+        lease::isHeld, residency.log(), calls::endpointsChanged, this::demandChanged, lease::hurry);
     callerServer =
         network.server(
             settings.callers(),
@@ -296,14 +301,25 @@
           available = false;
         }
       }
-      sleep(lease.isHeld() && residency.isAwaiting() ? DIRECTORY_HURRY_MS : DIRECTORY_INTERVAL_MS);
+      sleep(directoryIntervalMs());
     }
   }
 
+  private long directoryIntervalMs() {
+    if (!lease.isHeld()) {
+      return DIRECTORY_INTERVAL_MS;
+    }
+    return residency.isAwaiting() ? DIRECTORY_HURRY_MS : DIRECTORY_HOLDER_MS;
+  }
+
   private void update(Collection<DirectoryEntry> entries) {
     endpoints.update(entries, System.nanoTime());
     residency.update(entries);
     listed = true;
+    if (lease.isHeld() && !endpoints.draining().equals(drainingTold)) {
+      drainingTold = endpoints.draining();
+      links.announce();
+    }
     calls.endpointsChanged();
   }
 
--- a/src/main/java/org/magnoliavale/internal/gateway/OrderLeaseKeeper.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/OrderLeaseKeeper.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.lease.LeaseKeeper;
 import org.magnoliavale.internal.logging.Logs;
@@ -25,13 +26,15 @@
 
   private final LeaseKeeper keeper;
   private final Table table;
+  private final BooleanSupplier holderHeard;
   private volatile boolean stopped;
   private boolean wasHeld;
   private long clockOffsetMs;
 
-  OrderLeaseKeeper(LeaseKeeper keeper, Table table) {
+  OrderLeaseKeeper(LeaseKeeper keeper, Table table, BooleanSupplier holderHeard) {
     this.keeper = keeper;
     this.table = table;
+    this.holderHeard = holderHeard;
     this.clockOffsetMs = offsetMs();
   }
 
@@ -106,7 +109,9 @@
     Optional<TableCall> call;
     synchronized (keeper) {
       checkSuspension();
-      call = keeper.tick(steadyMs());
+      // While the holder is heard of there is nothing to look at, and looking has a price.
+      boolean idle = !keeper.isHeld(steadyMs()) && holderHeard.getAsBoolean();
+      call = idle ? Optional.empty() : keeper.tick(steadyMs());
     }
     while (call.isPresent()) {
       TableAnswer answer = call.get().make(table);
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
@@ -35,12 +35,21 @@
   /** Time after which room that was made for a model is given up. */
   private static final long GOAL_MS = 15_000;
 
+  /** Heartbeats of which the last was certainly written after an order; one may be on its way. */
+  private static final long HEARTBEATS_AFTER = 2;
+
+  /** Time for which an endpoint that can't be reached gets no orders and counts as lost. */
+  private static final long UNREACHABLE_MS = 1_500;
+
   private final List<OpenOrder> open = new ArrayList<>();
   private DirectoryEntry entry;
   private OptionalLong sequence = OptionalLong.empty();
   private long acceptedNanos;
   private Optional<Artifact> goal = Optional.empty();
   private long goalNanos;
+  private boolean unreachable;
+  private long unreachableNanos;
+  private boolean replaced;
 
   EndpointLedger(DirectoryEntry entry) {
     this.entry = entry;
@@ -58,15 +67,21 @@
     open.removeIf(
         order -> {
           boolean shows = held.contains(order.artifact()) == order.isLoad();
-          return order.certain() && shows || age(order.sentNanos(), nowNanos) > LATENESS_MS;
+          return order.certain() && shows && isAfter(order)
+              || age(order.sentNanos(), nowNanos) > LATENESS_MS;
         });
     if (goal.isPresent() && age(goalNanos, nowNanos) > GOAL_MS) {
       goal = Optional.empty();
     }
   }
 
+  /** Tells whether the entry was certainly written after the order was accepted. */
+  private boolean isAfter(OpenOrder order) {
+    return order.isModel() || entry.heartbeat() >= order.heartbeat() + HEARTBEATS_AFTER;
+  }
+
   void opened(EndpointOrder order, long nowNanos) {
-    open.add(new OpenOrder(order, nowNanos, false, 0));
+    open.add(new OpenOrder(order, nowNanos, false, 0, 0));
   }
 
   /** Notes that the endpoint carries an order out; older ones can take effect no more. */
@@ -78,7 +93,13 @@
             !known.certain()
                 && !known.order().equals(order)
                 && known.order().expectedSequence() <= order.expectedSequence());
-    open.replaceAll(known -> known.order().equals(order) ? known.accepted() : known);
+    // What was ordered before with the same artifact is overtaken by this.
+    open.removeIf(
+        known ->
+            known.artifact().equals(order.artifact())
+                && known.order().expectedSequence() < order.expectedSequence());
+    open.replaceAll(
+        known -> known.order().equals(order) ? known.accepted(entry.heartbeat()) : known);
   }
 
   void sentAgain(EndpointOrder order, long nowNanos) {
@@ -93,6 +114,21 @@
     open.removeIf(known -> known.order().equals(order));
   }
 
+  /** Notes that the endpoint takes no connection. */
+  void unreachable(long nowNanos) {
+    unreachable = true;
+    unreachableNanos = nowNanos;
+  }
+
+  /** Notes that another incarnation answers at the address. */
+  void replaced() {
+    replaced = true;
+  }
+
+  private boolean isLost(long nowNanos) {
+    return replaced || unreachable && age(unreachableNanos, nowNanos) < UNREACHABLE_MS;
+  }
+
   /** Takes the sequence that the endpoint reported; a report lags behind. */
   void reported(long reportedSequence, long nowNanos) {
     boolean settled = age(acceptedNanos, nowNanos) > REPORT_LAG_MS;
@@ -129,9 +165,7 @@
     boolean busy = sequence.isEmpty();
     for (OpenOrder order : open) {
       boolean settled =
-          order.certain()
-              && !order.isModel()
-              && age(order.sentNanos(), nowNanos) > ADAPTER_LOAD_MS;
+          order.certain() && !order.isModel() && age(order.sentNanos(), nowNanos) > ADAPTER_LOAD_MS;
       busy |= order.isModel() || !order.certain();
       if (order.isLoad()) {
         artifacts.add(order.artifact());
@@ -145,7 +179,15 @@
       }
     }
     return new EndpointView(
-        entry, engine, artifacts, coming, leaving, sequence.orElse(0), busy, goal);
+        entry,
+        engine,
+        artifacts,
+        coming,
+        leaving,
+        sequence.orElse(0),
+        busy,
+        goal,
+        isLost(nowNanos));
   }
 
   private static long age(long sinceNanos, long nowNanos) {
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
@@ -24,6 +24,7 @@
  * @param sequence orders that it has accepted
  * @param busy whether it can take no order now
  * @param goal the model that room is being made for
+ * @param lost whether it can't be reached or was replaced
  */
 record EndpointView(
     DirectoryEntry entry,
@@ -33,11 +34,16 @@
     Set<Artifact> leaving,
     long sequence,
     boolean busy,
-    Optional<Artifact> goal) {
+    Optional<Artifact> goal,
+    boolean lost) {
   String id() {
     return entry.identity().id();
   }
 
+  boolean isUsable() {
+    return !lost && !entry.draining();
+  }
+
   boolean has(Artifact artifact) {
     return artifacts.contains(artifact) && !leaving.contains(artifact);
   }
@@ -106,7 +112,7 @@
   static Map<Artifact, Integer> replicas(List<EndpointView> views) {
     Map<Artifact, Integer> replicas = new HashMap<>();
     for (EndpointView view : views) {
-      if (view.entry().draining()) {
+      if (!view.isUsable()) {
         continue;
       }
       for (Artifact model : view.models()) {
--- a/src/main/java/org/magnoliavale/internal/residency/OpenOrder.java
+++ b/src/main/java/org/magnoliavale/internal/residency/OpenOrder.java
@@ -9,8 +9,9 @@
  * @param sentNanos when it was sent last
  * @param certain whether the endpoint said that it carries it out
  * @param copies how often it was sent again
+ * @param heartbeat the endpoint's heartbeat that was known when it said so
  */
-record OpenOrder(EndpointOrder order, long sentNanos, boolean certain, int copies) {
+record OpenOrder(EndpointOrder order, long sentNanos, boolean certain, int copies, long heartbeat) {
   boolean isModel() {
     return order.artifact().adapter().isEmpty();
   }
@@ -23,11 +24,11 @@
     return order.artifact();
   }
 
-  OpenOrder accepted() {
-    return new OpenOrder(order, sentNanos, true, copies);
+  OpenOrder accepted(long knownHeartbeat) {
+    return new OpenOrder(order, sentNanos, true, copies, knownHeartbeat);
   }
 
   OpenOrder sentAgain(long nowNanos) {
-    return new OpenOrder(order, nowNanos, certain, copies + 1);
+    return new OpenOrder(order, nowNanos, certain, copies + 1, heartbeat);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -326,7 +326,15 @@
         case ACCEPTED -> ledger.accepted(order, now);
         case DONE -> done(ledger, order, now);
         case CONFLICT -> conflict(ledger, order, report, now);
-        case FENCED, OTHER_INCARNATION, INVALID, NOT_SENT -> ledger.closed(order);
+        case FENCED, INVALID -> ledger.closed(order);
+        case OTHER_INCARNATION -> {
+          ledger.closed(order);
+          ledger.replaced();
+        }
+        case NOT_SENT -> {
+          ledger.closed(order);
+          ledger.unreachable(now);
+        }
         case UNKNOWN -> {}
       }
       boolean adapter = order.artifact().adapter().isPresent();
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -15,9 +14,9 @@
 /**
  * Decides which orders to give now. A pure function of what endpoints hold and what is asked for.
  *
- * <p>Every replica of a model has a worth: the first one serves all its requests, further ones only
- * spread them. A model takes the place of others when its worth exceeds theirs by more than the
- * move costs. Adapters go where their model is.
+ * <p>Gains and losses are counted in calls. The first replica of a model serves all its calls from
+ * the end of its load on; further ones serve when another one fails. A model takes the place of
+ * others when its gain exceeds their loss clearly. Adapters go where their model is.
  */
 final class ResidencyPlanner {
   /**
@@ -36,18 +35,19 @@
       Optional<Artifact> goal,
       String reason) {}
 
-  /** Worth of the first replica for each request a second, and for each waiting call. */
-  private static final double FIRST_REPLICA_WORTH = 20;
+  /** Time for which a placement is expected to serve, in seconds. */
+  private static final double HORIZON_S = 10;
 
-  private static final double WAITING_WORTH = 30;
+  /** Time in which calls for a model that was dropped have to wait, in seconds. */
+  private static final double RELOAD_S = 4;
 
-  /** Worth of a second replica for each request a second; it serves when the first one fails. */
-  private static final double SECOND_REPLICA_WORTH = 1;
+  /** Share of a model's calls that a second replica saves when the first one fails. */
+  private static final double SECOND_REPLICA_SHARE = 0.15;
 
-  private static final double FURTHER_REPLICA_WORTH = 0.25;
+  private static final double FURTHER_REPLICA_SHARE = 0.03;
 
-  /** Worth of a model that nobody asks for now; it makes a later request quick. */
-  private static final double STANDBY_WORTH = 0.2;
+  /** Calls that a model is worth that nobody asks for now; it makes a later one quick. */
+  private static final double STANDBY_CALLS = 0.3;
 
   /** Requests a second below which one replica is enough. */
   private static final double SECOND_REPLICA_RATE = 1.2;
@@ -58,8 +58,11 @@
   /** Factor by which a gain must exceed the loss of what makes way. */
   private static final double HYSTERESIS = 1.3;
 
-  /** Worth that a second of loading costs. */
-  private static final double COST_PER_SECOND = 0.15;
+  /** Time after which most waiting calls have left, in seconds. */
+  private static final double PATIENCE_S = 2;
+
+  /** Share of waiting calls that are still served after a longer load. */
+  private static final double PATIENT_SHARE = 0.5;
 
   private final List<EndpointView> views;
   private final Map<Artifact, ArtifactUse> uses;
@@ -70,7 +73,7 @@
 
   private ResidencyPlanner(
       List<EndpointView> views, Map<Artifact, ArtifactUse> uses, boolean storeLoadAllowed) {
-    this.views = views.stream().filter(view -> !view.entry().draining()).toList();
+    this.views = views.stream().filter(EndpointView::isUsable).toList();
     this.uses = uses;
     this.replicas = EndpointView.replicas(views);
     this.storeLoadAllowed = storeLoadAllowed;
@@ -91,16 +94,11 @@
     for (EndpointView view : views) {
       view.engine().modelNames().forEach(name -> models.add(new Artifact(name, Optional.empty())));
     }
-    Map<Artifact, Double> worth = new HashMap<>();
-    models.forEach(model -> worth.put(model, worthOfNext(model)));
     List<Artifact> wanted = new ArrayList<>(models);
-    wanted.removeIf(model -> worth.get(model) <= 0);
     wanted.sort(
-        Comparator.comparingDouble((Artifact model) -> -worth.get(model))
+        Comparator.comparingDouble((Artifact model) -> -gainOfNext(model, 0))
             .thenComparing(Artifact::toString));
-    for (Artifact model : wanted) {
-      place(model, worth.get(model));
-    }
+    wanted.forEach(this::place);
   }
 
   /** Goes on with endpoints that are making room for a model. */
@@ -143,25 +141,37 @@
     return total;
   }
 
-  /** Returns what one replica more is worth. */
-  private double worthOfNext(Artifact model) {
-    return worthOf(model, replicas.getOrDefault(model, 0) + 1);
+  /** Returns how many calls one replica more serves that would not be served in time. */
+  private double gainOfNext(Artifact model, double loadSeconds) {
+    ArtifactUse use = use(model);
+    double rate = use.perSecond();
+    double serving = Math.max(0, HORIZON_S - loadSeconds);
+    int count = replicas.getOrDefault(model, 0);
+    if (count == 0) {
+      double waiting = use.waiting() * (loadSeconds <= PATIENCE_S ? 1 : PATIENT_SHARE);
+      return STANDBY_CALLS + rate * serving + waiting;
+    }
+    if (count == 1) {
+      return rate >= SECOND_REPLICA_RATE ? rate * serving * SECOND_REPLICA_SHARE : 0;
+    }
+    return rate >= RATE_PER_REPLICA * count ? rate * serving * FURTHER_REPLICA_SHARE : 0;
   }
 
-  /** Returns what the last one of so many replicas is worth. */
-  private double worthOf(Artifact model, int count) {
+  /** Returns how many calls suffer when the last one of a model's replicas goes. */
+  private double lossOfLast(Artifact model) {
     ArtifactUse use = use(model);
     double rate = use.perSecond();
+    int count = replicas.getOrDefault(model, 1);
     if (count <= 1) {
-      return STANDBY_WORTH + rate * FIRST_REPLICA_WORTH + use.waiting() * WAITING_WORTH;
+      return STANDBY_CALLS + rate * RELOAD_S + use.waiting();
     }
     if (count == 2) {
-      return rate >= SECOND_REPLICA_RATE ? rate * SECOND_REPLICA_WORTH : 0;
+      return rate >= SECOND_REPLICA_RATE ? rate * HORIZON_S * SECOND_REPLICA_SHARE : 0;
     }
-    return rate >= RATE_PER_REPLICA * (count - 1) ? rate * FURTHER_REPLICA_WORTH : 0;
+    return rate >= RATE_PER_REPLICA * (count - 1) ? rate * HORIZON_S * FURTHER_REPLICA_SHARE : 0;
   }
 
-  private void place(Artifact model, double worth) {
+  private void place(Artifact model) {
     EndpointView best = null;
     List<Artifact> bestVictims = List.of();
     double bestGain = 0;
@@ -176,8 +186,8 @@
       if (victims == null) {
         continue;
       }
-      double loss = victims.stream().mapToDouble(this::worthOfLast).sum();
-      double gain = worth - loss * HYSTERESIS - loadSeconds(view, model) * COST_PER_SECOND;
+      double loss = victims.stream().mapToDouble(this::lossOfLast).sum();
+      double gain = gainOfNext(model, loadSeconds(view, model)) - loss * HYSTERESIS;
       if (gain > bestGain) {
         best = view;
         bestVictims = victims;
@@ -188,9 +198,17 @@
       return;
     }
     taken.add(best.id());
+    String reason =
+        "rate "
+            + rounded(use(model).perSecond())
+            + " waiting "
+            + use(model).waiting()
+            + " replicas "
+            + replicas.getOrDefault(model, 0)
+            + " gain "
+            + rounded(bestGain);
     replicas.merge(model, 1, Integer::sum);
     bestVictims.forEach(victim -> replicas.merge(victim, -1, Integer::sum));
-    String reason = "worth " + rounded(worth) + " gain " + rounded(bestGain);
     steps.add(step(best, model, bestVictims, reason));
   }
 
@@ -198,10 +216,6 @@
     return String.valueOf(Math.round(value * 10) / 10.0);
   }
 
-  private double worthOfLast(Artifact model) {
-    return worthOf(model, replicas.getOrDefault(model, 1));
-  }
-
   /** Returns the models that must go so that another fits, cheapest first; null if none do. */
   private List<Artifact> victims(EndpointView view, Artifact model) {
     EngineSpecification engine = view.engine();
@@ -209,8 +223,7 @@
     List<Artifact> victims = new ArrayList<>();
     List<Artifact> candidates = new ArrayList<>(view.models());
     candidates.removeIf(candidate -> view.coming().contains(candidate));
-    candidates.sort(
-        Comparator.comparingDouble(this::worthOfLast).thenComparing(Artifact::toString));
+    candidates.sort(Comparator.comparingDouble(this::lossOfLast).thenComparing(Artifact::toString));
     for (Artifact candidate : candidates) {
       if (missing <= 0) {
         break;
@@ -277,11 +290,18 @@
     }
     taken.add(best.id());
     if (best.fits(adapter)) {
-      steps.add(new Step(best, EndpointOrder.Operation.LOAD, adapter, Optional.empty(), "waited for"));
+      steps.add(
+          new Step(best, EndpointOrder.Operation.LOAD, adapter, Optional.empty(), "waited for"));
       return;
     }
     Artifact victim = leastUsedAdapter(best).orElseThrow();
-    steps.add(new Step(best, EndpointOrder.Operation.UNLOAD, victim, Optional.empty(), "makes way for " + adapter));
+    steps.add(
+        new Step(
+            best,
+            EndpointOrder.Operation.UNLOAD,
+            victim,
+            Optional.empty(),
+            "makes way for " + adapter));
   }
 
   private Optional<Artifact> leastUsedAdapter(EndpointView view) {
--- a/src/main/java/org/magnoliavale/platform/PlatformPorts.java
+++ b/src/main/java/org/magnoliavale/platform/PlatformPorts.java
@@ -14,7 +14,7 @@
   private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
 
   /** Time for which the store holds a call until the configuration changes. */
-  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1_500);
+  private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(2_000);
 
   private static final Duration WORKER_TIMEOUT = Duration.ofMillis(300);
 
