Let endpoints that are listed again take calls, try refused adapters again soon; tests

Cause: an endpoint that was missing from one reading of the list was taken as gone for good, so two instances waited for a model that stood on it. A call that met an adapter still being loaded (421) never tried that endpoint again.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -273,9 +273,10 @@
           .facts()
           .generation()
           .map(Generation::artifact)
-          .ifPresent(artifact -> pool().refute(identity(), artifact));
+          .ifPresent(artifact -> pool().refute(identity(), artifact, now));
     }
-    call.notRun(this, "refused with status " + answer.status(), true, now);
+    boolean elsewhere = answer.otherIncarnation() || answer.status() != MISDIRECTED;
+    call.refused(this, "refused with status " + answer.status(), elsewhere, now);
   }
 
   @Override
@@ -290,7 +291,7 @@
       } else if (failure == AttemptFailure.NOT_SENT) {
         close(CallResult.UNREACHABLE, now);
         call.services().containment().down(identity(), now);
-        call.notRun(this, reason, false, now);
+        call.unreachable(this, reason, now);
       } else {
         lost(reason, now);
       }
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -15,7 +15,6 @@
 import org.magnoliavale.internal.dispatch.Choice;
 import org.magnoliavale.internal.dispatch.Generation;
 import org.magnoliavale.internal.dispatch.Selection;
-import org.magnoliavale.internal.http.Problems;
 import org.magnoliavale.internal.logging.Logs;
 
 /**
@@ -206,14 +205,29 @@
     awaited = Optional.empty();
   }
 
-  /** Takes the end of an attempt that the endpoint certainly did not run. */
-  void notRun(Attempt source, String reason, boolean reached, long nowNanos) {
+  /**
+   * Takes an endpoint's word that it did not run the call.
+   *
+   * @param elsewhere whether the endpoint must not be tried again
+   */
+  void refused(Attempt source, String reason, boolean elsewhere, long nowNanos) {
+    if (elsewhere) {
+      excluded.add(source.endpoint().identity());
+    }
+    notRun(source, reason, services.budget().trySpend(plan.service(), nowNanos), nowNanos);
+  }
+
+  /** Takes the end of an attempt of which no byte left. */
+  void unreachable(Attempt source, String reason, long nowNanos) {
+    excluded.add(source.endpoint().identity());
+    notRun(source, reason, true, nowNanos);
+  }
+
+  private void notRun(Attempt source, String reason, boolean affordable, long nowNanos) {
     refusals++;
     lastReason = reason;
-    excluded.add(source.endpoint().identity());
     state = State.WAITING;
-    boolean more = refusals <= MAXIMUM_REFUSALS && hasTime(nowNanos);
-    if (more && (!reached || services.budget().trySpend(plan.service(), nowNanos))) {
+    if (affordable && refusals <= MAXIMUM_REFUSALS && hasTime(nowNanos)) {
       logRepeat(source, reason);
       dispatch(nowNanos);
     } else {
@@ -356,16 +370,7 @@
 
   private void answerProblem(ErrorCode status, MagnoliavaleException problem) {
     end();
-    HttpFields.Mutable headers =
-        HttpFields.build(services.protocol().own(plan.id()))
-            .put("Content-Type", "application/problem+json");
-    problem.retryAfter().ifPresent(delay -> headers.put("Retry-After", seconds(delay)));
-    caller.answer(status.httpStatus(), headers, ByteBuffer.wrap(Problems.body(problem)));
-  }
-
-  private static String seconds(Duration delay) {
-    double millisecondsPerSecond = 1_000;
-    return Double.toString(delay.toMillis() / millisecondsPerSecond);
+    OwnAnswers.problem(services.protocol(), plan.id(), caller, status.httpStatus(), problem);
   }
 
   private void cancelAttempt(CallResult result, long nowNanos) {
--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -1,16 +1,13 @@
 package org.magnoliavale.internal.call;
 
-import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
-import org.eclipse.jetty.http.HttpFields;
 import org.jboss.logging.Logger;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
 import org.magnoliavale.internal.containment.Fingerprint;
-import org.magnoliavale.internal.http.Problems;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.route.Route;
@@ -83,10 +80,7 @@
   /** Answers a request that no route takes or that can't be read. */
   public void reject(CallFacts facts, CallerPort caller, ErrorCode code, String reason) {
     MagnoliavaleException problem = MagnoliavaleException.of(code, reason);
-    HttpFields.Mutable headers =
-        HttpFields.build(services.protocol().own(facts.attemptId()))
-            .put("Content-Type", "application/problem+json");
-    caller.answer(code.httpStatus(), headers, ByteBuffer.wrap(Problems.body(problem)));
+    OwnAnswers.problem(services.protocol(), facts.attemptId(), caller, code.httpStatus(), problem);
   }
 
   /** Lets all calls look at the time. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -65,19 +65,10 @@
           .computeIfAbsent(entry.identity(), ignored -> new EndpointState(entry, nowNanos))
           .update(entry);
     }
-    endpoints.forEach(
-        (identity, state) -> {
-          if (!present.contains(identity)) {
-            state.markGone();
-          }
-        });
+    endpoints.forEach((identity, state) -> state.setListed(present.contains(identity)));
     endpoints
         .values()
-        .removeIf(
-            state ->
-                !state.isOpen()
-                    && state.inFlight() == 0
-                    && !present.contains(state.entry().identity()));
+        .removeIf(state -> !present.contains(state.entry().identity()) && state.inFlight() == 0);
   }
 
   /** Chooses where a call goes, and takes a slot there if it goes anywhere. */
@@ -89,7 +80,7 @@
     List<EndpointState> able = new ArrayList<>(open);
     if (selection.generation().isPresent()) {
       Artifact artifact = selection.generation().get().artifact();
-      able.removeIf(state -> !state.holds(artifact));
+      able.removeIf(state -> !state.holds(artifact, nowNanos));
       if (able.isEmpty()) {
         return new Choice.AwaitArtifact(artifact);
       }
@@ -197,15 +188,15 @@
   public synchronized void replaced(EndpointIdentity identity) {
     EndpointState state = endpoints.get(identity);
     if (state != null) {
-      state.markGone();
+      state.replaced();
     }
   }
 
   /** Notes that an endpoint said that it does not hold an artifact. */
-  public synchronized void refute(EndpointIdentity identity, Artifact artifact) {
+  public synchronized void refute(EndpointIdentity identity, Artifact artifact, long nowNanos) {
     EndpointState state = endpoints.get(identity);
     if (state != null) {
-      state.refute(artifact);
+      state.refute(artifact, nowNanos);
     }
   }
 
@@ -217,10 +208,10 @@
   }
 
   /** Notes that an artifact is dropped, before the endpoint's own entry shows it. */
-  public synchronized void withdraw(String endpointId, Artifact artifact) {
+  public synchronized void withdraw(String endpointId, Artifact artifact, long nowNanos) {
     endpoints.values().stream()
         .filter(state -> state.entry().identity().id().equals(endpointId))
-        .forEach(state -> state.refute(artifact));
+        .forEach(state -> state.withdraw(artifact, nowNanos));
   }
 
   /** Tells whether an endpoint has calls in progress and has sent nothing for too long. */
@@ -248,7 +239,7 @@
   public synchronized void drains(String identity) {
     endpoints.values().stream()
         .filter(state -> state.entry().identity().toString().equals(identity))
-        .forEach(EndpointState::markGone);
+        .forEach(EndpointState::leaves);
   }
 
   /** Returns the number of endpoints of a service that take calls. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -1,6 +1,8 @@
 package org.magnoliavale.internal.dispatch;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -21,14 +23,24 @@
   /** Time for which an endpoint with repeated failures gets no further calls. */
   private static final long EJECTION_MS = 1_000;
 
+  /** Time for which a refused adapter is taken as not there; its load takes about so long. */
+  private static final long ADAPTER_PAUSE_MS = 60;
+
+  private static final long MODEL_PAUSE_MS = 1_000;
+
+  /** Time by which an endpoint's own entry shows that an artifact was dropped. */
+  private static final long WITHDRAWAL_MS = 2_500;
+
   private static final int FAILURES_BEFORE_EJECTION = 3;
   private static final double SMOOTHING = 0.2;
 
   private final PromptMemory prompts = new PromptMemory();
-  private final Set<Artifact> refuted = new HashSet<>();
+  private final Map<Artifact, Long> refuted = new HashMap<>();
   private final Set<Artifact> announced = new HashSet<>();
   private DirectoryEntry entry;
-  private boolean gone;
+  private boolean listed = true;
+  private boolean leaving;
+  private boolean replaced;
   private int inFlight;
   private int inFlightAtReport;
   private ReportedLoad report;
@@ -68,17 +80,28 @@
   void update(DirectoryEntry newer) {
     if (newer.heartbeat() != entry.heartbeat()) {
       refuted.clear();
-      announced.clear();
+      announced.removeIf(artifact -> shows(newer, artifact));
     }
     entry = newer;
   }
 
-  void markGone() {
-    gone = true;
+  /** Notes whether the endpoint is listed; one that is listed again takes calls again. */
+  void setListed(boolean value) {
+    listed = value;
+  }
+
+  /** Notes that the endpoint is about to leave, before its entry was read here. */
+  void leaves() {
+    leaving = true;
+  }
+
+  /** Notes that another incarnation answers at the address. */
+  void replaced() {
+    replaced = true;
   }
 
   boolean isOpen() {
-    return !gone && !entry.draining();
+    return listed && !leaving && !replaced && !entry.draining();
   }
 
   boolean isHealthy(long nowNanos) {
@@ -89,21 +112,34 @@
     return inFlight > 0 && milliseconds(nowNanos - heardNanos) > SILENCE_LIMIT_MS;
   }
 
-  boolean holds(Artifact artifact) {
-    if (refuted.contains(artifact) || refuted.contains(artifact.base())) {
+  boolean holds(Artifact artifact, long nowNanos) {
+    if (isRefuted(artifact, nowNanos) || isRefuted(artifact.base(), nowNanos)) {
       return false;
     }
-    if (announced.contains(artifact)) {
-      return true;
-    }
+    return announced.contains(artifact) || shows(entry, artifact);
+  }
+
+  private boolean isRefuted(Artifact artifact, long nowNanos) {
+    Long until = refuted.get(artifact);
+    return until != null && until - nowNanos > 0;
+  }
+
+  private static boolean shows(DirectoryEntry entry, Artifact artifact) {
     Optional<HeldModel> model = entry.model(artifact.model());
     return model.isPresent()
         && artifact.adapter().map(model.get().adapters()::contains).orElse(true);
   }
 
-  void refute(Artifact artifact) {
+  /** Notes that the endpoint refused an artifact that it may be loading. */
+  void refute(Artifact artifact, long nowNanos) {
+    long pause = artifact.adapter().isPresent() ? ADAPTER_PAUSE_MS : MODEL_PAUSE_MS;
+    refuted.put(artifact, nowNanos + TimeUnit.MILLISECONDS.toNanos(pause));
+  }
+
+  /** Notes that an artifact is being dropped. */
+  void withdraw(Artifact artifact, long nowNanos) {
     announced.remove(artifact);
-    refuted.add(artifact);
+    refuted.put(artifact, nowNanos + TimeUnit.MILLISECONDS.toNanos(WITHDRAWAL_MS));
   }
 
   void announce(Artifact artifact) {
--- a/src/main/java/org/magnoliavale/internal/gateway/FleetExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/FleetExchange.java
@@ -205,7 +205,7 @@
       if (change.held()) {
         endpoints.announce(change.endpointId(), change.artifact());
       } else {
-        endpoints.withdraw(change.endpointId(), change.artifact());
+        endpoints.withdraw(change.endpointId(), change.artifact(), nanoClock.getAsLong());
       }
     }
     return applied;
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -112,19 +112,7 @@
     crashWatch = new CrashWatch(crashes);
     ArtifactDemand demand = new ArtifactDemand(this::announceDemand);
     FleetDemand fleetDemand = new FleetDemand();
-    calls =
-        new CallRegistry(
-            new CallServices(
-                ports.protocol(),
-                new JettyEndpointConnector(endpointClient),
-                endpoints,
-                budget(),
-                demand,
-                crashWatch,
-                () -> routes,
-                new CallMetrics(metrics),
-                System::nanoTime),
-            ThreadLocalRandom.current());
+    calls = new CallRegistry(callServices(demand), ThreadLocalRandom.current());
     exchange =
         new FleetExchange(
             settings.instance(),
@@ -141,18 +129,7 @@
                 settings.instance(), HttpAddresses.text(settings.peers().address()), "live"),
             System::nanoTime);
     lease = new OrderLeaseKeeper(leaseKeeper(incarnation), ports.table(), exchange::isHolderHeard);
-    residency =
-        ResidencyController.builder()
-            .lease(lease)
-            .control(ports.control())
-            .demand(fleetDemand)
-            .routes(() -> routes)
-            .self(settings.instance())
-            .executor(orders)
-            .nanoClock(System::nanoTime)
-            .changed(this::announceResidency)
-            .ceilingWindowSeconds(settings.ceilingWindow().toSeconds())
-            .build();
+    residency = residencyController(fleetDemand);
     links =
         new PeerLinks(
             settings.peers(),
@@ -176,6 +153,33 @@
     return new GatewayInstance(settings, factory);
   }
 
+  private CallServices callServices(ArtifactDemand demand) {
+    return new CallServices(
+        ports.protocol(),
+        new JettyEndpointConnector(endpointClient),
+        endpoints,
+        budget(),
+        demand,
+        crashWatch,
+        () -> routes,
+        new CallMetrics(metrics),
+        System::nanoTime);
+  }
+
+  private ResidencyController residencyController(FleetDemand fleetDemand) {
+    return ResidencyController.builder()
+        .lease(lease)
+        .control(ports.control())
+        .demand(fleetDemand)
+        .routes(() -> routes)
+        .self(settings.instance())
+        .executor(orders)
+        .nanoClock(System::nanoTime)
+        .changed(this::announceResidency)
+        .ceilingWindowSeconds(settings.ceilingWindow().toSeconds())
+        .build();
+  }
+
   private FleetRetryBudget budget() {
     return new FleetRetryBudget(
         settings.repeatRatio(),
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
@@ -21,7 +21,7 @@
  */
 final class EndpointLedger {
   /** Time after which an accepted adapter load is taken as done. */
-  private static final long ADAPTER_LOAD_MS = 30;
+  static final long ADAPTER_LOAD_MS = 25;
 
   /** Time after which an order that got no answer can take effect no more. */
   private static final long LATENESS_MS = 13_000;
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointOrderAnswer.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointOrderAnswer.java
@@ -16,6 +16,8 @@
   INVALID,
   /** No answer; the order may be carried out, also later. */
   UNKNOWN,
-  /** The order did not leave. */
-  NOT_SENT
+  /** The order did not leave, because no connection could be made. */
+  NOT_SENT,
+  /** The order did not leave, because the right to give it was over. */
+  WITHHELD
 }
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
@@ -297,13 +298,19 @@
   private void send(DirectoryEntry entry, EndpointOrder order) {
     // The right to order is checked last, after every wait.
     if (!lease.isHeld() || lease.fence() != order.fence()) {
-      settle(entry, order, EndpointOrderAnswer.NOT_SENT, Optional.empty());
+      settle(entry, order, EndpointOrderAnswer.WITHHELD, Optional.empty());
       return;
     }
     EndpointOrderAnswer answer = control.order(entry, order);
     Optional<EndpointReport> report =
         answer == EndpointOrderAnswer.CONFLICT ? control.report(entry) : Optional.empty();
     settle(entry, order, answer, report);
+    boolean adapterLoad =
+        order.operation() == EndpointOrder.Operation.LOAD && order.artifact().adapter().isPresent();
+    if (answer == EndpointOrderAnswer.ACCEPTED && adapterLoad) {
+      announceLoaded(entry, order);
+    }
+    changed.run();
   }
 
   private void settle(
@@ -320,13 +327,12 @@
       if (ledger == null) {
         return;
       }
-      boolean load = order.operation() == EndpointOrder.Operation.LOAD;
       long now = nanoClock.getAsLong();
       switch (answer) {
         case ACCEPTED -> ledger.accepted(order, now);
         case DONE -> done(ledger, order, now);
         case CONFLICT -> conflict(ledger, order, report, now);
-        case FENCED, INVALID -> ledger.closed(order);
+        case FENCED, INVALID, WITHHELD -> ledger.closed(order);
         case OTHER_INCARNATION -> {
           ledger.closed(order);
           ledger.replaced();
@@ -337,12 +343,20 @@
         }
         case UNKNOWN -> {}
       }
-      boolean adapter = order.artifact().adapter().isPresent();
-      if (answer == EndpointOrderAnswer.ACCEPTED && load && adapter) {
-        tell(entry.identity().id(), order.artifact(), true, nanoClock.getAsLong());
-      }
     }
-    changed.run();
+  }
+
+  /** Tells of an adapter once it is there; until then calls for it would be refused. */
+  private void announceLoaded(DirectoryEntry entry, EndpointOrder order) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(EndpointLedger.ADAPTER_LOAD_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return;
+    }
+    synchronized (this) {
+      tell(entry.identity().id(), order.artifact(), true, nanoClock.getAsLong());
+    }
   }
 
   /**
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -49,6 +49,9 @@
   /** Calls that a model is worth that nobody asks for now; it makes a later one quick. */
   private static final double STANDBY_CALLS = 0.3;
 
+  /** The same for a second replica, which the operator may have placed for demand to come. */
+  private static final double UNKNOWN_CALLS = 0.1;
+
   /** Requests a second below which one replica is enough. */
   private static final double SECOND_REPLICA_RATE = 1.2;
 
@@ -166,7 +169,7 @@
       return STANDBY_CALLS + rate * RELOAD_S + use.waiting();
     }
     if (count == 2) {
-      return rate >= SECOND_REPLICA_RATE ? rate * HORIZON_S * SECOND_REPLICA_SHARE : 0;
+      return rate >= SECOND_REPLICA_RATE ? rate * HORIZON_S * SECOND_REPLICA_SHARE : UNKNOWN_CALLS;
     }
     return rate >= RATE_PER_REPLICA * (count - 1) ? rate * HORIZON_S * FURTHER_REPLICA_SHARE : 0;
   }
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/call/RecordingCaller.java
@@ -0,0 +1,73 @@
+package org.magnoliavale.internal.call;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpFields;
+
+/** A caller that records what it gets. */
+final class RecordingCaller implements CallerPort {
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+  private HttpFields headers = HttpFields.EMPTY;
+  private String ending = "open";
+
+  int status() {
+    return status;
+  }
+
+  HttpFields headers() {
+    return headers;
+  }
+
+  String body() {
+    return body.toString(StandardCharsets.UTF_8);
+  }
+
+  /** Returns {@code open}, {@code whole}, {@code finished} or {@code aborted}. */
+  String ending() {
+    return ending;
+  }
+
+  @Override
+  public void answer(int answerStatus, HttpFields answerHeaders, ByteBuffer bytes) {
+    begin(answerStatus, answerHeaders);
+    append(bytes);
+    end("whole");
+  }
+
+  @Override
+  public void begin(int answerStatus, HttpFields answerHeaders) {
+    status = answerStatus;
+    headers = answerHeaders;
+  }
+
+  @Override
+  public void write(ByteBuffer bytes, Runnable written) {
+    append(bytes);
+    written.run();
+  }
+
+  @Override
+  public void finish() {
+    end("finished");
+  }
+
+  @Override
+  public void abort() {
+    end("aborted");
+  }
+
+  private void append(ByteBuffer bytes) {
+    while (bytes.hasRemaining()) {
+      body.write(bytes.get());
+    }
+  }
+
+  private void end(String how) {
+    if (!ending.equals("open")) {
+      throw new IllegalStateException("ended twice: " + ending + ", " + how);
+    }
+    ending = how;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/dispatch/TestEntries.java
@@ -0,0 +1,65 @@
+package org.magnoliavale.internal.dispatch;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.HeldModel;
+import org.magnoliavale.internal.identifier.ServiceId;
+
+/** Entries of endpoints for tests. */
+public final class TestEntries {
+  /** The service that all entries belong to. */
+  public static final ServiceId SERVICE = new ServiceId("assistant");
+
+  private static final int SLOTS = 8;
+
+  private TestEntries() {}
+
+  /**
+   * Returns an endpoint that holds {@code artifacts}, as {@code MODEL} or {@code MODEL/ADAPTER}.
+   */
+  public static DirectoryEntry entry(String id, long heartbeat, String... artifacts) {
+    return entry(id, heartbeat, false, artifacts);
+  }
+
+  /** Returns an endpoint that is about to leave. */
+  public static DirectoryEntry draining(String id, long heartbeat, String... artifacts) {
+    return entry(id, heartbeat, true, artifacts);
+  }
+
+  private static DirectoryEntry entry(
+      String id, long heartbeat, boolean draining, String... artifacts) {
+    List<HeldModel> models = new ArrayList<>();
+    for (String text : artifacts) {
+      Artifact artifact = Artifact.parse(text);
+      if (artifact.adapter().isEmpty()) {
+        models.add(new HeldModel(artifact.model(), adapters(artifact.model(), artifacts)));
+      }
+    }
+    return new DirectoryEntry(
+        new EndpointIdentity(id, 1),
+        SERVICE,
+        new InetSocketAddress("127.0.0.1", 1),
+        "east",
+        draining,
+        SLOTS,
+        heartbeat,
+        DirectoryEntry.byName(models),
+        Set.of(),
+        Set.of());
+  }
+
+  private static Set<String> adapters(String model, String... artifacts) {
+    Set<String> adapters = new java.util.HashSet<>();
+    for (String text : artifacts) {
+      Artifact artifact = Artifact.parse(text);
+      if (artifact.model().equals(model)) {
+        artifact.adapter().ifPresent(adapters::add);
+      }
+    }
+    return adapters;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
@@ -0,0 +1,112 @@
+package org.magnoliavale.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliavale.internal.call.AnswerFacts;
+import org.magnoliavale.internal.call.Forwarding;
+import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.dispatch.PromptPart;
+import org.magnoliavale.internal.dispatch.ReportedLoad;
+
+class WorkerProtocolTest {
+  private final WorkerProtocol protocol = new WorkerProtocol();
+
+  private HttpFields outgoing(HttpFields fromCaller) {
+    return protocol.outgoing(
+        fromCaller,
+        new Forwarding(new EndpointIdentity("i-1", 7), Duration.ofMillis(900), 3, Optional.of(4L)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X-Hold",
+        "X-Pin-Duration",
+        "X-Key-Value-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+        "Connection",
+        "Transfer-Encoding",
+        "Keep-Alive"
+      })
+  void headersThatAreNotTheCallersToSetAreDropped(String name) {
+    assertThat(outgoing(HttpFields.build().put(name, "x")).contains(name)).isFalse();
+  }
+
+  @Test
+  void headersThatTheConnectionHeaderNamesAreDropped() {
+    HttpFields fields = HttpFields.build().put("Connection", "X-Mine").put("X-Mine", "1");
+    assertThat(outgoing(fields).contains("X-Mine")).isFalse();
+  }
+
+  @Test
+  void systemHeadersReplaceTheCallersOwn() {
+    HttpFields fields =
+        HttpFields.build()
+            .put("X-Expected-Instance", "i-9")
+            .put("X-Request-Priority", "0")
+            .put("X-Time-Remaining", "99999")
+            .put("Last-Event-Id", "1");
+    HttpFields outgoing = outgoing(fields);
+    assertThat(outgoing.getValuesList("X-Expected-Instance")).containsExactly("i-1");
+    assertThat(outgoing.getValuesList("X-Request-Priority")).containsExactly("3");
+    assertThat(outgoing.getValuesList("X-Time-Remaining")).containsExactly("900");
+    assertThat(outgoing.getValuesList("Last-Event-Id")).containsExactly("4");
+  }
+
+  @Test
+  void otherHeadersPassUnchanged() {
+    HttpFields fields =
+        HttpFields.build()
+            .put("Host", "menus.example")
+            .put("X-Request-Attempt-Id", "id")
+            .put("X-Model", "m/a1")
+            .put("X-Prompt-Prefix", "1:2,3:4")
+            .put("X-Length-Hint", "5");
+    HttpFields outgoing = outgoing(fields);
+    fields.forEach(field -> assertThat(outgoing.get(field.getName())).isEqualTo(field.getValue()));
+  }
+
+  @Test
+  void generationIsRead() {
+    HttpFields fields =
+        HttpFields.build()
+            .put("X-Model", "m/a1")
+            .put("X-Token-Counts", "1460,80")
+            .put("X-Prompt-Prefix", "5c1e:800,91bd:410");
+    var generation = protocol.facts(fields).generation().orElseThrow();
+    assertThat(generation.artifact().toString()).isEqualTo("m/a1");
+    assertThat(generation.promptTokens()).isEqualTo(1_460);
+    assertThat(generation.outputTokens()).isEqualTo(80);
+    assertThat(generation.parts())
+        .containsExactly(new PromptPart("5c1e", 800), new PromptPart("91bd", 410));
+  }
+
+  @Test
+  void unreadableNumbersCountAsAbsent() {
+    HttpFields fields = HttpFields.build().put("X-Time-Remaining", "soon").put("Last-Event-Id", "");
+    assertThat(protocol.facts(fields).timeRemaining()).isEmpty();
+    assertThat(protocol.facts(fields).lastEventId()).isEmpty();
+  }
+
+  @Test
+  void misdirectedAnswerTellsAnotherIncarnationFromAMissingModel() {
+    AnswerFacts missing = protocol.answer(421, HttpFields.EMPTY);
+    AnswerFacts other = protocol.answer(421, HttpFields.build().put("X-Instance-Id", "i-2"));
+    assertThat(missing.notExecuted()).isTrue();
+    assertThat(missing.otherIncarnation()).isFalse();
+    assertThat(other.otherIncarnation()).isTrue();
+  }
+
+  @Test
+  void loadIsRead() {
+    AnswerFacts answer = protocol.answer(200, HttpFields.build().put("X-Server-Load", "3,0,8"));
+    assertThat(answer.load()).contains(new ReportedLoad(3, 0, 8));
+  }
+}
