Give an endpoint orders only after it has reported that it is not busy

Cause: a new holder of the lease did not know the load that its predecessor had begun, ordered into the same room thirty times a second, and hit the moment when that load was done (LIMIT, the worker crashed). Ruled out: late orders with an old fencing token (the worker refuses them by sequence). Also: an instance that stops begins no streams after 2.9 s, since one begun later is cut at the end of the grace period.

--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -10,6 +10,7 @@
 import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.route.CallKind;
 import org.magnoliavale.internal.route.Route;
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.route.ServiceSpecification;
@@ -21,6 +22,7 @@
   private final CallServices services;
   private final RandomGenerator random;
   private final Set<Call> calls = ConcurrentHashMap.newKeySet();
+  private volatile boolean streamsRefused;
 
   /** Returns an empty registry. */
   public CallRegistry(CallServices services, RandomGenerator random) {
@@ -48,6 +50,11 @@
       reject(facts, caller, ErrorCode.NOT_FOUND, "no such route");
       return () -> {};
     }
+    if (streamsRefused && route.get().kind() == CallKind.STREAM) {
+      LOG.infof("Refused, stopping. request=%s", facts.attemptId());
+      reject(facts, caller, ErrorCode.STOPPING, "the instance is stopping");
+      return () -> {};
+    }
     Call call = newCall(request, facts, route.get(), routes, caller);
     call.start(services.nanoClock().getAsLong());
     return () -> call.callerLeft(services.nanoClock().getAsLong());
@@ -95,6 +102,11 @@
     calls.forEach(call -> call.endpointsChanged(now));
   }
 
+  /** Begins no streams from now on, because the instance is about to end. */
+  public void refuseStreams() {
+    streamsRefused = true;
+  }
+
   /** Returns the calls in progress. */
   public int size() {
     return calls.size();
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -70,7 +70,10 @@
   private static final Duration SHORTEST_DRAIN = Duration.ofMillis(3_500);
 
   /** Part of the grace period that is kept for ending the process. */
-  private static final Duration STOP_RESERVE = Duration.ofMillis(700);
+  private static final Duration STOP_RESERVE = Duration.ofMillis(400);
+
+  /** Time after the stop signal from which on no stream is begun; it might not end in time. */
+  private static final Duration LATEST_STREAM = Duration.ofMillis(2_900);
 
   private static final Duration LEASE_DRIFT = Duration.ofMillis(200);
 
@@ -345,7 +348,12 @@
     lease.release();
     links.announce();
     long latest = settings.gracePeriod().minus(STOP_RESERVE).toNanos();
+    boolean closed = false;
     while (!isDrained(startNanos) && System.nanoTime() - startNanos < latest) {
+      if (!closed && System.nanoTime() - startNanos >= LATEST_STREAM.toNanos()) {
+        closed = true;
+        calls.refuseStreams();
+      }
       sleep(TICK_MS);
     }
     LOG.infof("Drained. calls=%d", calls.size());
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
@@ -30,7 +30,9 @@
   private static final long RESEND_MS = 400;
 
   /** Time by which a report lags behind at most. */
-  private static final long REPORT_LAG_MS = 800;
+  private static final long REPORT_LAG_MS = 500;
+
+  private static final long REPORT_INTERVAL_MS = 250;
 
   /** Time after which room that was made for a model is given up. */
   private static final long GOAL_MS = 15_000;
@@ -51,25 +53,48 @@
   private long unreachableNanos;
   private boolean replaced;
 
-  EndpointLedger(DirectoryEntry entry) {
+  private final Set<Artifact> reportedHeld = new HashSet<>();
+  private long reportHeartbeat;
+  private boolean reportNeeded;
+  private long askNanos;
+
+  EndpointLedger(DirectoryEntry entry, long nowNanos) {
     this.entry = entry;
+    needReport(nowNanos);
+  }
+
+  /**
+   * Tells whether the endpoint is due to be asked for a report. It gets no orders until it has
+   * reported that it is not busy: what it is doing may be another holder's order.
+   */
+  boolean isReportDue(long nowNanos) {
+    return reportNeeded && age(askNanos, nowNanos) >= REPORT_INTERVAL_MS;
+  }
+
+  /** Notes that a report is asked for. */
+  void asked(long nowNanos) {
+    askNanos = nowNanos;
   }
 
-  /** Tells whether the endpoint must report before it can be given orders. */
-  boolean needsReport() {
-    return sequence.isEmpty();
+  /** Has the endpoint report before its next order, late enough to show what it does now. */
+  void needReport(long nowNanos) {
+    reportNeeded = true;
+    askNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(REPORT_LAG_MS - REPORT_INTERVAL_MS);
   }
 
   /** Takes in the endpoint's entry and settles the orders that it shows. */
   void update(DirectoryEntry newer, long nowNanos) {
     entry = newer;
-    Set<Artifact> held = EndpointView.held(newer);
+    Set<Artifact> held = EndpointView.held(newer.models());
     open.removeIf(
         order -> {
           boolean shows = held.contains(order.artifact()) == order.isLoad();
           return order.certain() && shows && isAfter(order)
               || age(order.sentNanos(), nowNanos) > LATENESS_MS;
         });
+    if (newer.heartbeat() >= reportHeartbeat + HEARTBEATS_AFTER) {
+      reportedHeld.clear();
+    }
     if (goal.isPresent() && age(goalNanos, nowNanos) > GOAL_MS) {
       goal = Optional.empty();
     }
@@ -93,6 +118,9 @@
             !known.certain()
                 && !known.order().equals(order)
                 && known.order().expectedSequence() <= order.expectedSequence());
+    if (order.operation() == EndpointOrder.Operation.UNLOAD) {
+      reportedHeld.remove(order.artifact());
+    }
     // What was ordered before with the same artifact is overtaken by this.
     open.removeIf(
         known ->
@@ -129,11 +157,22 @@
     return replaced || unreachable && age(unreachableNanos, nowNanos) < UNREACHABLE_MS;
   }
 
-  /** Takes the sequence that the endpoint reported; a report lags behind. */
-  void reported(long reportedSequence, long nowNanos) {
+  /** Takes in a report. What it shows counts until the entry was certainly written after it. */
+  void reported(EndpointReport report, long nowNanos) {
     boolean settled = age(acceptedNanos, nowNanos) > REPORT_LAG_MS;
-    if (sequence.isEmpty() || settled || reportedSequence > sequence.getAsLong()) {
-      sequence = OptionalLong.of(reportedSequence);
+    if (sequence.isEmpty() || settled || report.sequence() > sequence.getAsLong()) {
+      sequence = OptionalLong.of(report.sequence());
+    }
+    reportedHeld.clear();
+    reportedHeld.addAll(EndpointView.held(report.models()));
+    report.coming().forEach(adapter -> reportedHeld.add(Artifact.parse(adapter)));
+    reportHeartbeat = entry.heartbeat();
+    reportNeeded = report.busy();
+    // Nobody else gives orders, so a sequence that has passed an order shows that it was accepted.
+    for (OpenOrder order : List.copyOf(open)) {
+      if (!order.certain() && report.sequence() > order.order().expectedSequence()) {
+        accepted(order.order(), nowNanos);
+      }
     }
   }
 
@@ -159,10 +198,11 @@
   }
 
   EndpointView view(EngineSpecification engine, long nowNanos) {
-    Set<Artifact> artifacts = new HashSet<>(EndpointView.held(entry));
+    Set<Artifact> artifacts = new HashSet<>(EndpointView.held(entry.models()));
+    artifacts.addAll(reportedHeld);
     Set<Artifact> coming = new HashSet<>();
     Set<Artifact> leaving = new HashSet<>();
-    boolean busy = sequence.isEmpty();
+    boolean busy = reportNeeded;
     for (OpenOrder order : open) {
       boolean settled =
           order.certain() && !order.isModel() && age(order.sentNanos(), nowNanos) > ADAPTER_LOAD_MS;
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.HeldModel;
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.route.EngineSpecification;
 import org.magnoliavale.internal.route.ModelSpecification;
@@ -94,17 +95,16 @@
     return artifact.adapter().isEmpty() ? model.get().weightsMb() : model.get().adapterMb();
   }
 
-  static Set<Artifact> held(DirectoryEntry entry) {
+  /** Returns models and their adapters as artifacts. */
+  static Set<Artifact> held(Map<String, HeldModel> models) {
     Set<Artifact> held = new HashSet<>();
-    entry
-        .models()
-        .forEach(
-            (name, model) -> {
-              held.add(new Artifact(name, Optional.empty()));
-              for (String adapter : model.adapters()) {
-                held.add(new Artifact(name, Optional.of(adapter)));
-              }
-            });
+    models.forEach(
+        (name, model) -> {
+          held.add(new Artifact(name, Optional.empty()));
+          for (String adapter : model.adapters()) {
+            held.add(new Artifact(name, Optional.of(adapter)));
+          }
+        });
     return held;
   }
 
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -157,7 +157,7 @@
     for (DirectoryEntry entry : listed) {
       entries.put(entry.identity(), entry);
       ledgers
-          .computeIfAbsent(entry.identity(), ignored -> new EndpointLedger(entry))
+          .computeIfAbsent(entry.identity(), ignored -> new EndpointLedger(entry, now))
           .update(entry, now);
     }
     ledgers.keySet().retainAll(entries.keySet());
@@ -179,7 +179,7 @@
     if (lease.fence() != knownFence) {
       takeOver(loadsPerSecond, now);
     }
-    askForReports();
+    askForReports(now);
     sendAgain(now);
     List<EndpointView> views = new ArrayList<>();
     engines.forEach((identity, engine) -> views.add(ledgers.get(identity).view(engine, now)));
@@ -194,7 +194,7 @@
     changeCount = 0;
     ceiling.takeOver(loadsPerSecond, now);
     ledgers.clear();
-    entries.forEach((identity, entry) -> ledgers.put(identity, new EndpointLedger(entry)));
+    entries.forEach((identity, entry) -> ledgers.put(identity, new EndpointLedger(entry, now)));
     LOG.infof("Gives orders. fence=%d endpoints=%d", knownFence, entries.size());
   }
 
@@ -213,10 +213,11 @@
     return engines;
   }
 
-  private void askForReports() {
+  private void askForReports(long now) {
     for (DirectoryEntry entry : engineEntries()) {
       EndpointLedger ledger = ledgers.get(entry.identity());
-      if (ledger.needsReport() && sending.add(entry.identity())) {
+      if (ledger.isReportDue(now) && sending.add(entry.identity())) {
+        ledger.asked(now);
         executor.execute(() -> askForReport(entry, ledger));
       }
     }
@@ -230,7 +231,7 @@
     Optional<EndpointReport> report = control.report(entry);
     synchronized (this) {
       sending.remove(entry.identity());
-      report.ifPresent(told -> ledger.reported(told.sequence(), nanoClock.getAsLong()));
+      report.ifPresent(told -> ledger.reported(told, nanoClock.getAsLong()));
     }
   }
 
@@ -298,13 +299,11 @@
   private void send(DirectoryEntry entry, EndpointOrder order) {
     // The right to order is checked last, after every wait.
     if (!lease.isHeld() || lease.fence() != order.fence()) {
-      settle(entry, order, EndpointOrderAnswer.WITHHELD, Optional.empty());
+      settle(entry, order, EndpointOrderAnswer.WITHHELD);
       return;
     }
     EndpointOrderAnswer answer = control.order(entry, order);
-    Optional<EndpointReport> report =
-        answer == EndpointOrderAnswer.CONFLICT ? control.report(entry) : Optional.empty();
-    settle(entry, order, answer, report);
+    settle(entry, order, answer);
     boolean adapterLoad =
         order.operation() == EndpointOrder.Operation.LOAD && order.artifact().adapter().isPresent();
     if (answer == EndpointOrderAnswer.ACCEPTED && adapterLoad) {
@@ -313,11 +312,7 @@
     changed.run();
   }
 
-  private void settle(
-      DirectoryEntry entry,
-      EndpointOrder order,
-      EndpointOrderAnswer answer,
-      Optional<EndpointReport> report) {
+  private void settle(DirectoryEntry entry, EndpointOrder order, EndpointOrderAnswer answer) {
     synchronized (this) {
       sending.remove(entry.identity());
       LOG.infof(
@@ -331,7 +326,7 @@
       switch (answer) {
         case ACCEPTED -> ledger.accepted(order, now);
         case DONE -> done(ledger, order, now);
-        case CONFLICT -> conflict(ledger, order, report, now);
+        case CONFLICT -> conflict(ledger, order, now);
         case FENCED, INVALID, WITHHELD -> ledger.closed(order);
         case OTHER_INCARNATION -> {
           ledger.closed(order);
@@ -360,20 +355,14 @@
   }
 
   /**
-   * Of an order that was sent again, a higher sequence shows that an earlier copy was accepted:
-   * nobody else gives orders.
+   * The endpoint is busy or has accepted another order. One that was sent again may have been
+   * accepted itself, and counts until it can take effect no more.
    */
-  private static void conflict(
-      EndpointLedger ledger, EndpointOrder order, Optional<EndpointReport> report, long now) {
-    long reported = report.map(EndpointReport::sequence).orElse(order.expectedSequence());
-    if (ledger.wasSentAgain(order)) {
-      if (reported > order.expectedSequence()) {
-        ledger.accepted(order, now);
-      }
-    } else {
+  private static void conflict(EndpointLedger ledger, EndpointOrder order, long now) {
+    if (!ledger.wasSentAgain(order)) {
       ledger.closed(order);
     }
-    report.ifPresent(told -> ledger.reported(told.sequence(), now));
+    ledger.needReport(now);
   }
 
   /** An adapter is dropped at once, which counts as an order; else nothing has happened. */
--- a/src/test/java/org/magnoliavale/internal/residency/EndpointLedgerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/EndpointLedgerTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,8 +29,13 @@
 
   @BeforeEach
   void start() {
-    ledger = new EndpointLedger(entry(1, "m"));
-    ledger.reported(5, now);
+    ledger = new EndpointLedger(entry(1, "m"), now);
+    ledger.reported(report(5, false, "m"), now);
+    ledger.update(entry(3, "m"), now);
+  }
+
+  private static EndpointReport report(long sequence, boolean busy, String... artifacts) {
+    return new EndpointReport(entry(1, artifacts).models(), busy, sequence, 1, Set.of());
   }
 
   private static DirectoryEntry entry(long heartbeat, String... artifacts) {
@@ -59,10 +65,36 @@
   }
 
   @Test
-  void endpointMustReportBeforeItIsGivenOrders() {
-    EndpointLedger fresh = new EndpointLedger(entry(1, "m"));
-    assertThat(fresh.needsReport()).isTrue();
+  void endpointMustReportThatItIsNotBusyBeforeItIsGivenOrders() {
+    EndpointLedger fresh = new EndpointLedger(entry(1, "m"), now);
     assertThat(fresh.view(ENGINE, now).busy()).isTrue();
+    fresh.reported(report(5, true, "m"), now);
+    assertThat(fresh.view(ENGINE, now).busy()).isTrue();
+    fresh.reported(report(5, false, "m", "n"), now);
+    assertThat(fresh.view(ENGINE, now).busy()).isFalse();
+    // The entry is older than the report and does not show the model of an earlier holder's order.
+    assertThat(fresh.view(ENGINE, now).usedMb()).isEqualTo(140);
+  }
+
+  @Test
+  void conflictMakesTheEndpointReportLateEnoughToShowWhatItDoes() {
+    ledger.needReport(now);
+    assertThat(view().busy()).isTrue();
+    assertThat(ledger.isReportDue(now)).isFalse();
+    pass(400);
+    assertThat(ledger.isReportDue(now)).isFalse();
+    pass(200);
+    assertThat(ledger.isReportDue(now)).isTrue();
+  }
+
+  @Test
+  void reportThatHasPassedAnUnansweredOrderShowsThatItWasAccepted() {
+    EndpointOrder order = order(Operation.LOAD, "n");
+    ledger.opened(order, now);
+    pass(600);
+    ledger.reported(report(6, false, "m"), now);
+    assertThat(ledger.unanswered(now)).isEmpty();
+    assertThat(view().usedMb()).isEqualTo(140);
   }
 
   @Test
@@ -70,7 +102,7 @@
     accepted(Operation.LOAD, "m/a1");
     accepted(Operation.UNLOAD, "m/a1");
     accepted(Operation.LOAD, "m/a1");
-    ledger.update(entry(2, "m", "m/a1"), now);
+    ledger.update(entry(4, "m", "m/a1"), now);
     ledger.update(entry(9, "m", "m/a1"), now);
     accepted(Operation.LOAD, "m/a2");
     assertThat(view().adapters()).hasSize(2);
@@ -79,13 +111,13 @@
 
   @Test
   void entryThatWasOnItsWayDoesNotSettleAnAdapterOrder() {
-    ledger.update(entry(2, "m", "m/a1"), now);
+    ledger.update(entry(4, "m", "m/a1"), now);
     accepted(Operation.UNLOAD, "m/a1");
     accepted(Operation.LOAD, "m/a1");
     // Written before both orders, read after them.
-    ledger.update(entry(3, "m", "m/a1"), now);
+    ledger.update(entry(5, "m", "m/a1"), now);
     // Written between them.
-    ledger.update(entry(4, "m"), now);
+    ledger.update(entry(5, "m"), now);
     assertThat(view().adapters()).containsExactly(Artifact.parse("m/a1"));
   }
 
@@ -115,10 +147,10 @@
   @Test
   void reportThatLagsDoesNotTakeTheSequenceBack() {
     accepted(Operation.LOAD, "m/a1");
-    ledger.reported(5, now);
+    ledger.reported(report(5, false, "m"), now);
     assertThat(view().sequence()).isEqualTo(6);
     pass(2_000);
-    ledger.reported(5, now);
+    ledger.reported(report(5, false, "m"), now);
     assertThat(view().sequence()).isEqualTo(5);
   }
 
