--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -226,6 +226,12 @@
     return state != null && state.isUnreachable(nowNanos);
   }
 
+  /** Returns the share of an endpoint's slots that is taken, over 1 with a queue. */
+  public synchronized double pressure(EndpointIdentity identity, long nowNanos) {
+    EndpointState state = endpoints.get(identity);
+    return state == null ? 0 : state.pressure(nowNanos);
+  }
+
   /** Tells whether an endpoint is still listed. */
   public synchronized boolean isListed(EndpointIdentity identity) {
     EndpointState state = endpoints.get(identity);
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -211,6 +211,14 @@
     return report == null ? -1 : milliseconds(nowNanos - reportNanos);
   }
 
+  /** Returns the share of slots that the last report shows as taken, over 1 with a queue. */
+  double pressure(long nowNanos) {
+    if (report == null || milliseconds(nowNanos - reportNanos) > REPORT_VALIDITY_MS) {
+      return 0;
+    }
+    return (double) (report.running() + report.waiting()) / Math.max(1, report.slots());
+  }
+
   /** Returns the requests that the endpoint has most likely now, those of other instances too. */
   double load(int instances, long nowNanos) {
     if (report == null || milliseconds(nowNanos - reportNanos) > REPORT_VALIDITY_MS) {
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -179,7 +179,7 @@
         .executor(orders)
         .nanoClock(System::nanoTime)
         .changed(this::announceResidency)
-        .unreachable(identity -> endpoints.isUnreachable(identity, System.nanoTime()))
+        .health(new PoolHealth(endpoints, System::nanoTime))
         .ceilingWindowSeconds(settings.ceilingWindow().toSeconds())
         .build();
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
@@ -71,8 +71,7 @@
       Throwable cause = result.getFailure();
       boolean unsent = !begun || cause instanceof ConnectException;
       listener.failed(
-          unsent ? AttemptFailure.NOT_SENT : AttemptFailure.LOST,
-          cause.getClass().getSimpleName() + ": " + cause.getMessage());
+          unsent ? AttemptFailure.NOT_SENT : AttemptFailure.LOST, cause.getClass().getSimpleName());
     }
   }
 
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
@@ -210,7 +210,7 @@
     return due;
   }
 
-  EndpointView view(EngineSpecification engine, long nowNanos) {
+  EndpointView view(EngineSpecification engine, double pressure, long nowNanos) {
     Set<Artifact> artifacts = new HashSet<>(EndpointView.held(entry.models()));
     artifacts.addAll(reportedHeld);
     Set<Artifact> coming = new HashSet<>();
@@ -240,7 +240,8 @@
         sequence.orElse(0),
         busy,
         goal,
-        isLost(nowNanos));
+        isLost(nowNanos),
+        pressure);
   }
 
   private static long age(long sinceNanos, long nowNanos) {
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
@@ -26,6 +26,7 @@
  * @param busy whether it can take no order now
  * @param goal the model that room is being made for
  * @param lost whether it can't be reached or was replaced
+ * @param pressure share of its slots that is taken, over 1 with a queue
  */
 record EndpointView(
     DirectoryEntry entry,
@@ -36,7 +37,8 @@
     long sequence,
     boolean busy,
     Optional<Artifact> goal,
-    boolean lost) {
+    boolean lost,
+    double pressure) {
   String id() {
     return entry.identity().id();
   }
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.DirectoryEntry;
@@ -41,7 +40,7 @@
   private final LongSupplier nanoClock;
   private final ResidencyLog log = new ResidencyLog();
   private final Runnable changed;
-  private final Predicate<EndpointIdentity> unreachable;
+  private final EndpointHealth health;
   private final LoadCeiling ceiling;
   private final Map<EndpointIdentity, EndpointLedger> ledgers = new HashMap<>();
   private final Map<EndpointIdentity, DirectoryEntry> entries = new HashMap<>();
@@ -58,7 +57,7 @@
     executor = builder.executor;
     nanoClock = builder.nanoClock;
     changed = builder.changed;
-    unreachable = builder.unreachable;
+    health = builder.health;
     ceiling = new LoadCeiling(builder.ceilingWindowSeconds);
   }
 
@@ -77,7 +76,7 @@
     private Executor executor;
     private LongSupplier nanoClock;
     private Runnable changed = () -> {};
-    private Predicate<EndpointIdentity> unreachable = identity -> false;
+    private EndpointHealth health;
     private long ceilingWindowSeconds = 5;
 
     private Builder() {}
@@ -130,9 +129,9 @@
       return this;
     }
 
-    /** Sets which endpoints calls can't reach. */
-    public Builder unreachable(Predicate<EndpointIdentity> value) {
-      unreachable = value;
+    /** Sets what calls show of endpoints. */
+    public Builder health(EndpointHealth value) {
+      health = value;
       return this;
     }
 
@@ -157,7 +156,7 @@
   public synchronized boolean isAwaiting() {
     long now = nanoClock.getAsLong();
     return engines().entrySet().stream()
-        .anyMatch(entry -> ledgers.get(entry.getKey()).view(entry.getValue(), now).busy());
+        .anyMatch(entry -> ledgers.get(entry.getKey()).view(entry.getValue(), 0, now).busy());
   }
 
   /** Takes in the endpoints that are there. */
@@ -190,14 +189,16 @@
       takeOver(loadsPerSecond, now);
     }
     for (EndpointIdentity identity : engines.keySet()) {
-      if (unreachable.test(identity)) {
+      if (health.isUnreachable(identity)) {
         ledgers.get(identity).unreachable(now);
       }
     }
     askForReports(now);
     sendAgain(now);
     List<EndpointView> views = new ArrayList<>();
-    engines.forEach((identity, engine) -> views.add(ledgers.get(identity).view(engine, now)));
+    engines.forEach(
+        (identity, engine) ->
+            views.add(ledgers.get(identity).view(engine, health.pressure(identity), now)));
     boolean allowed = ceiling.allows(loadsPerSecond, now);
     for (ResidencyPlanner.Step step : ResidencyPlanner.plan(views, demand.total(now), allowed)) {
       take(step, loadsPerSecond, now);
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -58,6 +58,9 @@
   /** Requests a second that one replica more is worth having for. */
   private static final double RATE_PER_REPLICA = 8;
 
+  /** Share of slots taken up to which calls do not slow each other down. */
+  private static final double EASY_PRESSURE = 0.5;
+
   /** Factor by which a gain must exceed the loss of what makes way. */
   private static final double HYSTERESIS = 1.3;
 
@@ -159,10 +162,13 @@
       double waiting = use.waiting() * (loadSeconds <= PATIENCE_S ? 1 : PATIENT_SHARE);
       return STANDBY_CALLS + rate * serving + waiting;
     }
+    double relief = rate * serving * overload(pressure(model));
     if (count == 1) {
-      return rate >= SECOND_REPLICA_RATE ? rate * serving * SECOND_REPLICA_SHARE : 0;
+      double safety = rate >= SECOND_REPLICA_RATE ? rate * serving * SECOND_REPLICA_SHARE : 0;
+      return safety + relief;
     }
-    return rate >= RATE_PER_REPLICA * count ? rate * serving * FURTHER_REPLICA_SHARE : 0;
+    boolean spread = rate >= RATE_PER_REPLICA * count;
+    return (spread ? rate * serving * FURTHER_REPLICA_SHARE : 0) + relief;
   }
 
   /** Returns how many calls suffer when the last one of a model's replicas goes. */
@@ -173,10 +179,29 @@
     if (count <= 1) {
       return STANDBY_CALLS + rate * RELOAD_S + use.waiting();
     }
+    double pressureAfter = pressure(model) * count / (count - 1);
+    double crowding = rate * HORIZON_S * overload(pressureAfter);
     if (count == 2) {
-      return rate >= SECOND_REPLICA_RATE ? rate * HORIZON_S * SECOND_REPLICA_SHARE : UNKNOWN_CALLS;
+      double safety =
+          rate >= SECOND_REPLICA_RATE ? rate * HORIZON_S * SECOND_REPLICA_SHARE : UNKNOWN_CALLS;
+      return safety + crowding;
     }
-    return rate >= RATE_PER_REPLICA * (count - 1) ? rate * HORIZON_S * FURTHER_REPLICA_SHARE : 0;
+    boolean spread = rate >= RATE_PER_REPLICA * (count - 1);
+    return (spread ? rate * HORIZON_S * FURTHER_REPLICA_SHARE : 0) + crowding;
+  }
+
+  /** Returns the share of calls that suffer at this share of slots taken. */
+  private static double overload(double pressure) {
+    return Math.clamp(pressure - EASY_PRESSURE, 0, 1);
+  }
+
+  /** Returns the share of slots that is taken on average where a model is ready. */
+  private double pressure(Artifact model) {
+    return views.stream()
+        .filter(view -> view.isReady(model))
+        .mapToDouble(EndpointView::pressure)
+        .average()
+        .orElse(0);
   }
 
   private void place(Artifact model) {
--- a/src/test/java/org/magnoliavale/internal/residency/EndpointLedgerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/EndpointLedgerTest.java
@@ -43,7 +43,7 @@
   }
 
   private EndpointOrder order(Operation operation, String artifact) {
-    long sequence = ledger.view(ENGINE, now).sequence();
+    long sequence = ledger.view(ENGINE, 0, now).sequence();
     return new EndpointOrder(
         entry(1).identity(), operation, Artifact.parse(artifact), sequence, "self", 1);
   }
@@ -61,19 +61,19 @@
   }
 
   private EndpointView view() {
-    return ledger.view(ENGINE, now);
+    return ledger.view(ENGINE, 0, now);
   }
 
   @Test
   void endpointMustReportThatItIsNotBusyBeforeItIsGivenOrders() {
     EndpointLedger fresh = EndpointLedger.ofKnownEndpoint(entry(1, "m"), now);
-    assertThat(fresh.view(ENGINE, now).busy()).isTrue();
+    assertThat(fresh.view(ENGINE, 0, now).busy()).isTrue();
     fresh.reported(report(5, true, "m"), now);
-    assertThat(fresh.view(ENGINE, now).busy()).isTrue();
+    assertThat(fresh.view(ENGINE, 0, now).busy()).isTrue();
     fresh.reported(report(5, false, "m", "n"), now);
-    assertThat(fresh.view(ENGINE, now).busy()).isFalse();
+    assertThat(fresh.view(ENGINE, 0, now).busy()).isFalse();
     // The entry is older than the report and does not show the model of an earlier holder's order.
-    assertThat(fresh.view(ENGINE, now).usedMb()).isEqualTo(140);
+    assertThat(fresh.view(ENGINE, 0, now).usedMb()).isEqualTo(140);
   }
 
   @Test
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
@@ -0,0 +1,215 @@
+package org.magnoliavale.internal.residency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.dispatch.TestEntries;
+import org.magnoliavale.internal.residency.EndpointOrder.Operation;
+import org.magnoliavale.internal.route.EngineSpecification;
+import org.magnoliavale.internal.route.ModelSpecification;
+
+class ResidencyPlannerTest {
+  private static final EngineSpecification ENGINE = engine("busy", "rare", "other", "idle");
+
+  private final List<EndpointView> views = new ArrayList<>();
+  private final Map<Artifact, ArtifactUse> uses = new HashMap<>();
+
+  /** Returns endpoints with room for two models and two adapters. */
+  private static EngineSpecification engine(String... names) {
+    Map<String, ModelSpecification> models = new LinkedHashMap<>();
+    for (String name : names) {
+      models.put(
+          name,
+          new ModelSpecification(
+              name,
+              70,
+              Duration.ofSeconds(8),
+              Duration.ofMillis(1_600),
+              Duration.ofMillis(800),
+              10,
+              1));
+    }
+    return new EngineSpecification(8, 1_000, 143, 2, 1, models);
+  }
+
+  private ViewBuilder endpoint(String id, String... artifacts) {
+    return new ViewBuilder(id, artifacts);
+  }
+
+  private final class ViewBuilder {
+    private final String id;
+    private final Set<Artifact> held = new HashSet<>();
+    private boolean busy;
+    private boolean lost;
+    private double pressure;
+    private Optional<Artifact> goal = Optional.empty();
+
+    private ViewBuilder(String id, String... artifacts) {
+      this.id = id;
+      for (String artifact : artifacts) {
+        held.add(Artifact.parse(artifact));
+      }
+    }
+
+    ViewBuilder busy() {
+      busy = true;
+      return this;
+    }
+
+    ViewBuilder lost() {
+      lost = true;
+      return this;
+    }
+
+    ViewBuilder pressure(double value) {
+      pressure = value;
+      return this;
+    }
+
+    ViewBuilder goal(String model) {
+      goal = Optional.of(Artifact.parse(model));
+      return this;
+    }
+
+    void add() {
+      views.add(
+          new EndpointView(
+              TestEntries.entry(id, 1),
+              ENGINE,
+              held,
+              Set.of(),
+              Set.of(),
+              0,
+              busy,
+              goal,
+              lost,
+              pressure));
+    }
+  }
+
+  private void use(String artifact, double perSecond, int waiting) {
+    uses.put(Artifact.parse(artifact), new ArtifactUse(perSecond, waiting));
+  }
+
+  private List<String> plan(boolean storeLoadAllowed) {
+    return ResidencyPlanner.plan(views, uses, storeLoadAllowed).stream()
+        .map(step -> step.view().id() + " " + step.operation() + " " + step.artifact())
+        .toList();
+  }
+
+  private List<String> plan() {
+    return plan(true);
+  }
+
+  @Nested
+  class Models {
+    @Test
+    void modelThatIsWaitedForTakesFreeRoom() {
+      endpoint("a", "busy").add();
+      use("busy", 5, 0);
+      use("rare", 0.2, 2);
+      assertThat(plan()).containsExactly("a " + Operation.LOAD + " rare");
+    }
+
+    @Test
+    void nothingIsOrderedBeyondMemory() {
+      endpoint("a", "busy", "other").add();
+      use("busy", 5, 0);
+      use("other", 1, 0);
+      use("rare", 0.2, 20);
+      assertThat(plan()).containsExactly("a " + Operation.UNLOAD + " other");
+    }
+
+    @Test
+    void busyModelIsNotGivenUpForARareOne() {
+      endpoint("a", "busy").add();
+      endpoint("b", "busy", "other").busy().add();
+      use("busy", 20, 0);
+      use("other", 2, 0);
+      use("rare", 0.2, 1);
+      assertThat(plan()).noneMatch(step -> step.contains("UNLOAD busy"));
+    }
+
+    @Test
+    void modelsOfALostEndpointAreLoadedElsewhere() {
+      endpoint("a", "busy").lost().add();
+      endpoint("b", "other").add();
+      use("busy", 10, 3);
+      assertThat(plan()).containsExactly("b " + Operation.LOAD + " busy");
+    }
+
+    @Test
+    void roomIsMadeForAModelOnOneEndpointOnly() {
+      endpoint("a", "other").goal("rare").busy().add();
+      endpoint("b", "busy", "idle").add();
+      use("rare", 0.3, 3);
+      use("busy", 5, 0);
+      assertThat(plan()).noneMatch(step -> step.contains("rare"));
+    }
+
+    @Test
+    void crowdedModelGetsAnotherReplica() {
+      endpoint("a", "busy").pressure(1.2).add();
+      endpoint("b", "busy").pressure(1.2).add();
+      endpoint("c", "rare", "other").add();
+      use("busy", 12, 0);
+      use("rare", 0.2, 0);
+      use("other", 0.2, 0);
+      assertThat(plan()).anyMatch(step -> step.startsWith("c " + Operation.UNLOAD));
+    }
+
+    @Test
+    void ceilingOfTheWeightStoreHoldsLoadsBack() {
+      endpoint("a").add();
+      use("rare", 1, 3);
+      assertThat(plan(false)).isEmpty();
+    }
+
+    @Test
+    void busyEndpointGetsNoOrder() {
+      endpoint("a").busy().add();
+      use("rare", 1, 3);
+      assertThat(plan()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Adapters {
+    @Test
+    void adapterIsLoadedWhereItsModelIs() {
+      endpoint("a", "busy", "idle").add();
+      endpoint("b", "rare", "other").add();
+      use("busy/a1", 1, 1);
+      assertThat(plan()).contains("a " + Operation.LOAD + " busy/a1");
+    }
+
+    @Test
+    void leastUsedAdapterMakesWayAndNeverOneThatIsWaitedFor() {
+      endpoint("a", "busy", "idle", "busy/a1", "busy/a2").add();
+      use("busy", 1, 0);
+      use("busy/a1", 0.1, 1);
+      use("busy/a2", 2, 0);
+      use("busy/a3", 1, 1);
+      assertThat(plan()).contains("a " + Operation.UNLOAD + " busy/a2");
+    }
+
+    @Test
+    void adapterThatIsSomewhereIsNotLoadedAgain() {
+      endpoint("a", "busy", "busy/a1").add();
+      endpoint("b", "busy").add();
+      use("busy/a1", 1, 1);
+      assertThat(plan()).noneMatch(step -> step.contains("busy/a1"));
+    }
+  }
+}
