--- a/src/main/java/org/magnoliavale/internal/call/ArtifactDemand.java
+++ b/src/main/java/org/magnoliavale/internal/call/ArtifactDemand.java
@@ -19,6 +19,7 @@
   private static final class Rate {
     private double perSecond;
     private long lastNanos;
+    private boolean patient = true;
 
     double at(long nowNanos) {
       double seconds = (double) (nowNanos - lastNanos) / TimeUnit.SECONDS.toNanos(1);
@@ -35,11 +36,12 @@
     this.waitingListener = waitingListener;
   }
 
-  /** Notes a request. */
-  public synchronized void asked(Artifact artifact, long nowNanos) {
+  /** Notes a request; a patient one can wait for a load. */
+  public synchronized void asked(Artifact artifact, boolean patient, long nowNanos) {
     Rate rate = rates.computeIfAbsent(artifact, ignored -> new Rate());
     rate.perSecond = rate.at(nowNanos) + 1 / MEMORY_S;
     rate.lastNanos = nowNanos;
+    rate.patient &= patient;
   }
 
   /** Notes that a call waits for an artifact. */
@@ -63,6 +65,12 @@
     return result;
   }
 
+  /** Tells whether only patient calls have asked for an artifact lately. */
+  public synchronized boolean isPatient(Artifact artifact) {
+    Rate rate = rates.get(artifact);
+    return rate == null || rate.patient;
+  }
+
   /** Returns waiting calls by artifact. */
   public synchronized Map<Artifact, Integer> waiting() {
     return Map.copyOf(waiting);
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -81,7 +81,7 @@
     plan.facts()
         .generation()
         .map(Generation::artifact)
-        .ifPresent(artifact -> services.waiting().asked(artifact, nowNanos));
+        .ifPresent(artifact -> services.waiting().asked(artifact, plan.isPatient(), nowNanos));
     if (services.containment().isStopped(plan.fingerprint())) {
       refuse(ErrorCode.REQUEST_CRASHES_ENDPOINTS, "the request crashes endpoints", nowNanos);
       return;
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -67,8 +67,12 @@
 
   /** Returns the urgency that endpoints are told, 0 first. */
   int urgency() {
-    int patient = route.targetLatency().toMillis() >= PATIENT_TARGET_MS ? 1 : 0;
-    return Math.min(LEAST_URGENT, 1 + 2 * route.priority() + patient);
+    return Math.min(LEAST_URGENT, 1 + 2 * route.priority() + (isPatient() ? 1 : 0));
+  }
+
+  /** Tells whether the call can wait for a load and still be answered in time. */
+  boolean isPatient() {
+    return route.targetLatency().toMillis() >= PATIENT_TARGET_MS;
   }
 
   /** Returns how long the call may wait for an endpoint that can take it. */
--- a/src/main/java/org/magnoliavale/internal/gateway/FleetExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/FleetExchange.java
@@ -98,12 +98,17 @@
     Map<Artifact, ArtifactUse> uses = new HashMap<>();
     ownDemand
         .rates(nanoClock.getAsLong())
-        .forEach((artifact, rate) -> uses.put(artifact, new ArtifactUse(rate, 0)));
+        .forEach(
+            (artifact, rate) ->
+                uses.put(artifact, new ArtifactUse(rate, 0, ownDemand.isPatient(artifact))));
     ownDemand
         .waiting()
         .forEach(
             (artifact, count) ->
-                uses.merge(artifact, new ArtifactUse(0, count), ArtifactUse::plus));
+                uses.merge(
+                    artifact,
+                    new ArtifactUse(0, count, ownDemand.isPatient(artifact)),
+                    ArtifactUse::plus));
     return uses;
   }
 
@@ -121,7 +126,8 @@
                     .addUsesBuilder()
                     .setArtifact(artifact.toString())
                     .setRequestsPerSecond((float) use.perSecond())
-                    .setWaiting(use.waiting()));
+                    .setWaiting(use.waiting())
+                    .setPatient(use.patient()));
     for (ResidencyLog.Change change : log.changes(nanoClock.getAsLong())) {
       heartbeat
           .addChangesBuilder()
@@ -161,7 +167,7 @@
     for (var use : heartbeat.getUsesList()) {
       uses.put(
           Artifact.parse(use.getArtifact()),
-          new ArtifactUse(use.getRequestsPerSecond(), use.getWaiting()));
+          new ArtifactUse(use.getRequestsPerSecond(), use.getWaiting(), use.getPatient()));
       waits |= use.getWaiting() > 0;
     }
     fleetDemand.told(instance, uses, now);
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -194,7 +194,7 @@
   }
 
   private static LeaseKeeper leaseKeeper(String incarnation, LeaseTimes times) {
-    return new LeaseKeeper("orders", incarnation, times, new java.util.Random());
+    return new LeaseKeeper("orders", incarnation, times, new java.util.Random()).succeedingItself();
   }
 
   private LeaseKeeper leaseKeeper(String incarnation) {
--- a/src/main/java/org/magnoliavale/internal/lease/LeaseKeeper.java
+++ b/src/main/java/org/magnoliavale/internal/lease/LeaseKeeper.java
@@ -48,6 +48,7 @@
   private Pending unresolved;
   private long nextCallMs;
   private boolean wanted = true;
+  private boolean succeedsItself;
 
   /**
    * Returns a keeper that watches.
@@ -63,6 +64,23 @@
     this.random = random;
   }
 
+  /**
+   * Takes a lease at once that an earlier incarnation of this instance holds. Right where at most
+   * one process of an instance runs at a time.
+   */
+  public LeaseKeeper succeedingItself() {
+    succeedsItself = true;
+    return this;
+  }
+
+  private boolean isOwnPredecessor(LeaseRow row) {
+    String instance = self.substring(0, self.indexOf('/') + 1);
+    return succeedsItself
+        && !instance.isEmpty()
+        && row.holder().startsWith(instance)
+        && !row.holder().equals(self);
+  }
+
   /** Tells whether this instance may act as the holder now. */
   public boolean isHeld(long nowMs) {
     return state instanceof State.Held held && nowMs < held.validUntilMs();
@@ -186,7 +204,7 @@
     long seenSince =
         state instanceof State.Watching(long known, long since) && known == version ? since : nowMs;
     state = new State.Watching(version, seenSince);
-    boolean free = lease.isEmpty() || lease.get().released();
+    boolean free = lease.isEmpty() || lease.get().released() || isOwnPredecessor(lease.get());
     boolean expired = nowMs - seenSince >= times.watcherPatience();
     if (wanted && (free || expired)) {
       return take(done, nowMs);
--- a/src/main/java/org/magnoliavale/internal/residency/FleetDemand.java
+++ b/src/main/java/org/magnoliavale/internal/residency/FleetDemand.java
@@ -1,7 +1,9 @@
 package org.magnoliavale.internal.residency;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.dispatch.Artifact;
 
@@ -13,10 +15,26 @@
   private record Told(Map<Artifact, ArtifactUse> uses, long nanos) {}
 
   private final Map<String, Told> toldByInstance = new HashMap<>();
+  private final Map<String, Boolean> patientModels = new HashMap<>();
 
   /** Takes in what an instance tells. */
   public synchronized void told(String instance, Map<Artifact, ArtifactUse> uses, long nowNanos) {
     toldByInstance.put(instance, new Told(Map.copyOf(uses), nowNanos));
+    uses.forEach(
+        (artifact, use) ->
+            patientModels.merge(artifact.model(), use.patient(), Boolean::logicalAnd));
+  }
+
+  /** Returns the models that only patient calls have asked for since this instance started. */
+  public synchronized Set<String> patientModels() {
+    Set<String> models = new HashSet<>();
+    patientModels.forEach(
+        (model, patient) -> {
+          if (patient) {
+            models.add(model);
+          }
+        });
+    return models;
   }
 
   /** Returns the uses of all instances together. */
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -200,7 +200,8 @@
         (identity, engine) ->
             views.add(ledgers.get(identity).view(engine, health.pressure(identity), now)));
     boolean allowed = ceiling.allows(loadsPerSecond, now);
-    for (ResidencyPlanner.Step step : ResidencyPlanner.plan(views, demand.total(now), allowed)) {
+    for (ResidencyPlanner.Step step :
+        ResidencyPlanner.plan(views, demand.total(now), demand.patientModels(), allowed)) {
       take(step, loadsPerSecond, now);
     }
   }
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -47,7 +47,13 @@
   private static final double FURTHER_REPLICA_SHARE = 0.03;
 
   /** Calls that a model is worth that nobody asks for now; it makes a later one quick. */
-  private static final double STANDBY_CALLS = 0.3;
+  private static final double STANDBY_CALLS = 2.5;
+
+  /** The same for a model that only patient calls have asked for. */
+  private static final double PATIENT_STANDBY_CALLS = 0.3;
+
+  /** Weight of a call that can wait for a load. */
+  private static final double PATIENT_WEIGHT = 0.4;
 
   /** The same for a second replica, which the operator may have placed for demand to come. */
   private static final double UNKNOWN_CALLS = 0.1;
@@ -78,12 +84,17 @@
   private final List<EndpointView> views;
   private final Map<Artifact, ArtifactUse> uses;
   private final Map<Artifact, Integer> replicas;
+  private final Set<String> patientModels;
   private final boolean storeLoadAllowed;
   private final Set<String> taken = new HashSet<>();
   private final List<Step> steps = new ArrayList<>();
 
   private ResidencyPlanner(
-      List<EndpointView> views, Map<Artifact, ArtifactUse> uses, boolean storeLoadAllowed) {
+      List<EndpointView> views,
+      Map<Artifact, ArtifactUse> uses,
+      Set<String> patientModels,
+      boolean storeLoadAllowed) {
+    this.patientModels = patientModels;
     this.views = views.stream().filter(EndpointView::isUsable).toList();
     this.uses = uses;
     this.replicas = EndpointView.replicas(views);
@@ -92,8 +103,11 @@
 
   /** Returns the steps to take now, at most one for each endpoint. */
   static List<Step> plan(
-      List<EndpointView> views, Map<Artifact, ArtifactUse> uses, boolean storeLoadAllowed) {
-    ResidencyPlanner planner = new ResidencyPlanner(views, uses, storeLoadAllowed);
+      List<EndpointView> views,
+      Map<Artifact, ArtifactUse> uses,
+      Set<String> patientModels,
+      boolean storeLoadAllowed) {
+    ResidencyPlanner planner = new ResidencyPlanner(views, uses, patientModels, storeLoadAllowed);
     planner.continueGoals();
     planner.planModels();
     planner.planAdapters();
@@ -155,12 +169,13 @@
   /** Returns how many calls one replica more serves that would not be served in time. */
   private double gainOfNext(Artifact model, double loadSeconds) {
     ArtifactUse use = use(model);
-    double rate = use.perSecond();
+    double rate = use.perSecond() * weight(model);
     double serving = Math.max(0, HORIZON_S - loadSeconds);
     int count = replicas.getOrDefault(model, 0);
     if (count == 0) {
-      double waiting = use.waiting() * (loadSeconds <= PATIENCE_S ? 1 : PATIENT_SHARE);
-      return STANDBY_CALLS + rate * serving + waiting;
+      boolean soon = loadSeconds <= PATIENCE_S || isPatient(model);
+      double waiting = use.waiting() * (soon ? 1 : PATIENT_SHARE);
+      return standby(model) + rate * serving + waiting;
     }
     double relief = rate * serving * overload(pressure(model));
     if (count == 1) {
@@ -174,10 +189,10 @@
   /** Returns how many calls suffer when the last one of a model's replicas goes. */
   private double lossOfLast(Artifact model) {
     ArtifactUse use = use(model);
-    double rate = use.perSecond();
+    double rate = use.perSecond() * weight(model);
     int count = replicas.getOrDefault(model, 1);
     if (count <= 1) {
-      return STANDBY_CALLS + rate * RELOAD_S + use.waiting();
+      return standby(model) + rate * RELOAD_S + use.waiting();
     }
     double pressureAfter = pressure(model) * count / (count - 1);
     double crowding = rate * HORIZON_S * overload(pressureAfter);
@@ -190,6 +205,18 @@
     return (spread ? rate * HORIZON_S * FURTHER_REPLICA_SHARE : 0) + crowding;
   }
 
+  private boolean isPatient(Artifact model) {
+    return patientModels.contains(model.model());
+  }
+
+  private double weight(Artifact model) {
+    return isPatient(model) ? PATIENT_WEIGHT : 1;
+  }
+
+  private double standby(Artifact model) {
+    return isPatient(model) ? PATIENT_STANDBY_CALLS : STANDBY_CALLS;
+  }
+
   /** Returns the share of calls that suffer at this share of slots taken. */
   private static double overload(double pressure) {
     return Math.clamp(pressure - EASY_PRESSURE, 0, 1);
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/gateway/LeaseSuccessionTest.java
@@ -0,0 +1,57 @@
+package org.magnoliavale.internal.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.lease.LeaseKeeper;
+import org.magnoliavale.internal.lease.LeaseTimes;
+import org.magnoliavale.internal.platform.TableCall;
+
+class LeaseSuccessionTest {
+  private static final LeaseTimes TIMES =
+      LeaseTimes.of(Duration.ofSeconds(3), Duration.ofMillis(200));
+
+  private final MemoryTable table = new MemoryTable();
+  private long now = 1_000;
+
+  private LeaseKeeper keeper(String self) {
+    return new LeaseKeeper("orders", self, TIMES, new Random(1)).succeedingItself();
+  }
+
+  private void tick(LeaseKeeper keeper) {
+    Optional<TableCall> call = keeper.tick(now);
+    while (call.isPresent()) {
+      call = keeper.answered(call.get().make(table), now);
+    }
+  }
+
+  @Test
+  void restartedHolderTakesItsOwnLeaseAtOnceWithAHigherToken() {
+    LeaseKeeper first = keeper("front-1/a");
+    tick(first);
+    assertThat(first.isHeld(now)).isTrue();
+    long token = first.epoch();
+    now += 100;
+    LeaseKeeper second = keeper("front-1/b");
+    tick(second);
+    assertThat(second.isHeld(now)).isTrue();
+    assertThat(second.epoch()).isGreaterThan(token);
+  }
+
+  @Test
+  void anotherInstanceWaitsUntilTheLeaseHasLapsed() {
+    tick(keeper("front-1/a"));
+    LeaseKeeper other = keeper("front-10/b");
+    for (int waited = 0; waited < 3_200; waited += 100) {
+      tick(other);
+      assertThat(other.isHeld(now)).isFalse();
+      now += 100;
+    }
+    now += 2_000;
+    tick(other);
+    assertThat(other.isHeld(now)).isTrue();
+  }
+}
--- a/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
@@ -24,6 +24,7 @@
 
   private final List<EndpointView> views = new ArrayList<>();
   private final Map<Artifact, ArtifactUse> uses = new HashMap<>();
+  private final Set<String> patient = new HashSet<>();
 
   /** Returns endpoints with room for two models and two adapters. */
   private static EngineSpecification engine(String... names) {
@@ -99,11 +100,12 @@
   }
 
   private void use(String artifact, double perSecond, int waiting) {
-    uses.put(Artifact.parse(artifact), new ArtifactUse(perSecond, waiting));
+    uses.put(
+        Artifact.parse(artifact), new ArtifactUse(perSecond, waiting, patient.contains(artifact)));
   }
 
   private List<String> plan(boolean storeLoadAllowed) {
-    return ResidencyPlanner.plan(views, uses, storeLoadAllowed).stream()
+    return ResidencyPlanner.plan(views, uses, patient, storeLoadAllowed).stream()
         .map(step -> step.view().id() + " " + step.operation() + " " + step.artifact())
         .toList();
   }
@@ -169,6 +171,15 @@
       assertThat(plan()).anyMatch(step -> step.startsWith("c " + Operation.UNLOAD));
     }
 
+    @Test
+    void modelOfPatientCallsMakesWayBeforeOneThatMayBeAskedForUrgently() {
+      patient.add("rare");
+      endpoint("a", "rare", "idle").add();
+      use("rare", 0.1, 0);
+      use("busy", 8, 4);
+      assertThat(plan()).containsExactly("a " + Operation.UNLOAD + " rare");
+    }
+
     @Test
     void ceilingOfTheWeightStoreHoldsLoadsBack() {
       endpoint("a").add();
