--- a/src/main/java/org/magnoliavale/internal/residency/FleetDemand.java
+++ b/src/main/java/org/magnoliavale/internal/residency/FleetDemand.java
@@ -1,9 +1,7 @@
 package org.magnoliavale.internal.residency;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.dispatch.Artifact;
 
@@ -25,16 +23,12 @@
             patientModels.merge(artifact.model(), use.patient(), Boolean::logicalAnd));
   }
 
-  /** Returns the models that only patient calls have asked for since this instance started. */
-  public synchronized Set<String> patientModels() {
-    Set<String> models = new HashSet<>();
-    patientModels.forEach(
-        (model, patient) -> {
-          if (patient) {
-            models.add(model);
-          }
-        });
-    return models;
+  /**
+   * Returns, for each model that was asked for since this instance started, whether only patient
+   * calls asked for it.
+   */
+  public synchronized Map<String, Boolean> patientModels() {
+    return Map.copyOf(patientModels);
   }
 
   /** Returns the uses of all instances together. */
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -49,6 +49,9 @@
   /** Calls that a model is worth that nobody asks for now; it makes a later one quick. */
   private static final double STANDBY_CALLS = 2.5;
 
+  /** The same for a model that urgent calls have asked for; demand for it may return at once. */
+  private static final double URGENT_STANDBY_CALLS = 10;
+
   /** The same for a model that only patient calls have asked for. */
   private static final double PATIENT_STANDBY_CALLS = 0.3;
 
@@ -84,7 +87,7 @@
   private final List<EndpointView> views;
   private final Map<Artifact, ArtifactUse> uses;
   private final Map<Artifact, Integer> replicas;
-  private final Set<String> patientModels;
+  private final Map<String, Boolean> patientModels;
   private final boolean storeLoadAllowed;
   private final Set<String> taken = new HashSet<>();
   private final List<Step> steps = new ArrayList<>();
@@ -92,7 +95,7 @@
   private ResidencyPlanner(
       List<EndpointView> views,
       Map<Artifact, ArtifactUse> uses,
-      Set<String> patientModels,
+      Map<String, Boolean> patientModels,
       boolean storeLoadAllowed) {
     this.patientModels = patientModels;
     this.views = views.stream().filter(EndpointView::isUsable).toList();
@@ -105,7 +108,7 @@
   static List<Step> plan(
       List<EndpointView> views,
       Map<Artifact, ArtifactUse> uses,
-      Set<String> patientModels,
+      Map<String, Boolean> patientModels,
       boolean storeLoadAllowed) {
     ResidencyPlanner planner = new ResidencyPlanner(views, uses, patientModels, storeLoadAllowed);
     planner.continueGoals();
@@ -206,7 +209,7 @@
   }
 
   private boolean isPatient(Artifact model) {
-    return patientModels.contains(model.model());
+    return patientModels.getOrDefault(model.model(), false);
   }
 
   private double weight(Artifact model) {
@@ -214,7 +217,11 @@
   }
 
   private double standby(Artifact model) {
-    return isPatient(model) ? PATIENT_STANDBY_CALLS : STANDBY_CALLS;
+    Boolean patient = patientModels.get(model.model());
+    if (patient == null) {
+      return STANDBY_CALLS;
+    }
+    return patient ? PATIENT_STANDBY_CALLS : URGENT_STANDBY_CALLS;
   }
 
   /** Returns the share of calls that suffer at this share of slots taken. */
--- a/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
@@ -24,7 +24,7 @@
 
   private final List<EndpointView> views = new ArrayList<>();
   private final Map<Artifact, ArtifactUse> uses = new HashMap<>();
-  private final Set<String> patient = new HashSet<>();
+  private final Map<String, Boolean> patient = new HashMap<>();
 
   /** Returns endpoints with room for two models and two adapters. */
   private static EngineSpecification engine(String... names) {
@@ -101,7 +101,8 @@
 
   private void use(String artifact, double perSecond, int waiting) {
     uses.put(
-        Artifact.parse(artifact), new ArtifactUse(perSecond, waiting, patient.contains(artifact)));
+        Artifact.parse(artifact),
+        new ArtifactUse(perSecond, waiting, patient.getOrDefault(artifact, false)));
   }
 
   private List<String> plan(boolean storeLoadAllowed) {
@@ -173,13 +174,24 @@
 
     @Test
     void modelOfPatientCallsMakesWayBeforeOneThatMayBeAskedForUrgently() {
-      patient.add("rare");
+      patient.put("rare", true);
       endpoint("a", "rare", "idle").add();
       use("rare", 0.1, 0);
       use("busy", 8, 4);
       assertThat(plan()).containsExactly("a " + Operation.UNLOAD + " rare");
     }
 
+    @Test
+    void modelThatUrgentCallsAskedForStaysThoughNobodyAsksForItNow() {
+      patient.put("rare", true);
+      patient.put("other", false);
+      endpoint("a", "rare", "other").add();
+      endpoint("b", "busy", "rare").busy().pressure(1).add();
+      use("busy", 6, 0);
+      use("rare", 0.5, 0);
+      assertThat(plan()).noneMatch(step -> step.contains("UNLOAD other"));
+    }
+
     @Test
     void ceilingOfTheWeightStoreHoldsLoadsBack() {
       endpoint("a").add();
