Close the port of a server whose selector accepts connections

The channel itself is closed now and the test passes. Ruled out: a selector that sleeps (it was woken).

--- a/src/main/java/org/magnoliavale/internal/http/HttpServers.java
+++ b/src/main/java/org/magnoliavale/internal/http/HttpServers.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.http;
 
+import java.io.Closeable;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import org.eclipse.jetty.http.UriCompliance;
@@ -9,6 +10,7 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.IO;
 import org.eclipse.jetty.util.VirtualThreads;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -62,7 +64,8 @@
   /** Closes a server's port; open connections are served on. */
   public static void stopAccepting(Server server) {
     ServerConnector connector = (ServerConnector) server.getConnectors()[0];
-    connector.close();
+    // The connector's own close leaves the port open when a selector accepts connections.
+    IO.close((Closeable) connector.getTransport());
     // A channel that a selector watches is closed for good only when the selector runs next.
     for (ManagedSelector selector :
         connector.getSelectorManager().getBeans(ManagedSelector.class)) {
