--- a/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.dispatch.TestEntries;
 
@@ -115,4 +116,22 @@
       assertThat(caller.headers().get("Retry-After")).isNotNull();
     }
   }
+
+  /** Listed in KNOWN-RED.txt. */
+  @Test
+  @Tag("known-red")
+  void streamThatLostItsEndpointWaitsForAnotherThatIsBeingMadeReady() {
+    list(TestEntries.entry("a", 1, "n"), TestEntries.entry("b", 1, "m"));
+    call("/stream/x", "X-Model", "n");
+    connector.last().begin(200);
+    connector.last().content(EVENT_ONE);
+    pass(1_000);
+    connector.last().content(EVENT_TWO);
+    connector.last().lose();
+    pass(50);
+    list(TestEntries.entry("b", 2, "m", "n"));
+    calls.endpointsChanged();
+    assertThat(caller.ending()).isEqualTo("open");
+    assertThat(connector.last().order().headers().get("Last-Event-Id")).isEqualTo("2");
+  }
 }
