--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
-import org.jboss.logging.Logger;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
 import org.magnoliavale.internal.directory.EndpointIdentity;
@@ -15,7 +14,6 @@
 import org.magnoliavale.internal.dispatch.Choice;
 import org.magnoliavale.internal.dispatch.Generation;
 import org.magnoliavale.internal.dispatch.Selection;
-import org.magnoliavale.internal.logging.Logs;
 
 /**
  * One call from its arrival to its answer: chooses endpoints, sends attempts, and passes the answer
@@ -26,8 +24,6 @@
  * event that the caller was given.
  */
 final class Call {
-  private static final Logger LOG = Logs.of("call");
-
   /** Most endpoints that are tried when none of them ran the call. */
   private static final int MAXIMUM_REFUSALS = 4;
 
@@ -44,6 +40,7 @@
   private final CallPlan plan;
   private final CallerPort caller;
   private final Runnable ended;
+  private final CallLog log;
   private final Set<EndpointIdentity> excluded = new HashSet<>();
   private State state = State.WAITING;
   private Optional<Artifact> awaited = Optional.empty();
@@ -63,6 +60,7 @@
     this.plan = plan;
     this.caller = caller;
     this.ended = ended;
+    this.log = new CallLog(plan);
     this.lastEvent = plan.facts().lastEventId();
     this.waitSinceNanos = plan.request().arrivedNanos();
   }
@@ -139,7 +137,7 @@
     if (state == State.ENDED) {
       return;
     }
-    LOG.infof("Caller left. request=%s attempts=%d begun=%s", plan.id(), runs, begun);
+    log.callerLeft(runs, begun);
     services.metrics().abandoned().inc();
     cancelAttempt(CallResult.ABANDONED, nowNanos);
     end();
@@ -161,18 +159,7 @@
     Duration left = Duration.ofNanos(plan.deadlineNanos() - nowNanos);
     state = State.SENT;
     attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
-    LOG.infof(
-        "Sent. request=%s route=%s endpoint=%s artifact=%s load=%.0f report-age-ms=%d"
-            + " configuration=%d attempt=%d left-ms=%d",
-        plan.id(),
-        plan.route().name(),
-        choice.endpoint().identity(),
-        plan.artifactText(),
-        choice.load(),
-        choice.reportAgeMs(),
-        plan.configurationVersion(),
-        runs + refusals + 1,
-        left.toMillis());
+    log.sent(choice, runs + refusals + 1, left);
     HttpFields headers =
         services
             .protocol()
@@ -194,7 +181,7 @@
     }
     state = State.WAITING;
     awaited = Optional.of(artifact);
-    LOG.infof("Waits. request=%s artifact=%s", plan.id(), artifact);
+    log.waits(artifact);
     services.waiting().waits(artifact);
   }
 
@@ -268,14 +255,7 @@
 
   private void logRepeat(Attempt source, String reason) {
     services.metrics().repeated().inc();
-    LOG.infof(
-        "Sends again. request=%s endpoint=%s reason=%s runs=%d refusals=%d after-event=%s",
-        plan.id(),
-        source.endpoint().identity(),
-        reason,
-        runs,
-        refusals,
-        lastEvent.map(Object::toString).orElse("-"));
+    log.sendsAgain(source.endpoint().identity(), reason, runs, refusals, lastEvent);
   }
 
   private boolean hasTime(long nowNanos) {
@@ -306,7 +286,7 @@
   /** Ends the call with the endpoint's own whole answer. */
   void answer(int status, HttpFields headers, ByteBuffer body) {
     services.metrics().answered().inc();
-    LOG.infof("Answered. request=%s status=%d bytes=%d", plan.id(), status, body.remaining());
+    log.answered(status, body.remaining());
     end();
     caller.answer(status, headers, body);
   }
@@ -314,9 +294,7 @@
   /** Ends the call after the last event of a stream. */
   void finish() {
     services.metrics().answered().inc();
-    LOG.infof(
-        "Stream ended. request=%s last-event=%s",
-        plan.id(), lastEvent.map(Object::toString).orElse("-"));
+    log.streamEnded(lastEvent);
     end();
     caller.finish();
   }
@@ -348,13 +326,7 @@
   /** Ends a call that has not run and will not run. */
   private void refuse(ErrorCode code, String reason, long nowNanos) {
     services.metrics().refused().inc();
-    LOG.infof(
-        "Refused. request=%s route=%s reason=%s refusals=%d age-ms=%d",
-        plan.id(),
-        plan.route().name(),
-        reason,
-        refusals,
-        Duration.ofNanos(nowNanos - plan.request().arrivedNanos()).toMillis());
+    log.refused(reason, refusals, nowNanos);
     answerProblem(
         ErrorCode.MODEL_UNAVAILABLE,
         MagnoliavaleException.of(code, reason).withRetryAfter(returnDelay.of(plan.id())));
@@ -363,18 +335,14 @@
   /** Ends a call that may have run. */
   void fail(ErrorCode code, String reason) {
     services.metrics().failed().inc();
-    LOG.infof(
-        "Failed. request=%s route=%s reason=%s runs=%d last=%s",
-        plan.id(), plan.route().name(), reason, runs, lastReason);
+    log.failed(reason, runs, lastReason);
     answerProblem(code, MagnoliavaleException.of(code, reason));
   }
 
   /** Ends a stream that can't be completed. */
   void breakOff(String reason) {
     services.metrics().failed().inc();
-    LOG.infof(
-        "Broken off. request=%s route=%s reason=%s last-event=%s",
-        plan.id(), plan.route().name(), reason, lastEvent.map(Object::toString).orElse("-"));
+    log.brokenOff(reason, lastEvent);
     end();
     caller.abort();
   }
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -0,0 +1,82 @@
+package org.magnoliavale.internal.call;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.dispatch.Choice;
+import org.magnoliavale.internal.logging.Logs;
+
+/**
+ * Writes a line for each decision about one call, with what decided it.
+ *
+ * @param plan the call
+ */
+record CallLog(CallPlan plan) {
+  private static final Logger LOG = Logs.of("call");
+
+  void sent(Choice.Send choice, int attempt, Duration left) {
+    LOG.infof(
+        "Sent. request=%s route=%s endpoint=%s artifact=%s load=%.0f report-age-ms=%d"
+            + " configuration=%d attempt=%d left-ms=%d",
+        plan.id(),
+        plan.route().name(),
+        choice.endpoint().identity(),
+        plan.artifactText(),
+        choice.load(),
+        choice.reportAgeMs(),
+        plan.configurationVersion(),
+        attempt,
+        left.toMillis());
+  }
+
+  void waits(Artifact artifact) {
+    LOG.infof("Waits. request=%s artifact=%s", plan.id(), artifact);
+  }
+
+  void sendsAgain(
+      EndpointIdentity endpoint, String reason, int runs, int refusals, Optional<Long> lastEvent) {
+    LOG.infof(
+        "Sends again. request=%s endpoint=%s reason=%s runs=%d refusals=%d after-event=%s",
+        plan.id(), endpoint, reason, runs, refusals, text(lastEvent));
+  }
+
+  void callerLeft(int runs, boolean begun) {
+    LOG.infof("Caller left. request=%s attempts=%d begun=%s", plan.id(), runs, begun);
+  }
+
+  void answered(int status, int bytes) {
+    LOG.infof("Answered. request=%s status=%d bytes=%d", plan.id(), status, bytes);
+  }
+
+  void streamEnded(Optional<Long> lastEvent) {
+    LOG.infof("Stream ended. request=%s last-event=%s", plan.id(), text(lastEvent));
+  }
+
+  void refused(String reason, int refusals, long nowNanos) {
+    LOG.infof(
+        "Refused. request=%s route=%s reason=%s refusals=%d age-ms=%d",
+        plan.id(),
+        plan.route().name(),
+        reason,
+        refusals,
+        Duration.ofNanos(nowNanos - plan.request().arrivedNanos()).toMillis());
+  }
+
+  void failed(String reason, int runs, String lastReason) {
+    LOG.infof(
+        "Failed. request=%s route=%s reason=%s runs=%d last=%s",
+        plan.id(), plan.route().name(), reason, runs, lastReason);
+  }
+
+  void brokenOff(String reason, Optional<Long> lastEvent) {
+    LOG.infof(
+        "Broken off. request=%s route=%s reason=%s last-event=%s",
+        plan.id(), plan.route().name(), reason, text(lastEvent));
+  }
+
+  private static String text(Optional<Long> lastEvent) {
+    return lastEvent.map(Object::toString).orElse("-");
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/command/LoadCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/LoadCommand.java
@@ -19,7 +19,7 @@
 @Parameters(commandDescription = "Send open-loop load, check every answer, print a report")
 final class LoadCommand implements Command {
   @Parameter(names = "--caller", required = true, description = "Caller addresses of instances")
-  private List<String> callers = new ArrayList<>();
+  private List<String> callers;
 
   @Parameter(names = "--rate", description = "Requests a second")
   private double rate = 20;
--- a/src/main/java/org/magnoliavale/internal/command/Main.java
+++ b/src/main/java/org/magnoliavale/internal/command/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.magnoliavale.Finding;
 import org.magnoliavale.MagnoliavaleException;
@@ -16,15 +17,17 @@
 public final class Main {
   private static final int INTERNAL_FAULT = 3;
 
-  private static final class Options {
+  private static final class HelpOption {
     @Parameter(
         names = {"--help", "-h"},
         help = true,
         description = "Print this help")
-    private boolean help;
+    private boolean asked;
+  }
 
+  private static final class VersionOption {
     @Parameter(names = "--version", help = true, description = "Print the version")
-    private boolean version;
+    private boolean asked;
   }
 
   private Main() {}
@@ -38,11 +41,13 @@
   }
 
   static int run(String[] arguments) {
-    Options options = new Options();
+    HelpOption help = new HelpOption();
+    VersionOption version = new VersionOption();
     Map<String, Command> commands = commands();
     JCommander.Builder builder = JCommander.newBuilder().programName("magnoliavale");
-    builder.addObject(options);
-    commands.forEach(builder::addCommand);
+    builder.addObject(help).addObject(version);
+    HelpOption commandHelp = new HelpOption();
+    commands.forEach((name, command) -> builder.addCommand(name, List.of(command, commandHelp)));
     JCommander parser = builder.build();
     try {
       parser.parse(arguments);
@@ -50,14 +55,18 @@
       System.err.println("magnoliavale: " + e.getMessage().lines().findFirst().orElse(""));
       return Command.USAGE;
     }
-    if (options.version) {
+    if (version.asked) {
       System.out.println("magnoliavale " + version());
       return Command.SUCCESS;
     }
+    if (commandHelp.asked) {
+      parser.getUsageFormatter().usage(parser.getParsedCommand());
+      return Command.SUCCESS;
+    }
     Command command = commands.get(parser.getParsedCommand());
-    if (options.help || command == null) {
+    if (help.asked || command == null) {
       parser.usage();
-      return options.help ? Command.SUCCESS : Command.USAGE;
+      return help.asked ? Command.SUCCESS : Command.USAGE;
     }
     return run(command);
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.server.Server;
 import org.jboss.logging.Logger;
 import org.magnoliavale.Service;
 import org.magnoliavale.internal.call.ArtifactDemand;
@@ -28,7 +27,6 @@
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.http.HttpAddresses;
 import org.magnoliavale.internal.http.HttpClients;
-import org.magnoliavale.internal.http.HttpServers;
 import org.magnoliavale.internal.http.JsonClient;
 import org.magnoliavale.internal.lease.LeaseKeeper;
 import org.magnoliavale.internal.lease.LeaseTimes;
@@ -40,7 +38,6 @@
 import org.magnoliavale.internal.platform.ListedInstance;
 import org.magnoliavale.internal.residency.FleetDemand;
 import org.magnoliavale.internal.residency.ResidencyController;
-import org.magnoliavale.internal.route.ConfigurationReading;
 import org.magnoliavale.internal.route.RouteTable;
 
 /**
@@ -64,7 +61,6 @@
   private static final long DIRECTORY_HURRY_MS = 250;
 
   private static final long TICK_MS = 50;
-  private static final long RETRY_MS = 300;
 
   /** Time for which an instance serves on after the stop signal, so that the balancer sees it. */
   private static final Duration SHORTEST_DRAIN = Duration.ofMillis(3_500);
@@ -96,15 +92,13 @@
   private final OrderLeaseKeeper lease;
   private final ResidencyController residency;
   private final CrashWatch crashWatch;
-  private final Server callerServer;
-  private final Server readinessServer;
+  private final GatewayServers servers;
+  private final ConfigurationFollower configuration;
   private final Executor orders = Executors.newVirtualThreadPerTaskExecutor();
-  private volatile RouteTable routes;
   private volatile boolean listed;
   private List<String> drainingTold = List.of();
   private volatile boolean leaving;
   private volatile boolean stopped;
-  private int callerPort;
 
   private GatewayInstance(GatewaySettings settings, GatewayPorts.Factory factory) {
     this.settings = settings;
@@ -112,6 +106,7 @@
     controlClient = network.client("control", CONTROL_CONNECTIONS, CONNECT_TIMEOUT, CONTROL_IDLE);
     endpointClient = network.endpointClient(CONNECT_TIMEOUT);
     ports = factory.create(JsonClient.of(controlClient), settings);
+    configuration = new ConfigurationFollower(ports.configuration());
     membership = new Membership(settings.peers().silenceTimeout());
     endpoints = new EndpointPool(settings.dataCentre(), this::liveInstances, new Random());
     CrashRegistry crashes = new CrashRegistry(incarnation, InstantSource.system());
@@ -146,11 +141,13 @@
             metrics.counter("link_frames_rejected"));
     exchange.connect(
         lease::isHeld, residency.log(), calls::endpointsChanged, this::demandChanged, lease::hurry);
-    callerServer =
-        network.server(
-            settings.callers(),
-            new GatewayHandler(calls, ports.protocol(), this::maximumBodyBytes, () -> leaving));
-    readinessServer = network.server(settings.readiness(), new ReadinessHandler(this::isReady));
+    servers =
+        new GatewayServers(
+            settings,
+            network,
+            new GatewayHandler(calls, ports.protocol(), this::maximumBodyBytes, () -> leaving),
+            new ReadinessHandler(this::isReady),
+            metrics);
     registerMetrics();
   }
 
@@ -167,7 +164,7 @@
         budget(),
         demand,
         crashWatch,
-        () -> routes,
+        configuration::routes,
         new CallMetrics(metrics),
         System::nanoTime);
   }
@@ -177,7 +174,7 @@
         .lease(lease)
         .control(ports.control())
         .demand(fleetDemand)
-        .routes(() -> routes)
+        .routes(configuration::routes)
         .self(settings.instance())
         .executor(orders)
         .nanoClock(System::nanoTime)
@@ -205,23 +202,25 @@
     metrics.registry().register("calls_in_progress", (Gauge<Integer>) calls::size);
     metrics.registry().register("instances", (Gauge<Integer>) this::liveInstances);
     metrics.registry().register("link_bytes_sent", (Gauge<Long>) links::bytesSent);
-    metrics
-        .registry()
-        .register(
-            "configuration_version", (Gauge<Long>) () -> routes == null ? 0 : routes.version());
+    metrics.registry().register("configuration_version", (Gauge<Long>) this::configurationVersion);
   }
 
   private int liveInstances() {
     return membership.instances(System.nanoTime());
   }
 
+  private long configurationVersion() {
+    RouteTable table = configuration.routes();
+    return table == null ? 0 : table.version();
+  }
+
   private int maximumBodyBytes() {
-    RouteTable table = routes;
+    RouteTable table = configuration.routes();
     return table == null ? BODY_BYTES_WITHOUT_CONFIGURATION : table.maximumBodyBytes();
   }
 
   private boolean isReady() {
-    return routes != null && listed && !leaving;
+    return configuration.routes() != null && listed && !leaving;
   }
 
   private void announceDemand() {
@@ -244,49 +243,19 @@
   public void start() {
     HttpClients.start(controlClient);
     network.startEndpointClient(endpointClient);
-    callerPort = HttpServers.start(callerServer);
-    HttpServers.start(readinessServer);
-    Thread.ofVirtual().name("configuration").start(this::followConfiguration);
+    servers.start();
+    configuration.start();
     Thread.ofVirtual().name("directory").start(this::followDirectory);
     links.start();
     lease.start();
     Thread.ofVirtual().name("tick").start(this::tickLoop);
     LOG.infof(
-        "Started. instance=%s callers=%s readiness=%s store=%s",
-        settings.instance(), settings.callers(), settings.readiness(), settings.store());
-  }
-
-  private void followConfiguration() {
-    boolean available = true;
-    while (!stopped) {
-      ConfigurationReading reading = ports.configuration().poll();
-      switch (reading) {
-        case ConfigurationReading.Found(RouteTable found) -> install(found);
-        case ConfigurationReading.Unchanged() -> {}
-        case ConfigurationReading.Unavailable(String reason) -> {
-          if (available) {
-            LOG.infof("Configuration can't be read. reason=%s", reason);
-          }
-          sleep(RETRY_MS);
-        }
-      }
-      boolean reached = !(reading instanceof ConfigurationReading.Unavailable);
-      if (reached && !available) {
-        LOG.info("Configuration can be read again.");
-      }
-      available = reached;
-    }
-  }
-
-  private void install(RouteTable found) {
-    RouteTable current = routes;
-    if (current != null && found.version() <= current.version()) {
-      return;
-    }
-    routes = found;
-    LOG.infof(
-        "Configuration in force. version=%d routes=%d services=%d",
-        found.version(), found.size(), found.services().size());
+        "Started. instance=%s callers=%s readiness=%s metrics=%s store=%s",
+        settings.instance(),
+        settings.callers(),
+        settings.readiness(),
+        settings.metrics(),
+        settings.store());
   }
 
   private void followDirectory() {
@@ -353,11 +322,12 @@
     calls.refuseStreams();
     awaitDrain(startNanos, LATEST_CALL);
     // From here on callers find the port closed, which tells them that nothing was read.
-    HttpServers.stopAccepting(callerServer);
+    servers.stopAcceptingCallers();
     calls.refuseAll();
     awaitDrain(startNanos, settings.gracePeriod().minus(STOP_RESERVE));
     LOG.infof("Stopped. calls=%d", calls.size());
     stopped = true;
+    configuration.stop();
     lease.stop();
   }
 
@@ -371,10 +341,10 @@
   /** Ends everything at once, without a drain. */
   public void halt() {
     stopped = true;
+    configuration.stop();
     lease.stop();
     links.stop();
-    HttpServers.stop(callerServer);
-    HttpServers.stop(readinessServer);
+    servers.stop();
     HttpClients.stop(endpointClient);
     HttpClients.stop(controlClient);
   }
@@ -393,6 +363,11 @@
 
   /** Returns the port that callers connect to. */
   public int callerPort() {
-    return callerPort;
+    return servers.callerPort();
+  }
+
+  /** Returns the port that metrics are read from. */
+  public int metricsPort() {
+    return servers.metricsPort();
   }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayPathTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayPathTest.java
@@ -249,6 +249,20 @@
     }
   }
 
+  @Test
+  void metricsPortTellsWhatBecameOfCalls() throws Exception {
+    try (Socket caller = connect()) {
+      send(caller, "/safe/x", "id-1");
+      endpoint.next().answer(200, "first");
+      readUntil(caller, "first");
+    }
+    try (Socket reader = new Socket(InetAddress.getLoopbackAddress(), instance.metricsPort())) {
+      reader.setSoTimeout(PATIENCE_MS);
+      send(reader, "/metrics", "none");
+      assertThat(readUntil(reader, "calls_answered 1.0")).contains("calls_answered 1.0");
+    }
+  }
+
   @Test
   void streamThatBreaksOffDoesNotLookComplete() throws Exception {
     try (Socket caller = connect()) {
