Place replicas by what calls suffer, spread adapters, keep what was just loaded

Ruled out: the router (it went on choosing the crowded endpoint only for calls whose adapter was nowhere else). Tests: ResidencyPlannerTest (five new cases).

--- a/src/main/java/org/magnoliavale/internal/call/ArtifactDemand.java
+++ b/src/main/java/org/magnoliavale/internal/call/ArtifactDemand.java
@@ -12,7 +12,7 @@
  */
 public final class ArtifactDemand {
   /** Time in which a past request loses most of its weight, in seconds. */
-  private static final double MEMORY_S = 5;
+  private static final double MEMORY_S = 3;
 
   private static final double NEGLIGIBLE_RATE = 0.005;
 
--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -46,6 +46,7 @@
   private boolean writing;
   private boolean completedWhileWriting;
   private long heardNanos;
+  private long eventNanos;
 
   Attempt(Call call, DirectoryEntry endpoint, long sentNanos, Optional<Long> resumedAfter) {
     this.call = call;
@@ -172,6 +173,7 @@
       demand.run();
       return;
     }
+    noteEvents();
     if (call.beginOnce()) {
       call.caller().begin(answer.status(), call.services().protocol().returned(answerHeaders));
     }
@@ -180,6 +182,14 @@
     call.caller().write(whole, () -> written(demand));
   }
 
+  private void noteEvents() {
+    if (eventNanos != 0) {
+      double gapMs = (double) (heardNanos - eventNanos) / TimeUnit.MILLISECONDS.toNanos(1);
+      pool().eventGap(identity(), gapMs, heardNanos);
+    }
+    eventNanos = heardNanos;
+  }
+
   private void written(Runnable demand) {
     synchronized (call) {
       writing = false;
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -37,6 +37,9 @@
   /** Delay that stands for the price of traffic to another data centre, in milliseconds. */
   private static final double DISTANCE_DELAY_MS = 6;
 
+  /** Weight of an engine at which all streams suffer, in milliseconds of expected delay. */
+  private static final double CROWDING_DELAY_MS = 400;
+
   private static final double RANDOM_SHARE = 0.15;
 
   private final String dataCentre;
@@ -131,7 +134,7 @@
     double delay =
         selection
             .generation()
-            .map(generation -> engineDelayMs(state, generation, load))
+            .map(generation -> engineDelayMs(state, generation, load, nowNanos))
             .orElseGet(() -> plainDelayMs(state, load));
     if (!state.entry().dataCentre().equals(dataCentre)) {
       delay += DISTANCE_DELAY_MS;
@@ -139,11 +142,13 @@
     return delay + FAILURE_DELAY_MS * state.failureShare() + 1;
   }
 
-  private static double engineDelayMs(EndpointState state, Generation generation, double load) {
+  private static double engineDelayMs(
+      EndpointState state, Generation generation, double load, long nowNanos) {
     double overload = Math.max(0, load - state.entry().slots() + 1);
     return state.firstByteMs() / 2
         + load * ENGINE_DELAY_PER_REQUEST_MS
         + overload * overload * ENGINE_DELAY_PER_REQUEST_MS
+        + state.crowding(nowNanos) * CROWDING_DELAY_MS
         + state.prompts().missingTokens(generation) / PROMPT_TOKENS_PER_MS;
   }
 
@@ -226,10 +231,18 @@
     return state != null && state.isUnreachable(nowNanos);
   }
 
-  /** Returns the share of an endpoint's slots that is taken, over 1 with a queue. */
-  public synchronized double pressure(EndpointIdentity identity, long nowNanos) {
+  /** Notes the time between two events of a stream, in milliseconds. */
+  public synchronized void eventGap(EndpointIdentity identity, double milliseconds, long nowNanos) {
+    EndpointState state = endpoints.get(identity);
+    if (state != null) {
+      state.eventGap(milliseconds, nowNanos);
+    }
+  }
+
+  /** Returns how much calls at an endpoint suffer from each other, from 0 (at ease) to 1. */
+  public synchronized double crowding(EndpointIdentity identity, long nowNanos) {
     EndpointState state = endpoints.get(identity);
-    return state == null ? 0 : state.pressure(nowNanos);
+    return state == null ? 0 : state.crowding(nowNanos);
   }
 
   /** Tells whether an endpoint is still listed. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -33,6 +33,20 @@
 
   private static final long UNREACHABLE_MS = 1_500;
 
+  /** Share of slots taken from which on calls slow each other down. */
+  private static final double EASY_SLOT_SHARE = 0.25;
+
+  /** Share of slots taken at which all calls suffer. */
+  private static final double FULL_SLOT_SHARE = 0.75;
+
+  /** Time between two events of a stream up to which an engine is at ease, in milliseconds. */
+  private static final double EASY_GAP_MS = 80;
+
+  /** Mean time between events at which most streams have pauses that are too long. */
+  private static final double FULL_GAP_MS = 240;
+
+  private static final double GAP_SMOOTHING = 0.08;
+
   private static final int FAILURES_BEFORE_EJECTION = 3;
   private static final double SMOOTHING = 0.2;
 
@@ -54,6 +68,8 @@
   private long unreachableNanos;
   private double failureShare;
   private double firstByteMs;
+  private double eventGapMs;
+  private long eventNanos;
 
   EndpointState(DirectoryEntry entry, long nowNanos) {
     this.entry = entry;
@@ -180,6 +196,18 @@
     firstByteMs += SMOOTHING * (milliseconds - firstByteMs);
   }
 
+  /** Notes the time between two events of a stream, in milliseconds. */
+  void eventGap(double milliseconds, long nowNanos) {
+    boolean first = milliseconds(nowNanos - eventNanos) > REPORT_VALIDITY_MS || eventGapMs == 0;
+    eventGapMs = first ? milliseconds : eventGapMs + GAP_SMOOTHING * (milliseconds - eventGapMs);
+    eventNanos = nowNanos;
+  }
+
+  /** Returns the mean time between events lately, 0 if none were seen. */
+  double eventGapMs(long nowNanos) {
+    return milliseconds(nowNanos - eventNanos) > REPORT_VALIDITY_MS ? 0 : eventGapMs;
+  }
+
   void ended(CallResult result, long nowNanos) {
     inFlight--;
     switch (result) {
@@ -211,8 +239,15 @@
     return report == null ? -1 : milliseconds(nowNanos - reportNanos);
   }
 
+  /** Returns how much calls here suffer from each other, from 0 (at ease) to 1. */
+  double crowding(long nowNanos) {
+    double gaps = (eventGapMs(nowNanos) - EASY_GAP_MS) / (FULL_GAP_MS - EASY_GAP_MS);
+    double slots = (slotShare(nowNanos) - EASY_SLOT_SHARE) / (FULL_SLOT_SHARE - EASY_SLOT_SHARE);
+    return Math.clamp(Math.max(gaps, slots), 0, 1);
+  }
+
   /** Returns the share of slots that the last report shows as taken, over 1 with a queue. */
-  double pressure(long nowNanos) {
+  private double slotShare(long nowNanos) {
     if (report == null || milliseconds(nowNanos - reportNanos) > REPORT_VALIDITY_MS) {
       return 0;
     }
--- a/src/main/java/org/magnoliavale/internal/gateway/PoolHealth.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PoolHealth.java
@@ -18,7 +18,7 @@
   }
 
   @Override
-  public double pressure(EndpointIdentity identity) {
-    return pool.pressure(identity, nanoClock.getAsLong());
+  public double crowding(EndpointIdentity identity) {
+    return pool.crowding(identity, nanoClock.getAsLong());
   }
 }
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/residency/AdapterPlanner.java
@@ -0,0 +1,149 @@
+package org.magnoliavale.internal.residency;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliavale.internal.dispatch.Artifact;
+
+/**
+ * Decides where adapters go: to a replica of their model when calls wait for them, and to a further
+ * replica when all that hold them are crowded and another one is not.
+ */
+final class AdapterPlanner {
+  /** Crowding of its holders from which on an adapter goes to a further replica. */
+  private static final double CROWDED = 0.2;
+
+  /** Difference in crowding that is worth an order. */
+  private static final double RELIEF = 0.15;
+
+  /** Requests a second below which an adapter stays where it is. */
+  private static final double SPREAD_RATE = 0.2;
+
+  private final List<EndpointView> views;
+  private final Map<Artifact, ArtifactUse> uses;
+  private final Set<String> taken;
+  private final List<ResidencyPlanner.Step> steps;
+
+  private AdapterPlanner(
+      List<EndpointView> views,
+      Map<Artifact, ArtifactUse> uses,
+      Set<String> taken,
+      List<ResidencyPlanner.Step> steps) {
+    this.views = views;
+    this.uses = uses;
+    this.taken = taken;
+    this.steps = steps;
+  }
+
+  /**
+   * Adds steps for adapters.
+   *
+   * @param taken endpoints that have a step already
+   */
+  static void plan(
+      List<EndpointView> views,
+      Map<Artifact, ArtifactUse> uses,
+      Set<String> taken,
+      List<ResidencyPlanner.Step> steps) {
+    AdapterPlanner planner = new AdapterPlanner(views, uses, taken, steps);
+    planner.placeMissing();
+    planner.spreadCrowded();
+  }
+
+  private void placeMissing() {
+    List<Artifact> wanted = new ArrayList<>();
+    uses.forEach(
+        (artifact, use) -> {
+          if (artifact.adapter().isPresent() && use.waiting() > 0 && !isSomewhere(artifact)) {
+            wanted.add(artifact);
+          }
+        });
+    wanted.sort(
+        Comparator.comparingInt((Artifact artifact) -> -uses.get(artifact).waiting())
+            .thenComparing(Artifact::toString));
+    wanted.forEach(adapter -> place(adapter, 1, "waited for"));
+  }
+
+  private boolean isSomewhere(Artifact artifact) {
+    return views.stream().anyMatch(view -> view.has(artifact));
+  }
+
+  private void spreadCrowded() {
+    List<Artifact> busy = new ArrayList<>();
+    uses.forEach(
+        (artifact, use) -> {
+          if (artifact.adapter().isPresent() && use.perSecond() >= SPREAD_RATE) {
+            busy.add(artifact);
+          }
+        });
+    busy.sort(
+        Comparator.comparingDouble((Artifact artifact) -> -uses.get(artifact).perSecond())
+            .thenComparing(Artifact::toString));
+    for (Artifact adapter : busy) {
+      double least =
+          views.stream()
+              .filter(view -> view.has(adapter))
+              .mapToDouble(EndpointView::crowding)
+              .min()
+              .orElse(0);
+      if (least >= CROWDED) {
+        place(adapter, least - RELIEF, "its holders are crowded");
+      }
+    }
+  }
+
+  private void place(Artifact adapter, double mostCrowding, String reason) {
+    EndpointView best = null;
+    for (EndpointView view : views) {
+      boolean able =
+          view.isReady(adapter.base())
+              && !view.artifacts().contains(adapter)
+              && !view.busy()
+              && !taken.contains(view.id())
+              && view.crowding() <= mostCrowding
+              && (view.fits(adapter) || leastUsed(view).isPresent());
+      if (able && (best == null || order(adapter).compare(view, best) < 0)) {
+        best = view;
+      }
+    }
+    if (best == null) {
+      return;
+    }
+    taken.add(best.id());
+    if (best.fits(adapter)) {
+      steps.add(step(best, EndpointOrder.Operation.LOAD, adapter, reason));
+    } else {
+      Artifact victim = leastUsed(best).orElseThrow();
+      steps.add(step(best, EndpointOrder.Operation.UNLOAD, victim, "makes way for " + adapter));
+    }
+  }
+
+  /** Compares endpoints for an adapter, the best one first. */
+  private static Comparator<EndpointView> order(Artifact adapter) {
+    return Comparator.comparing((EndpointView view) -> !view.fits(adapter))
+        .thenComparingDouble(EndpointView::crowding)
+        .thenComparingInt(view -> view.adapters().size());
+  }
+
+  private static ResidencyPlanner.Step step(
+      EndpointView view, EndpointOrder.Operation operation, Artifact artifact, String reason) {
+    return new ResidencyPlanner.Step(view, operation, artifact, Optional.empty(), reason);
+  }
+
+  /** Returns the adapter that can go best; none while another one is on its way out. */
+  private Optional<Artifact> leastUsed(EndpointView view) {
+    if (view.leaving().stream().anyMatch(artifact -> artifact.adapter().isPresent())) {
+      return Optional.empty();
+    }
+    return view.adapters().stream()
+        .filter(view::isReady)
+        .filter(adapter -> uses.getOrDefault(adapter, ArtifactUse.NONE).waiting() == 0)
+        .min(
+            Comparator.comparingDouble(
+                    (Artifact adapter) -> uses.getOrDefault(adapter, ArtifactUse.NONE).perSecond())
+                .thenComparing(Artifact::toString));
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointHealth.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointHealth.java
@@ -7,6 +7,6 @@
   /** Tells whether connections to an endpoint could not be made lately. */
   boolean isUnreachable(EndpointIdentity identity);
 
-  /** Returns the share of an endpoint's slots that is taken, over 1 with a queue. */
-  double pressure(EndpointIdentity identity);
+  /** Returns how much calls at an endpoint suffer from each other, from 0 (at ease) to 1. */
+  double crowding(EndpointIdentity identity);
 }
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
@@ -1,8 +1,10 @@
 package org.magnoliavale.internal.residency;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -43,6 +45,10 @@
   /** Time for which an endpoint that can't be reached gets no orders and counts as lost. */
   private static final long UNREACHABLE_MS = 1_500;
 
+  /** Time after its load in which a model is not given up, so that it serves what it came for. */
+  private static final long SETTLING_MS = 5_000;
+
+  private final Map<Artifact, Long> loadedNanos = new HashMap<>();
   private final List<OpenOrder> open = new ArrayList<>();
   private DirectoryEntry entry;
   private OptionalLong sequence = OptionalLong.empty();
@@ -102,8 +108,11 @@
     open.removeIf(
         order -> {
           boolean shows = held.contains(order.artifact()) == order.isLoad();
-          return order.certain() && shows && isAfter(order)
-              || age(order.sentNanos(), nowNanos) > LATENESS_MS;
+          boolean done = order.certain() && shows && isAfter(order);
+          if (done && order.isModel() && order.isLoad()) {
+            loadedNanos.put(order.artifact(), nowNanos);
+          }
+          return done || age(order.sentNanos(), nowNanos) > LATENESS_MS;
         });
     if (newer.heartbeat() >= reportHeartbeat + HEARTBEATS_AFTER) {
       reportedHeld.clear();
@@ -210,7 +219,12 @@
     return due;
   }
 
-  EndpointView view(EngineSpecification engine, double pressure, long nowNanos) {
+  private Set<Artifact> settling(long nowNanos) {
+    loadedNanos.values().removeIf(nanos -> age(nanos, nowNanos) > SETTLING_MS);
+    return Set.copyOf(loadedNanos.keySet());
+  }
+
+  EndpointView view(EngineSpecification engine, double crowding, long nowNanos) {
     Set<Artifact> artifacts = new HashSet<>(EndpointView.held(entry.models()));
     artifacts.addAll(reportedHeld);
     Set<Artifact> coming = new HashSet<>();
@@ -241,7 +255,8 @@
         busy,
         goal,
         isLost(nowNanos),
-        pressure);
+        settling(nowNanos),
+        crowding);
   }
 
   private static long age(long sinceNanos, long nowNanos) {
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
@@ -26,7 +26,8 @@
  * @param busy whether it can take no order now
  * @param goal the model that room is being made for
  * @param lost whether it can't be reached or was replaced
- * @param pressure share of its slots that is taken, over 1 with a queue
+ * @param settling models that were loaded a short time ago
+ * @param crowding how much calls there suffer from each other, from 0 (at ease) to 1
  */
 record EndpointView(
     DirectoryEntry entry,
@@ -38,7 +39,8 @@
     boolean busy,
     Optional<Artifact> goal,
     boolean lost,
-    double pressure) {
+    Set<Artifact> settling,
+    double crowding) {
   String id() {
     return entry.identity().id();
   }
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -198,7 +198,7 @@
     List<EndpointView> views = new ArrayList<>();
     engines.forEach(
         (identity, engine) ->
-            views.add(ledgers.get(identity).view(engine, health.pressure(identity), now)));
+            views.add(ledgers.get(identity).view(engine, health.crowding(identity), now)));
     boolean allowed = ceiling.allows(loadsPerSecond, now);
     for (ResidencyPlanner.Step step :
         ResidencyPlanner.plan(views, demand.total(now), demand.patientModels(), allowed)) {
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -35,49 +35,11 @@
       Optional<Artifact> goal,
       String reason) {}
 
-  /** Time for which a placement is expected to serve, in seconds. */
-  private static final double HORIZON_S = 10;
-
-  /** Time in which calls for a model that was dropped have to wait, in seconds. */
-  private static final double RELOAD_S = 4;
-
-  /** Share of a model's calls that a second replica saves when the first one fails. */
-  private static final double SECOND_REPLICA_SHARE = 0.15;
-
-  private static final double FURTHER_REPLICA_SHARE = 0.03;
-
-  /** Calls that a model is worth that nobody asks for now; it makes a later one quick. */
-  private static final double STANDBY_CALLS = 2.5;
-
-  /** The same for a model that urgent calls have asked for; demand for it may return at once. */
-  private static final double URGENT_STANDBY_CALLS = 5;
-
-  /** The same for a model that only patient calls have asked for. */
-  private static final double PATIENT_STANDBY_CALLS = 0.3;
-
-  /** Weight of a call that can wait for a load. */
-  private static final double PATIENT_WEIGHT = 0.4;
-
-  /** The same for a second replica, which the operator may have placed for demand to come. */
-  private static final double UNKNOWN_CALLS = 0.1;
-
-  /** Requests a second below which one replica is enough. */
-  private static final double SECOND_REPLICA_RATE = 1.2;
-
-  /** Requests a second that one replica more is worth having for. */
-  private static final double RATE_PER_REPLICA = 8;
-
-  /** Share of slots taken up to which calls do not slow each other down. */
-  private static final double EASY_PRESSURE = 0.6;
-
   /** Factor by which a gain must exceed the loss of what makes way. */
   private static final double HYSTERESIS = 1.3;
 
-  /** Time after which most waiting calls have left, in seconds. */
-  private static final double PATIENCE_S = 2;
-
-  /** Share of waiting calls that are still served after a longer load. */
-  private static final double PATIENT_SHARE = 0.5;
+  /** Calls that a change of models costs in any case. */
+  private static final double CHANGE_CALLS = 0.2;
 
   /** Share of calls for an adapter that miss it although it is there, since adapters change. */
   private static final double HELD_ADAPTER_SHARE = 0.1;
@@ -87,7 +49,7 @@
   private final List<EndpointView> views;
   private final Map<Artifact, ArtifactUse> uses;
   private final Map<Artifact, Integer> replicas;
-  private final Map<String, Boolean> patientModels;
+  private final ReplicaValue value;
   private final boolean storeLoadAllowed;
   private final Set<String> taken = new HashSet<>();
   private final List<Step> steps = new ArrayList<>();
@@ -97,10 +59,10 @@
       Map<Artifact, ArtifactUse> uses,
       Map<String, Boolean> patientModels,
       boolean storeLoadAllowed) {
-    this.patientModels = patientModels;
     this.views = views.stream().filter(EndpointView::isUsable).toList();
     this.uses = uses;
     this.replicas = EndpointView.replicas(views);
+    this.value = new ReplicaValue(this.views, uses, replicas, patientModels);
     this.storeLoadAllowed = storeLoadAllowed;
   }
 
@@ -113,7 +75,7 @@
     ResidencyPlanner planner = new ResidencyPlanner(views, uses, patientModels, storeLoadAllowed);
     planner.continueGoals();
     planner.planModels();
-    planner.planAdapters();
+    AdapterPlanner.plan(planner.views, uses, planner.taken, planner.steps);
     return planner.steps;
   }
 
@@ -124,7 +86,7 @@
     }
     List<Artifact> wanted = new ArrayList<>(models);
     wanted.sort(
-        Comparator.comparingDouble((Artifact model) -> -gainOfNext(model, 0))
+        Comparator.comparingDouble((Artifact model) -> -value.gainOfNext(model, 0))
             .thenComparing(Artifact::toString));
     wanted.forEach(this::place);
   }
@@ -158,86 +120,6 @@
         "makes way for " + model + ", " + reason);
   }
 
-  private ArtifactUse use(Artifact model) {
-    ArtifactUse total = uses.getOrDefault(model, ArtifactUse.NONE);
-    for (Map.Entry<Artifact, ArtifactUse> entry : uses.entrySet()) {
-      Artifact artifact = entry.getKey();
-      if (artifact.adapter().isPresent() && artifact.base().equals(model)) {
-        total = total.plus(entry.getValue());
-      }
-    }
-    return total;
-  }
-
-  /** Returns how many calls one replica more serves that would not be served in time. */
-  private double gainOfNext(Artifact model, double loadSeconds) {
-    ArtifactUse use = use(model);
-    double rate = use.perSecond() * weight(model);
-    double serving = Math.max(0, HORIZON_S - loadSeconds);
-    int count = replicas.getOrDefault(model, 0);
-    if (count == 0) {
-      boolean soon = loadSeconds <= PATIENCE_S || isPatient(model);
-      double waiting = use.waiting() * (soon ? 1 : PATIENT_SHARE);
-      return standby(model) + rate * serving + waiting;
-    }
-    double relief = rate * serving * overload(pressure(model));
-    if (count == 1) {
-      double safety = rate >= SECOND_REPLICA_RATE ? rate * serving * SECOND_REPLICA_SHARE : 0;
-      return safety + relief;
-    }
-    boolean spread = rate >= RATE_PER_REPLICA * count;
-    return (spread ? rate * serving * FURTHER_REPLICA_SHARE : 0) + relief;
-  }
-
-  /** Returns how many calls suffer when the last one of a model's replicas goes. */
-  private double lossOfLast(Artifact model) {
-    ArtifactUse use = use(model);
-    double rate = use.perSecond() * weight(model);
-    int count = replicas.getOrDefault(model, 1);
-    if (count <= 1) {
-      return standby(model) + rate * RELOAD_S + use.waiting();
-    }
-    double pressureAfter = pressure(model) * count / (count - 1);
-    double crowding = rate * HORIZON_S * overload(pressureAfter);
-    if (count == 2) {
-      double safety =
-          rate >= SECOND_REPLICA_RATE ? rate * HORIZON_S * SECOND_REPLICA_SHARE : UNKNOWN_CALLS;
-      return safety + crowding;
-    }
-    boolean spread = rate >= RATE_PER_REPLICA * (count - 1);
-    return (spread ? rate * HORIZON_S * FURTHER_REPLICA_SHARE : 0) + crowding;
-  }
-
-  private boolean isPatient(Artifact model) {
-    return patientModels.getOrDefault(model.model(), false);
-  }
-
-  private double weight(Artifact model) {
-    return isPatient(model) ? PATIENT_WEIGHT : 1;
-  }
-
-  private double standby(Artifact model) {
-    Boolean patient = patientModels.get(model.model());
-    if (patient == null) {
-      return STANDBY_CALLS;
-    }
-    return patient ? PATIENT_STANDBY_CALLS : URGENT_STANDBY_CALLS;
-  }
-
-  /** Returns the share of calls that suffer at this share of slots taken. */
-  private static double overload(double pressure) {
-    return Math.clamp(pressure - EASY_PRESSURE, 0, 1);
-  }
-
-  /** Returns the share of slots that is taken on average where a model is ready. */
-  private double pressure(Artifact model) {
-    return views.stream()
-        .filter(view -> view.isReady(model))
-        .mapToDouble(EndpointView::pressure)
-        .average()
-        .orElse(0);
-  }
-
   private void place(Artifact model) {
     EndpointView best = null;
     List<Artifact> bestVictims = List.of();
@@ -253,10 +135,10 @@
       if (victims == null) {
         continue;
       }
-      double loss = victims.stream().mapToDouble(this::lossOfLast).sum();
+      double loss = victims.stream().mapToDouble(value::lossOfLast).sum();
       double seconds = loadSeconds(view, model);
       loss += blockedAdapterCalls(view, seconds);
-      double gain = gainOfNext(model, seconds) - loss * HYSTERESIS;
+      double gain = value.gainOfNext(model, seconds) - loss * HYSTERESIS - CHANGE_CALLS;
       if (gain > bestGain) {
         best = view;
         bestVictims = victims;
@@ -269,9 +151,9 @@
     taken.add(best.id());
     String reason =
         "rate "
-            + rounded(use(model).perSecond())
+            + rounded(value.use(model).perSecond())
             + " waiting "
-            + use(model).waiting()
+            + value.use(model).waiting()
             + " replicas "
             + replicas.getOrDefault(model, 0)
             + " gain "
@@ -292,7 +174,9 @@
     List<Artifact> victims = new ArrayList<>();
     List<Artifact> candidates = new ArrayList<>(view.models());
     candidates.removeIf(candidate -> view.coming().contains(candidate));
-    candidates.sort(Comparator.comparingDouble(this::lossOfLast).thenComparing(Artifact::toString));
+    candidates.removeIf(candidate -> view.settling().contains(candidate));
+    candidates.sort(
+        Comparator.comparingDouble(value::lossOfLast).thenComparing(Artifact::toString));
     for (Artifact candidate : candidates) {
       if (missing <= 0) {
         break;
@@ -338,63 +222,4 @@
     }
     return milliseconds / 1_000;
   }
-
-  private void planAdapters() {
-    List<Artifact> wanted = new ArrayList<>();
-    uses.forEach(
-        (artifact, use) -> {
-          if (artifact.adapter().isPresent() && use.waiting() > 0 && !isSomewhere(artifact)) {
-            wanted.add(artifact);
-          }
-        });
-    wanted.sort(
-        Comparator.comparingInt((Artifact artifact) -> -uses.get(artifact).waiting())
-            .thenComparing(Artifact::toString));
-    wanted.forEach(this::placeAdapter);
-  }
-
-  private boolean isSomewhere(Artifact artifact) {
-    return views.stream().anyMatch(view -> view.has(artifact));
-  }
-
-  private void placeAdapter(Artifact adapter) {
-    EndpointView best = null;
-    for (EndpointView view : views) {
-      boolean able =
-          view.isReady(adapter.base())
-              && !view.busy()
-              && !taken.contains(view.id())
-              && (view.fits(adapter) || leastUsedAdapter(view).isPresent());
-      if (able && (best == null || view.adapters().size() < best.adapters().size())) {
-        best = view;
-      }
-    }
-    if (best == null) {
-      return;
-    }
-    taken.add(best.id());
-    if (best.fits(adapter)) {
-      steps.add(
-          new Step(best, EndpointOrder.Operation.LOAD, adapter, Optional.empty(), "waited for"));
-      return;
-    }
-    Artifact victim = leastUsedAdapter(best).orElseThrow();
-    steps.add(
-        new Step(
-            best,
-            EndpointOrder.Operation.UNLOAD,
-            victim,
-            Optional.empty(),
-            "makes way for " + adapter));
-  }
-
-  private Optional<Artifact> leastUsedAdapter(EndpointView view) {
-    return view.adapters().stream()
-        .filter(view::isReady)
-        .filter(adapter -> uses.getOrDefault(adapter, ArtifactUse.NONE).waiting() == 0)
-        .min(
-            Comparator.comparingDouble(
-                    (Artifact adapter) -> uses.getOrDefault(adapter, ArtifactUse.NONE).perSecond())
-                .thenComparing(Artifact::toString));
-  }
 }
--- a/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
@@ -53,7 +53,8 @@
     private final Set<Artifact> held = new HashSet<>();
     private boolean busy;
     private boolean lost;
-    private double pressure;
+    private double crowding;
+    private final Set<Artifact> settling = new HashSet<>();
     private Optional<Artifact> goal = Optional.empty();
 
     private ViewBuilder(String id, String... artifacts) {
@@ -73,8 +74,13 @@
       return this;
     }
 
-    ViewBuilder pressure(double value) {
-      pressure = value;
+    ViewBuilder crowding(double value) {
+      crowding = value;
+      return this;
+    }
+
+    ViewBuilder settling(String model) {
+      settling.add(Artifact.parse(model));
       return this;
     }
 
@@ -95,7 +101,8 @@
               busy,
               goal,
               lost,
-              pressure));
+              settling,
+              crowding));
     }
   }
 
@@ -163,8 +170,8 @@
 
     @Test
     void crowdedModelGetsAnotherReplica() {
-      endpoint("a", "busy").pressure(1.2).add();
-      endpoint("b", "busy").pressure(1.2).add();
+      endpoint("a", "busy").crowding(1).add();
+      endpoint("b", "busy").crowding(1).add();
       endpoint("c", "rare", "other").add();
       use("busy", 12, 0);
       use("rare", 0.2, 0);
@@ -172,6 +179,39 @@
       assertThat(plan()).anyMatch(step -> step.startsWith("c " + Operation.UNLOAD));
     }
 
+    @Test
+    void replicaThatHasJustBeenLoadedIsNotGivenUp() {
+      endpoint("a", "busy", "other").settling("busy").add();
+      endpoint("b", "busy", "other").settling("busy").busy().add();
+      endpoint("c", "busy").busy().add();
+      endpoint("d", "busy").busy().add();
+      use("busy", 10, 0);
+      use("other", 3, 0);
+      use("rare", 0.5, 4);
+      assertThat(plan()).noneMatch(step -> step.contains("UNLOAD busy"));
+    }
+
+    @Test
+    void modelThatDemandHasJustMovedToGetsASecondReplicaBeforeCallsSuffer() {
+      endpoint("a", "busy", "rare").add();
+      endpoint("b", "idle", "other").add();
+      patient.put("idle", true);
+      patient.put("other", true);
+      use("busy", 9, 0);
+      use("other", 0.2, 0);
+      assertThat(plan()).containsExactly("b " + Operation.UNLOAD + " idle");
+    }
+
+    @Test
+    void replicaThatIsNotNeededYetDoesNotDisplaceAModelInUse() {
+      endpoint("a", "busy", "rare").add();
+      endpoint("b", "busy", "other").add();
+      use("busy", 6, 0);
+      use("rare", 2, 0);
+      use("other", 2, 0);
+      assertThat(plan()).isEmpty();
+    }
+
     @Test
     void modelOfPatientCallsMakesWayBeforeOneThatMayBeAskedForUrgently() {
       patient.put("rare", true);
@@ -186,7 +226,7 @@
       patient.put("rare", true);
       patient.put("other", false);
       endpoint("a", "rare", "other").add();
-      endpoint("b", "busy", "rare").busy().pressure(1).add();
+      endpoint("b", "busy", "rare").busy().crowding(1).add();
       use("busy", 6, 0);
       use("rare", 0.5, 0);
       assertThat(plan()).noneMatch(step -> step.contains("UNLOAD other"));
@@ -234,5 +274,21 @@
       use("busy/a1", 1, 1);
       assertThat(plan()).noneMatch(step -> step.contains("busy/a1"));
     }
+
+    @Test
+    void adapterOfACrowdedEndpointGoesToAReplicaAtEase() {
+      endpoint("a", "busy", "busy/a1").crowding(0.8).add();
+      endpoint("b", "busy").crowding(0.1).add();
+      use("busy/a1", 3, 0);
+      assertThat(plan()).contains("b " + Operation.LOAD + " busy/a1");
+    }
+
+    @Test
+    void adapterStaysWhereItIsWhileAllReplicasAreCrowded() {
+      endpoint("a", "busy", "busy/a1").crowding(0.8).add();
+      endpoint("b", "busy").crowding(0.7).add();
+      use("busy/a1", 3, 0);
+      assertThat(plan()).noneMatch(step -> step.contains("busy/a1"));
+    }
   }
 }
