Hand the lease of orders over within two seconds of a cut or a death

Now: a holder that can't renew within 1.9 s gives its epoch up for good and tells its peers, who need not wait; the holder's heartbeats carry the version of the lease's row, and a watcher counts its patience from the first time that it heard of that version (the renewal began before); a holder that says that it stops is not taken as heard any more. An epoch that was given up is never acted under again, also when a renewal is confirmed late or its answer was lost. Tests: LeaseSuccessionTest (five new cases), ResidencyPlannerTest.

--- a/src/main/java/org/magnoliavale/internal/gateway/FleetExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/FleetExchange.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.magnoliavale.internal.call.ArtifactDemand;
 import org.magnoliavale.internal.containment.CrashNote;
@@ -41,11 +40,11 @@
   private ResidencyLog log = new ResidencyLog();
   private Runnable residencyChanged = () -> {};
   private Runnable demandChanged = () -> {};
-  private Runnable someoneLeaves = () -> {};
   private long lastChange;
   private volatile boolean leaving;
   private volatile long holderHeardNanos = Long.MIN_VALUE;
-  private BooleanSupplier givesOrders = () -> false;
+  private volatile String holder = "";
+  private OrderLeaseKeeper lease;
 
   FleetExchange(
       String self,
@@ -66,16 +65,14 @@
 
   /** Sets what is told and who hears of news, before links start. */
   void connect(
-      BooleanSupplier holdsLease,
+      OrderLeaseKeeper orderLease,
       ResidencyLog residencyLog,
       Runnable onResidency,
-      Runnable onDemand,
-      Runnable onLeaving) {
-    givesOrders = holdsLease;
+      Runnable onDemand) {
+    lease = orderLease;
     log = residencyLog;
     residencyChanged = onResidency;
     demandChanged = onDemand;
-    someoneLeaves = onLeaving;
   }
 
   /** Tells whether the instance that gives orders was heard of lately. */
@@ -115,10 +112,12 @@
   @Override
   public Heartbeat heartbeat() {
     Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setLeaving(leaving);
-    if (givesOrders.getAsBoolean()) {
+    if (lease.isHeld()) {
       heartbeat.setGivesOrders(true);
+      heartbeat.setLeaseRow(lease.leaseRowVersion());
       heartbeat.addAllDrainingEndpoints(endpoints.draining());
     }
+    heartbeat.setSurrenderedEpoch(lease.surrenderedEpoch());
     ownUses()
         .forEach(
             (artifact, use) ->
@@ -156,11 +155,10 @@
   public void heartbeatReceived(String instance, Heartbeat heartbeat) {
     long now = nanoClock.getAsLong();
     if (membership.heard(instance, heartbeat, now)) {
-      someoneLeaves.run();
-    }
-    if (heartbeat.getGivesOrders() && !heartbeat.getLeaving()) {
-      holderHeardNanos = now;
+      lease.hurry();
     }
+    lease.heard(heartbeat.getLeaseRow(), heartbeat.getSurrenderedEpoch());
+    noteHolder(instance, heartbeat, now);
     heartbeat.getDrainingEndpointsList().forEach(endpoints::drains);
     Map<Artifact, ArtifactUse> uses = new HashMap<>();
     boolean waits = false;
@@ -199,6 +197,16 @@
     }
   }
 
+  /** Notes who gives orders; one that says that it does so no more is not waited for. */
+  private void noteHolder(String instance, Heartbeat heartbeat, long now) {
+    if (heartbeat.getGivesOrders() && !heartbeat.getLeaving()) {
+      holder = instance;
+      holderHeardNanos = now;
+    } else if (instance.equals(holder)) {
+      holderHeardNanos = Long.MIN_VALUE;
+    }
+  }
+
   /** Applies changes that are new; each is told several times. */
   private synchronized boolean apply(List<ResidencyLog.Change> changes) {
     boolean applied = false;
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -76,6 +76,9 @@
 
   private static final Duration LEASE_DRIFT = Duration.ofMillis(200);
 
+  /** Time after the start of a renewal in which the next one must be confirmed. */
+  private static final long LEASE_ACTING_MS = 1_900;
+
   private final GatewaySettings settings;
   private final GatewayPorts ports;
   private final HttpClient controlClient;
@@ -139,8 +142,7 @@
             exchange,
             exchange,
             metrics.counter("link_frames_rejected"));
-    exchange.connect(
-        lease::isHeld, residency.log(), calls::endpointsChanged, this::demandChanged, lease::hurry);
+    exchange.connect(lease, residency.log(), calls::endpointsChanged, this::demandChanged);
     servers =
         new GatewayServers(
             settings,
@@ -195,7 +197,9 @@
 
   private LeaseKeeper leaseKeeper(String incarnation) {
     LeaseTimes times = LeaseTimes.of(settings.lease(), LEASE_DRIFT);
-    return new LeaseKeeper("orders", incarnation, times, new Random()).succeedingItself();
+    return new LeaseKeeper("orders", incarnation, times, new Random())
+        .succeedingItself()
+        .actingFor(LEASE_ACTING_MS);
   }
 
   private void registerMetrics() {
@@ -305,6 +309,9 @@
       calls.tick();
       exchange.refreshOwn();
       residency.tick();
+      if (lease.takeSurrendered()) {
+        links.announce();
+      }
       sleep(TICK_MS);
     }
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/OrderLeaseKeeper.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/OrderLeaseKeeper.java
@@ -28,6 +28,7 @@
   private final Table table;
   private final BooleanSupplier holderHeard;
   private volatile boolean stopped;
+  private volatile boolean surrendered;
   private boolean wasHeld;
   private long clockOffsetMs;
 
@@ -50,10 +51,42 @@
   public boolean isHeld() {
     synchronized (keeper) {
       checkSuspension();
+      surrendered |= keeper.surrender(steadyMs());
       return keeper.isHeld(steadyMs());
     }
   }
 
+  /** Tells whether the lease was given up since the last time this was asked. */
+  boolean takeSurrendered() {
+    boolean news = surrendered;
+    surrendered = false;
+    return news;
+  }
+
+  /** Returns the newest epoch that is known to have been given up for good; 0 if none. */
+  long surrenderedEpoch() {
+    synchronized (keeper) {
+      return keeper.surrenderedEpoch();
+    }
+  }
+
+  /** Returns the version of the lease's row after the last renewal; 0 if it is not held. */
+  long leaseRowVersion() {
+    synchronized (keeper) {
+      return Math.max(0, keeper.leaseRowVersion());
+    }
+  }
+
+  /** Takes in what another instance told of the lease. */
+  void heard(long leaseRowVersion, long surrenderedEpoch) {
+    synchronized (keeper) {
+      keeper.heardSurrender(surrenderedEpoch);
+      if (leaseRowVersion > 0) {
+        keeper.heardRenewal(leaseRowVersion, steadyMs());
+      }
+    }
+  }
+
   @Override
   public long fence() {
     synchronized (keeper) {
@@ -109,6 +142,7 @@
     Optional<TableCall> call;
     synchronized (keeper) {
       checkSuspension();
+      surrendered |= keeper.surrender(steadyMs());
       // While the holder is heard of there is nothing to look at, and looking has a price.
       boolean idle = !keeper.isHeld(steadyMs()) && holderHeard.getAsBoolean();
       call = idle ? Optional.empty() : keeper.tick(steadyMs());
--- a/src/main/java/org/magnoliavale/internal/lease/LeaseKeeper.java
+++ b/src/main/java/org/magnoliavale/internal/lease/LeaseKeeper.java
@@ -49,6 +49,8 @@
   private long nextCallMs;
   private boolean wanted = true;
   private boolean succeedsItself;
+  private long actingMs;
+  private long surrenderedEpoch;
 
   /**
    * Returns a keeper that watches.
@@ -73,6 +75,59 @@
     return this;
   }
 
+  /**
+   * Stops acting so long after a renewal began unless the next one is confirmed, if that is sooner
+   * than the lease ends; see {@link #surrender}.
+   */
+  public LeaseKeeper actingFor(long milliseconds) {
+    actingMs = milliseconds;
+    return this;
+  }
+
+  /**
+   * Gives the lease up for good if it could not be renewed in time. The epoch is never acted under
+   * again, so another instance that is told of it need not wait for the row to lapse.
+   *
+   * @return whether it was given up now
+   */
+  public boolean surrender(long nowMs) {
+    if (!(state instanceof State.Held held) || nowMs < held.validUntilMs()) {
+      return false;
+    }
+    surrenderedEpoch = Math.max(surrenderedEpoch, held.epoch());
+    unresolved = null;
+    doubt(nowMs);
+    return true;
+  }
+
+  /** Returns the newest epoch that is known to have been given up for good; 0 if none. */
+  public long surrenderedEpoch() {
+    return surrenderedEpoch;
+  }
+
+  /** Takes in that the holder gave an epoch up for good. */
+  public void heardSurrender(long epoch) {
+    if (epoch > surrenderedEpoch) {
+      surrenderedEpoch = epoch;
+      hurry();
+    }
+  }
+
+  /**
+   * Takes in the version of the row after a renewal that its holder told of. The renewal began
+   * earlier, so waiting from now on is long enough.
+   */
+  public void heardRenewal(long rowVersion, long nowMs) {
+    if (state instanceof State.Watching watching && rowVersion > watching.leaseRow()) {
+      state = new State.Watching(rowVersion, nowMs);
+    }
+  }
+
+  /** Returns the version of the lease's row after the last renewal; absent if it is not held. */
+  public long leaseRowVersion() {
+    return state instanceof State.Held held ? held.leaseRow() : Row.ABSENT;
+  }
+
   private boolean isOwnPredecessor(LeaseRow row) {
     String instance = self.substring(0, self.indexOf('/') + 1);
     return succeedsItself
@@ -204,7 +259,7 @@
     long seenSince =
         state instanceof State.Watching(long known, long since) && known == version ? since : nowMs;
     state = new State.Watching(version, seenSince);
-    boolean free = lease.isEmpty() || lease.get().released() || isOwnPredecessor(lease.get());
+    boolean free = lease.isEmpty() || isFree(lease.get());
     boolean expired = nowMs - seenSince >= times.watcherPatience();
     if (wanted && (free || expired)) {
       return take(done, nowMs);
@@ -216,6 +271,10 @@
     return Optional.empty();
   }
 
+  private boolean isFree(LeaseRow row) {
+    return row.released() || row.epoch() <= surrenderedEpoch || isOwnPredecessor(row);
+  }
+
   /** Resolves a write whose answer was lost: the row carries its token if it took effect. */
   private boolean resolves(Optional<LeaseRow> lease, TableAnswer.Done done, long nowMs) {
     if (lease.isEmpty() || unresolved == null) {
@@ -288,12 +347,13 @@
 
   private void hold(long epoch, long epochRow, long leaseRow, long sentAtMs, long nowMs) {
     unresolved = null;
+    long acting = actingMs == 0 ? times.holderValidity() : actingMs;
     state =
         new State.Held(
             epoch,
             epochRow,
             leaseRow,
-            sentAtMs + times.holderValidity(),
+            sentAtMs + Math.min(acting, times.holderValidity()),
             sentAtMs + times.renewal());
     nextCallMs = nowMs;
   }
--- a/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
@@ -20,11 +20,11 @@
   /** Share of a model's calls that a second replica saves when the first one fails. */
   private static final double SECOND_REPLICA_SHARE = 0.1;
 
-  /** Calls that a model is worth that nobody asks for now; it makes a later one quick. */
-  private static final double STANDBY_CALLS = 2.5;
+  /** Calls that a model is worth that nobody has asked for yet; demand may move to it. */
+  private static final double STANDBY_CALLS = 5;
 
   /** The same for a model that urgent calls have asked for; demand for it may return at once. */
-  private static final double URGENT_STANDBY_CALLS = 5;
+  private static final double URGENT_STANDBY_CALLS = 12;
 
   /** The same for a model that only patient calls have asked for. */
   private static final double PATIENT_STANDBY_CALLS = 0.3;
@@ -35,6 +35,9 @@
   /** The same for a second replica, which the operator may have placed for demand to come. */
   private static final double UNKNOWN_CALLS = 0.1;
 
+  /** The same before anybody has asked for the model; the operator knows the demand to come. */
+  private static final double UNASKED_CALLS = 4;
+
   /** Requests a second below which one replica is enough. */
   private static final double SECOND_REPLICA_RATE = 1.2;
 
@@ -110,7 +113,11 @@
     }
     double more = suffering(model, count - 1) - suffering(model, count);
     double loss = rate * HORIZON_S * SUFFERING_LOSS * more;
-    return count == 2 ? loss + Math.max(UNKNOWN_CALLS, safety(rate, HORIZON_S)) : loss;
+    return count == 2 ? loss + Math.max(spare(model), safety(rate, HORIZON_S)) : loss;
+  }
+
+  private double spare(Artifact model) {
+    return patientModels.containsKey(model.model()) ? UNKNOWN_CALLS : UNASKED_CALLS;
   }
 
   private static double safety(double rate, double seconds) {
--- a/src/test/java/org/magnoliavale/internal/gateway/LeaseSuccessionTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/LeaseSuccessionTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.lease.LeaseKeeper;
 import org.magnoliavale.internal.lease.LeaseTimes;
+import org.magnoliavale.internal.platform.TableAnswer;
 import org.magnoliavale.internal.platform.TableCall;
 
 class LeaseSuccessionTest {
@@ -54,4 +55,81 @@
     tick(other);
     assertThat(other.isHeld(now)).isTrue();
   }
+
+  @Test
+  void surrenderedLeaseIsTakenAtOnceAndNeverActedUnderAgain() {
+    LeaseKeeper holder = keeper("front-1/a").actingFor(1_900);
+    tick(holder);
+    long epoch = holder.epoch();
+    LeaseKeeper other = keeper("front-2/b");
+    tick(other);
+    now += 1_900;
+    assertThat(holder.isHeld(now)).isFalse();
+    assertThat(holder.surrender(now)).isTrue();
+    assertThat(holder.surrenderedEpoch()).isEqualTo(epoch);
+    other.heardSurrender(holder.surrenderedEpoch());
+    tick(other);
+    assertThat(other.isHeld(now)).isTrue();
+    assertThat(other.epoch()).isGreaterThan(epoch);
+    tick(holder);
+    assertThat(holder.isHeld(now)).isFalse();
+  }
+
+  @Test
+  void renewalThatIsConfirmedAfterTheSurrenderDoesNotBringTheEpochBack() {
+    LeaseKeeper holder = keeper("front-1/a").actingFor(1_900);
+    tick(holder);
+    long epoch = holder.epoch();
+    now += 1_000;
+    TableCall renewal = holder.tick(now).orElseThrow();
+    now += 900;
+    assertThat(holder.surrender(now)).isTrue();
+    holder.answered(renewal.make(table), now);
+    assertThat(holder.isHeld(now)).isFalse();
+    tick(holder);
+    assertThat(holder.epoch()).isGreaterThan(epoch);
+  }
+
+  @Test
+  void renewalWithALostAnswerDoesNotBringTheEpochBackEither() {
+    LeaseKeeper holder = keeper("front-1/a").actingFor(1_900);
+    tick(holder);
+    long epoch = holder.epoch();
+    now += 1_000;
+    TableCall renewal = holder.tick(now).orElseThrow();
+    renewal.make(table);
+    TableCall look = holder.answered(new TableAnswer.Unknown("lost"), now).orElseThrow();
+    now += 900;
+    assertThat(holder.surrender(now)).isTrue();
+    Optional<TableCall> next = holder.answered(look.make(table), now);
+    assertThat(holder.isHeld(now)).isFalse();
+    while (next.isPresent()) {
+      next = holder.answered(next.get().make(table), now);
+    }
+    assertThat(holder.epoch()).isGreaterThan(epoch);
+  }
+
+  @Test
+  void watcherThatHeardOfARenewalWaitsFromThereOn() {
+    LeaseKeeper holder = keeper("front-1/a");
+    tick(holder);
+    LeaseKeeper other = keeper("front-2/b");
+    other.heardRenewal(holder.leaseRowVersion(), now);
+    now += 3_200;
+    tick(other);
+    assertThat(other.isHeld(now)).isTrue();
+  }
+
+  @Test
+  void renewalThatIsHeardOfLateStartsTheWaitAnew() {
+    LeaseKeeper holder = keeper("front-1/a");
+    tick(holder);
+    LeaseKeeper other = keeper("front-2/b");
+    other.heardRenewal(holder.leaseRowVersion(), now);
+    now += 1_000;
+    tick(holder);
+    now += 2_300;
+    tick(other);
+    assertThat(other.isHeld(now)).isFalse();
+  }
 }
--- a/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
@@ -212,6 +212,13 @@
       assertThat(plan()).isEmpty();
     }
 
+    @Test
+    void replicasThatTheOperatorPlacedStayUntilDemandIsKnown() {
+      endpoint("a", "busy", "other").add();
+      endpoint("b", "busy", "idle").add();
+      assertThat(plan()).isEmpty();
+    }
+
     @Test
     void modelOfPatientCallsMakesWayBeforeOneThatMayBeAskedForUrgently() {
       patient.put("rare", true);
