Keep the replica that serves until others do; make copies before calls come; adapters first

Replicas on their way now count for gains, not for losses. Moves for a gain near 0 cost 0.6 calls (0.2 before).

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -156,7 +156,7 @@
 
   private void send(Choice.Send choice, long nowNanos) {
     stopWaiting();
-    Duration left = Duration.ofNanos(plan.deadlineNanos() - nowNanos);
+    Duration left = plan.left(nowNanos);
     state = State.SENT;
     attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
     log.sent(choice, runs + refusals + 1, left);
@@ -329,7 +329,8 @@
     log.refused(reason, refusals, nowNanos);
     answerProblem(
         ErrorCode.MODEL_UNAVAILABLE,
-        MagnoliavaleException.of(code, reason).withRetryAfter(returnDelay.of(plan.id())));
+        MagnoliavaleException.of(code, reason)
+            .withRetryAfter(returnDelay.of(plan.id(), plan.left(nowNanos))));
   }
 
   /** Ends a call that may have run. */
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.call;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.dispatch.Generation;
@@ -45,6 +46,11 @@
 
   private static final double DEADLINE_SHARE = 0.6;
 
+  /** The same for calls that can wait for a load; coming back would not serve them sooner. */
+  private static final double PATIENT_PATIENCE_SHARE = 0.55;
+
+  private static final double PATIENT_DEADLINE_SHARE = 0.7;
+
   /** Target latency from which a stream yields to others of its rank, in milliseconds. */
   private static final long PATIENT_TARGET_MS = 4_000;
 
@@ -55,6 +61,11 @@
     return request.arrivedNanos() + Math.min(routeNanos, callerNanos);
   }
 
+  /** Returns the time until then. */
+  Duration left(long nowNanos) {
+    return Duration.ofNanos(Math.max(0, deadlineNanos() - nowNanos));
+  }
+
   /** Returns the silence after which an attempt is given up for another, 0 for never. */
   long silenceNanos() {
     if (!route.isRepeatable()) {
@@ -79,11 +90,13 @@
   long longestWaitNanos() {
     long patienceMs =
         Math.max(SHORTEST_PATIENCE_MS, PATIENCE_TARGETS * route.targetLatency().toMillis());
-    double share =
+    double ofPatience = isPatient() ? PATIENT_PATIENCE_SHARE : PATIENCE_SHARE;
+    double ofDeadline = isPatient() ? PATIENT_DEADLINE_SHARE : DEADLINE_SHARE;
+    double limit =
         Math.min(
-            TimeUnit.MILLISECONDS.toNanos(patienceMs) * PATIENCE_SHARE,
-            (deadlineNanos() - request.arrivedNanos()) * DEADLINE_SHARE);
-    return (long) share;
+            TimeUnit.MILLISECONDS.toNanos(patienceMs) * ofPatience,
+            (deadlineNanos() - request.arrivedNanos()) * ofDeadline);
+    return (long) limit;
   }
 
   String id() {
--- a/src/main/java/org/magnoliavale/internal/call/ReturnDelay.java
+++ b/src/main/java/org/magnoliavale/internal/call/ReturnDelay.java
@@ -7,11 +7,14 @@
   /** Endpoints were full; slots get free all the time. */
   FULL(Duration.ofMillis(400)),
   /** The model has to be loaded first. */
-  LOAD(Duration.ofMillis(2_600));
+  LOAD(Duration.ofMillis(3_000));
 
   /** Share of the delay over which returns are spread, so that callers do not come back at once. */
   private static final double SPREAD = 0.5;
 
+  /** Share of its time that a caller waits at most before it comes back. */
+  private static final double USABLE_SHARE = 0.32;
+
   private static final int SPREAD_STEPS = 64;
 
   private final Duration shortest;
@@ -20,9 +23,14 @@
     this.shortest = shortest;
   }
 
-  /** Returns the delay for a call; calls are spread by their ids. */
-  Duration of(String callId) {
+  /**
+   * Returns the delay for a call; calls are spread by their ids.
+   *
+   * @param left the time that the caller has left, of which it spends a part at most
+   */
+  Duration of(String callId, Duration left) {
     double draw = Math.floorMod(callId.hashCode(), SPREAD_STEPS) / (double) SPREAD_STEPS;
-    return Duration.ofMillis((long) (shortest.toMillis() * (1 + SPREAD * draw)));
+    double wanted = shortest.toMillis() * (1 + SPREAD * draw);
+    return Duration.ofMillis((long) Math.min(wanted, left.toMillis() * USABLE_SHARE));
   }
 }
--- a/src/main/java/org/magnoliavale/internal/residency/AdapterPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/AdapterPlanner.java
@@ -39,21 +39,20 @@
   }
 
   /**
-   * Adds steps for adapters.
+   * Returns a planner that adds its steps to others'.
    *
    * @param taken endpoints that have a step already
    */
-  static void plan(
+  static AdapterPlanner of(
       List<EndpointView> views,
       Map<Artifact, ArtifactUse> uses,
       Set<String> taken,
       List<ResidencyPlanner.Step> steps) {
-    AdapterPlanner planner = new AdapterPlanner(views, uses, taken, steps);
-    planner.placeMissing();
-    planner.spreadCrowded();
+    return new AdapterPlanner(views, uses, taken, steps);
   }
 
-  private void placeMissing() {
+  /** Places adapters that calls wait for and that no endpoint holds. */
+  void placeMissing() {
     List<Artifact> wanted = new ArrayList<>();
     uses.forEach(
         (artifact, use) -> {
@@ -71,7 +70,8 @@
     return views.stream().anyMatch(view -> view.has(artifact));
   }
 
-  private void spreadCrowded() {
+  /** Places adapters whose holders are crowded at a further replica of their model. */
+  void spreadCrowded() {
     List<Artifact> busy = new ArrayList<>();
     uses.forEach(
         (artifact, use) -> {
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointLedger.java
@@ -164,6 +164,29 @@
     open.removeIf(known -> known.order().equals(order));
   }
 
+  /**
+   * Notes that the endpoint is busy or has accepted another order. One that was sent again may have
+   * been accepted itself, and counts until it can take effect no more.
+   */
+  void conflict(EndpointOrder order, long nowNanos) {
+    if (!wasSentAgain(order)) {
+      closed(order);
+    }
+    needReport(nowNanos);
+  }
+
+  /** Notes that an order holds already. An adapter is dropped at once, which counts as an order. */
+  void done(EndpointOrder order, long nowNanos) {
+    boolean dropped =
+        order.operation() == EndpointOrder.Operation.UNLOAD
+            && order.artifact().adapter().isPresent();
+    if (dropped) {
+      accepted(order, nowNanos);
+    } else {
+      closed(order);
+    }
+  }
+
   /** Notes that the endpoint takes no connection. */
   void unreachable(long nowNanos) {
     unreachable = true;
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
@@ -45,6 +45,13 @@
     return entry.identity().id();
   }
 
+  /** Tells whether a model is there, coming, or can be loaded from the endpoint's own copy. */
+  boolean isAtHand(Artifact model) {
+    return artifacts.contains(model)
+        || entry.inMemory().contains(model.model())
+        || entry.onDisk().contains(model.model());
+  }
+
   boolean isUsable() {
     return !lost && !entry.draining();
   }
--- a/src/main/java/org/magnoliavale/internal/residency/FleetDemand.java
+++ b/src/main/java/org/magnoliavale/internal/residency/FleetDemand.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.dispatch.Artifact;
 
@@ -10,14 +11,21 @@
   /** Age after which what an instance told counts no more. */
   private static final long VALIDITY_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** Time after the first call until rates show the demand. */
+  private static final long LEARNING_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   private record Told(Map<Artifact, ArtifactUse> uses, long nanos) {}
 
   private final Map<String, Told> toldByInstance = new HashMap<>();
   private final Map<String, Boolean> patientModels = new HashMap<>();
+  private OptionalLong firstAskedNanos = OptionalLong.empty();
 
   /** Takes in what an instance tells. */
   public synchronized void told(String instance, Map<Artifact, ArtifactUse> uses, long nowNanos) {
     toldByInstance.put(instance, new Told(Map.copyOf(uses), nowNanos));
+    if (firstAskedNanos.isEmpty() && !uses.isEmpty()) {
+      firstAskedNanos = OptionalLong.of(nowNanos);
+    }
     uses.forEach(
         (artifact, use) ->
             patientModels.merge(artifact.model(), use.patient(), Boolean::logicalAnd));
@@ -31,6 +39,15 @@
     return Map.copyOf(patientModels);
   }
 
+  /** Returns how much is known of what calls ask for. */
+  synchronized DemandPhase phase(long nowNanos) {
+    if (firstAskedNanos.isEmpty()) {
+      return DemandPhase.BEFORE;
+    }
+    boolean known = nowNanos - firstAskedNanos.getAsLong() > LEARNING_NANOS;
+    return known ? DemandPhase.KNOWN : DemandPhase.LEARNING;
+  }
+
   /** Returns the uses of all instances together. */
   public synchronized Map<Artifact, ArtifactUse> total(long nowNanos) {
     toldByInstance.values().removeIf(told -> nowNanos - told.nanos() > VALIDITY_NANOS);
--- a/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
@@ -35,9 +35,18 @@
   /** The same for a second replica, which the operator may have placed for demand to come. */
   private static final double UNKNOWN_CALLS = 0.1;
 
-  /** The same before anybody has asked for the model; the operator knows the demand to come. */
+  /** The same before demand shows; the operator placed replicas for the demand to come. */
   private static final double UNASKED_CALLS = 4;
 
+  /** Calls that a copy at hand on a second endpoint is worth. */
+  private static final double SPARE_CALLS = 5;
+
+  /** The same for a model with adapters, which are made for models that are much asked for. */
+  private static final double ADAPTED_SPARE_CALLS = 10;
+
+  /** What a load is worth more while no calls come that it could hinder. */
+  private static final double UNDISTURBED_CALLS = 3;
+
   /** Requests a second below which one replica is enough. */
   private static final double SECOND_REPLICA_RATE = 1.2;
 
@@ -63,16 +72,19 @@
   private final Map<Artifact, ArtifactUse> uses;
   private final Map<Artifact, Integer> replicas;
   private final Map<String, Boolean> patientModels;
+  private final DemandPhase phase;
 
   ReplicaValue(
       List<EndpointView> views,
       Map<Artifact, ArtifactUse> uses,
       Map<Artifact, Integer> replicas,
-      Map<String, Boolean> patientModels) {
+      Map<String, Boolean> patientModels,
+      DemandPhase phase) {
     this.views = views;
     this.uses = uses;
     this.replicas = replicas;
     this.patientModels = patientModels;
+    this.phase = phase;
   }
 
   /** Returns the use of a model and its adapters together. */
@@ -96,28 +108,50 @@
     if (count == 0) {
       boolean soon = loadSeconds <= PATIENCE_S || isPatient(model);
       double waiting = use.waiting() * (soon ? 1 : PATIENT_SHARE);
-      return standby(model) + rate * serving + waiting;
+      double undisturbed = phase == DemandPhase.BEFORE ? UNDISTURBED_CALLS : 0;
+      return standby(model) + undisturbed + rate * serving + waiting;
     }
     double relief = suffering(model, count) - suffering(model, count + 1);
     double gain = rate * serving * SUFFERING_LOSS * relief;
-    return count == 1 ? gain + safety(rate, serving) : gain;
+    return count == 1 ? gain + Math.max(safety(rate, serving), spareCopy(model)) : gain;
+  }
+
+  /**
+   * Returns what a copy on a second endpoint is worth for a model to which urgent demand may move:
+   * from a copy at hand a replica is loaded at once, from the weight store it takes seconds.
+   */
+  private double spareCopy(Artifact model) {
+    long copies = views.stream().filter(view -> view.isAtHand(model)).count();
+    if (isPatient(model) || copies > 1 || phase == DemandPhase.LEARNING) {
+      return 0;
+    }
+    boolean adapted =
+        views.stream()
+            .flatMap(view -> view.engine().model(model.model()).stream())
+            .anyMatch(known -> known.adapters() > 0);
+    double calls = adapted ? ADAPTED_SPARE_CALLS : SPARE_CALLS;
+    return phase == DemandPhase.BEFORE ? calls + UNDISTURBED_CALLS : calls;
   }
 
   /** Returns how many calls suffer when the last one of a model's replicas goes. */
   double lossOfLast(Artifact model) {
     ArtifactUse use = use(model);
     double rate = use.perSecond() * weight(model);
-    int count = replicas.getOrDefault(model, 1);
+    int count = Math.min(replicas.getOrDefault(model, 1), ready(model));
     if (count <= 1) {
       return standby(model) + rate * RELOAD_S + use.waiting();
     }
     double more = suffering(model, count - 1) - suffering(model, count);
     double loss = rate * HORIZON_S * SUFFERING_LOSS * more;
-    return count == 2 ? loss + Math.max(spare(model), safety(rate, HORIZON_S)) : loss;
+    if (phase != DemandPhase.KNOWN) {
+      return loss + UNASKED_CALLS;
+    }
+    return count == 2 ? loss + Math.max(UNKNOWN_CALLS, safety(rate, HORIZON_S)) : loss;
   }
 
-  private double spare(Artifact model) {
-    return patientModels.containsKey(model.model()) ? UNKNOWN_CALLS : UNASKED_CALLS;
+  /** Returns the replicas that serve now; those on their way do not help when one goes. */
+  private int ready(Artifact model) {
+    return (int) views.stream().filter(view -> view.isReady(model)).count();
   }
 
   private static double safety(double rate, double seconds) {
@@ -144,6 +178,11 @@
     return sum / count;
   }
 
+  /** Tells whether no urgent call asks for a model now. */
+  boolean canWait(Artifact model) {
+    return isPatient(model) || use(model).perSecond() == 0 && use(model).waiting() == 0;
+  }
+
   private boolean isPatient(Artifact model) {
     return patientModels.getOrDefault(model.model(), false);
   }
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -31,6 +31,9 @@
   /** Bits by which a fencing token is shifted in the numbers of changes. */
   private static final int FENCE_SHIFT = 32;
 
+  /** The token of the first holder ever, which has no predecessor. */
+  private static final long FIRST_FENCE = 1;
+
   private final OrderLease lease;
   private final EndpointControl control;
   private final FleetDemand demand;
@@ -201,7 +204,8 @@
             views.add(ledgers.get(identity).view(engine, health.crowding(identity), now)));
     boolean allowed = ceiling.allows(loadsPerSecond, now);
     for (ResidencyPlanner.Step step :
-        ResidencyPlanner.plan(views, demand.total(now), demand.patientModels(), allowed)) {
+        ResidencyPlanner.plan(
+            views, demand.total(now), demand.patientModels(), demand.phase(now), allowed)) {
       take(step, loadsPerSecond, now);
     }
   }
@@ -209,7 +213,9 @@
   private void takeOver(double loadsPerSecond, long now) {
     knownFence = lease.fence();
     changeCount = 0;
-    ceiling.takeOver(loadsPerSecond, now);
+    if (knownFence > FIRST_FENCE) {
+      ceiling.takeOver(loadsPerSecond, now);
+    }
     ledgers.clear();
     entries.forEach(
         (identity, entry) -> ledgers.put(identity, EndpointLedger.ofKnownEndpoint(entry, now)));
@@ -340,8 +346,8 @@
       long now = nanoClock.getAsLong();
       switch (answer) {
         case ACCEPTED -> ledger.accepted(order, now);
-        case DONE -> done(ledger, order, now);
-        case CONFLICT -> conflict(ledger, order, now);
+        case DONE -> ledger.done(order, now);
+        case CONFLICT -> ledger.conflict(order, now);
         case FENCED, INVALID, WITHHELD -> ledger.closed(order);
         case OTHER_INCARNATION -> {
           ledger.closed(order);
@@ -369,29 +375,6 @@
     }
   }
 
-  /**
-   * The endpoint is busy or has accepted another order. One that was sent again may have been
-   * accepted itself, and counts until it can take effect no more.
-   */
-  private static void conflict(EndpointLedger ledger, EndpointOrder order, long now) {
-    if (!ledger.wasSentAgain(order)) {
-      ledger.closed(order);
-    }
-    ledger.needReport(now);
-  }
-
-  /** An adapter is dropped at once, which counts as an order; else nothing has happened. */
-  private static void done(EndpointLedger ledger, EndpointOrder order, long now) {
-    boolean dropped =
-        order.operation() == EndpointOrder.Operation.UNLOAD
-            && order.artifact().adapter().isPresent();
-    if (dropped) {
-      ledger.accepted(order, now);
-    } else {
-      ledger.closed(order);
-    }
-  }
-
   private void tell(String endpointId, Artifact artifact, boolean held, long now) {
     changeCount++;
     long number = (knownFence << FENCE_SHIFT) + changeCount;
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -38,8 +38,11 @@
   /** Factor by which a gain must exceed the loss of what makes way. */
   private static final double HYSTERESIS = 1.3;
 
+  /** Endpoints for each load from the weight store that is for patient calls only. */
+  private static final int ENDPOINTS_PER_PATIENT_LOAD = 5;
+
   /** Calls that a change of models costs in any case. */
-  private static final double CHANGE_CALLS = 0.2;
+  private static final double CHANGE_CALLS = 0.6;
 
   /** Share of calls for an adapter that miss it although it is there, since adapters change. */
   private static final double HELD_ADAPTER_SHARE = 0.1;
@@ -51,6 +54,8 @@
   private final Map<Artifact, Integer> replicas;
   private final ReplicaValue value;
   private final boolean storeLoadAllowed;
+  private final DemandPhase phase;
+  private int longPatientLoads;
   private final Set<String> taken = new HashSet<>();
   private final List<Step> steps = new ArrayList<>();
 
@@ -58,24 +63,36 @@
       List<EndpointView> views,
       Map<Artifact, ArtifactUse> uses,
       Map<String, Boolean> patientModels,
+      DemandPhase phase,
       boolean storeLoadAllowed) {
     this.views = views.stream().filter(EndpointView::isUsable).toList();
     this.uses = uses;
     this.replicas = EndpointView.replicas(views);
-    this.value = new ReplicaValue(this.views, uses, replicas, patientModels);
+    this.value = new ReplicaValue(this.views, uses, replicas, patientModels, phase);
     this.storeLoadAllowed = storeLoadAllowed;
+    this.phase = phase;
+    this.longPatientLoads = countLongPatientLoads();
   }
 
-  /** Returns the steps to take now, at most one for each endpoint. */
+  /**
+   * Returns the steps to take now, at most one for each endpoint.
+   *
+   * @param phase how much is known of what calls ask for
+   * @param storeLoadAllowed whether the weight store's ceiling leaves room for a load
+   */
   static List<Step> plan(
       List<EndpointView> views,
       Map<Artifact, ArtifactUse> uses,
       Map<String, Boolean> patientModels,
+      DemandPhase phase,
       boolean storeLoadAllowed) {
-    ResidencyPlanner planner = new ResidencyPlanner(views, uses, patientModels, storeLoadAllowed);
+    ResidencyPlanner planner =
+        new ResidencyPlanner(views, uses, patientModels, phase, storeLoadAllowed);
+    AdapterPlanner adapters = AdapterPlanner.of(planner.views, uses, planner.taken, planner.steps);
     planner.continueGoals();
+    adapters.placeMissing();
     planner.planModels();
-    AdapterPlanner.plan(planner.views, uses, planner.taken, planner.steps);
+    adapters.spreadCrowded();
     return planner.steps;
   }
 
@@ -100,7 +117,7 @@
       taken.add(view.id());
       Artifact goal = view.goal().get();
       List<Artifact> victims = view.busy() ? null : victims(view, goal);
-      if (victims == null || !isAtHand(view, goal) && !storeLoadAllowed) {
+      if (victims == null || !view.isAtHand(goal) && !storeLoadAllowed) {
         continue;
       }
       steps.add(step(view, goal, victims, "goes on"));
@@ -128,7 +145,11 @@
       if (view.busy() || taken.contains(view.id()) || view.artifacts().contains(model)) {
         continue;
       }
-      if (!isAtHand(view, model) && !storeLoadAllowed) {
+      if (phase == DemandPhase.BEFORE && view.sequence() > 0) {
+        // One change is enough; the endpoint has to be free when calls come.
+        continue;
+      }
+      if (!view.isAtHand(model) && !(storeLoadAllowed && mayLoadLong(model))) {
         continue;
       }
       List<Artifact> victims = victims(view, model);
@@ -149,6 +170,9 @@
       return;
     }
     taken.add(best.id());
+    if (!best.isAtHand(model) && value.canWait(model)) {
+      longPatientLoads++;
+    }
     String reason =
         "rate "
             + rounded(value.use(model).perSecond())
@@ -202,7 +226,36 @@
     return calls;
   }
 
-  private static boolean isAtHand(EndpointView view, Artifact model) {
+  /**
+   * Tells whether one load more from the weight store may begin for a model. An endpoint takes no
+   * other order meanwhile, so only some may be occupied for calls that can wait.
+   */
+  private boolean mayLoadLong(Artifact model) {
+    int most = Math.max(1, views.size() / ENDPOINTS_PER_PATIENT_LOAD);
+    return phase == DemandPhase.BEFORE || !value.canWait(model) || longPatientLoads < most;
+  }
+
+  private int countLongPatientLoads() {
+    int count = 0;
+    for (EndpointView view : views) {
+      boolean loads =
+          view.coming().stream()
+              .anyMatch(
+                  artifact ->
+                      artifact.adapter().isEmpty()
+                          && value.canWait(artifact)
+                          && !hasOwnCopy(view, artifact));
+      boolean makesRoom =
+          view.goal()
+              .filter(goal -> value.canWait(goal) && !view.isAtHand(goal))
+              .filter(goal -> !view.artifacts().contains(goal))
+              .isPresent();
+      count += loads || makesRoom ? 1 : 0;
+    }
+    return count;
+  }
+
+  private static boolean hasOwnCopy(EndpointView view, Artifact model) {
     return view.entry().inMemory().contains(model.model())
         || view.entry().onDisk().contains(model.model());
   }
