--- a/src/main/java/org/magnoliavale/internal/command/CheckCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/CheckCommand.java
@@ -14,7 +14,7 @@
 @Parameters(commandDescription = "Check settings files and documents")
 final class CheckCommand implements Command {
   @Parameter(description = "FILE...", required = true)
-  private List<String> files = new ArrayList<>();
+  private List<String> files;
 
   @Override
   public int run() {
--- a/src/main/java/org/magnoliavale/internal/command/DemoCheckCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/DemoCheckCommand.java
@@ -26,10 +26,10 @@
   private static final int TOKENS = 8;
 
   @Parameter(names = "--caller", required = true, description = "Caller addresses of instances")
-  private List<String> callers = new ArrayList<>();
+  private List<String> callers;
 
   @Parameter(names = "--operator", required = true, description = "Operator addresses of instances")
-  private List<String> operators = new ArrayList<>();
+  private List<String> operators;
 
   @Parameter(names = "--token", required = true, description = "Administrator's token")
   private String token;
--- a/src/main/java/org/magnoliavale/internal/command/DocumentCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/DocumentCommand.java
@@ -4,7 +4,6 @@
 import com.beust.jcommander.Parameters;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +14,7 @@
 @Parameters(commandDescription = "Read and change the document: get, put, delete, check, history")
 final class DocumentCommand implements Command {
   @Parameter(description = "get|put|delete|check|history", required = true)
-  private List<String> action = new ArrayList<>();
+  private List<String> action;
 
   @Parameter(names = "--operator", required = true, description = "Operator address of an instance")
   private String operator;
--- a/src/main/java/org/magnoliavale/internal/command/ExplainCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/ExplainCommand.java
@@ -2,7 +2,6 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -13,7 +12,7 @@
   private String operator;
 
   @Parameter(description = "REQUEST-ID", required = true)
-  private List<String> requestId = new ArrayList<>();
+  private List<String> requestId;
 
   @Override
   public int run() {
--- a/src/main/java/org/magnoliavale/internal/command/StandInCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/StandInCommand.java
@@ -34,7 +34,7 @@
   private static final long LIST_LAG_MS = 1_000;
 
   @Parameter(description = "platform|endpoints", required = true)
-  private List<String> kind = new ArrayList<>();
+  private List<String> kind;
 
   @Parameter(names = "--address", description = "Where the platform stand-in listens")
   private String address = "127.0.0.1:7000";
--- a/src/test/java/org/magnoliavale/internal/command/MainTest.java
+++ b/src/test/java/org/magnoliavale/internal/command/MainTest.java
@@ -57,9 +57,22 @@
 
   @Nested
   class WrongCommandLine {
-    @Test
-    void withoutARequiredOptionIsToldApartFromFailure() {
-      assertThat(run("load").exitCode()).isEqualTo(Command.USAGE);
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "serve",
+          "check",
+          "document",
+          "status",
+          "placement",
+          "explain",
+          "stand-in",
+          "demo-check",
+          "experiment",
+          "load"
+        })
+    void withoutARequiredOptionIsToldApartFromFailure(String command) {
+      assertThat(run(command).exitCode()).isEqualTo(Command.USAGE);
     }
 
     @Test
