--- a/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
@@ -32,7 +32,7 @@
   /** Weight of a call that can wait for a load. */
   private static final double PATIENT_WEIGHT = 0.4;
 
-  /** The same for a second replica, which the operator may have placed for demand to come. */
+  /** Calls that a second replica is worth, which may have been placed for demand to come. */
   private static final double UNKNOWN_CALLS = 0.1;
 
   /** The same before demand shows; the operator placed replicas for the demand to come. */
