Send a call once though endpoints change while it begins

Cause: the registry listed a call as waiting before Call.start, so endpointsChanged on another thread could send it, and start sent it again: two sendings of one call at once, also of one that may not be repeated. Ruled out by reading: the connector's own repeats, a second reading of the request, re-entrance while waiting. Before: CallTest.callIsSentOnceThoughEndpointsChangeWhileItBegins red (two sendings of an unsafe call). After: it, CallTest, StreamCallTest, GatewayPathTest and ArchitectureTest green.

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -31,6 +31,7 @@
   private static final Duration SHORTEST_ATTEMPT = Duration.ofMillis(15);
 
   private enum State {
+    NEW,
     WAITING,
     SENT,
     ENDED
@@ -42,7 +43,7 @@
   private final Runnable ended;
   private final CallLog log;
   private final Set<EndpointIdentity> excluded = new HashSet<>();
-  private State state = State.WAITING;
+  private State state = State.NEW;
   private Optional<Artifact> awaited = Optional.empty();
   private Attempt attempt;
   private int runs;
@@ -79,6 +80,7 @@
 
   /** Sends the first attempt. */
   synchronized void start(long nowNanos) {
+    state = State.WAITING;
     services.budget().request(plan.service(), nowNanos);
     plan.facts()
         .generation()
@@ -93,7 +95,7 @@
 
   /** Tries again if the call waits, and ends it when its time is over. */
   synchronized void tick(long nowNanos) {
-    if (state == State.ENDED) {
+    if (state == State.NEW || state == State.ENDED) {
       return;
     }
     if (nowNanos - plan.deadlineNanos() >= 0) {
@@ -106,7 +108,7 @@
         checkWait(nowNanos);
       }
       case SENT -> attempt.tick(nowNanos);
-      case ENDED -> {}
+      case NEW, ENDED -> {}
     }
   }
 
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -33,6 +33,10 @@
   final ScriptedConnector connector = new ScriptedConnector();
   final RecordingCaller caller = new RecordingCaller();
   final EndpointPool pool = new EndpointPool("east", () -> 1, new Random(1));
+
+  /** Runs once when the clock is read next. */
+  Runnable onClock = () -> {};
+
   CallRegistry calls;
   RouteTable table;
 
@@ -61,10 +65,17 @@
                 new CrashWatch(new CrashRegistry("self", () -> java.time.Instant.EPOCH)),
                 () -> table,
                 new CallMetrics(new InstanceMetrics()),
-                () -> now),
+                this::readClock),
             new Random(1));
   }
 
+  private long readClock() {
+    Runnable hook = onClock;
+    onClock = () -> {};
+    hook.run();
+    return now;
+  }
+
   void list(DirectoryEntry... entries) {
     pool.update(List.of(entries), now);
   }
--- a/src/test/java/org/magnoliavale/internal/call/CallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallTest.java
@@ -205,4 +205,11 @@
         .isEqualTo("4000");
     assertThat(connector.last().order().headers().get("X-Time-Remaining")).isEqualTo("3900");
   }
+
+  @Test
+  void callIsSentOnceThoughEndpointsChangeWhileItBegins() {
+    onClock = calls::endpointsChanged;
+    call("/unsafe/x");
+    assertThat(connector.sent()).hasSize(1);
+  }
 }
