Record the class archive from a run that serves calls, and start with less

Cause: a start cost about 0.9 s of processor time by itself, and on the users' platform each process is charged for it.

Change: bin/build-platform records the classes of `training-run`, two linked instances that serve calls of each kind from stand-ins of the users' platform, and writes a static archive with linked classes, mapped where it was made for. The stand-in of the store is tested through the platform's store client.

--- a/src/main/java/org/magnoliavale/internal/command/Main.java
+++ b/src/main/java/org/magnoliavale/internal/command/Main.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
 import org.magnoliavale.Finding;
 import org.magnoliavale.MagnoliavaleException;
 import org.magnoliavale.internal.logging.Logs;
@@ -45,7 +47,7 @@
   static int run(String[] arguments) {
     HelpOption help = new HelpOption();
     VersionOption version = new VersionOption();
-    Map<String, Command> commands = commands();
+    Map<String, Command> commands = commands(arguments);
     JCommander.Builder builder = JCommander.newBuilder().programName("magnoliavale");
     builder.addObject(help).addObject(version);
     HelpOption commandHelp = new HelpOption();
@@ -73,19 +75,34 @@
     return run(command);
   }
 
-  private static Map<String, Command> commands() {
+  private static Map<String, Supplier<Command>> commandFactories() {
+    Map<String, Supplier<Command>> factories = new LinkedHashMap<>();
+    factories.put("serve", ServeCommand::new);
+    factories.put("gateway", GatewayCommand::new);
+    factories.put("check", CheckCommand::new);
+    factories.put("document", DocumentCommand::new);
+    factories.put("status", () -> new QueryCommand("/status"));
+    factories.put("placement", () -> new QueryCommand("/placement"));
+    factories.put("explain", ExplainCommand::new);
+    factories.put("stand-in", StandInCommand::new);
+    factories.put("demo-check", DemoCheckCommand::new);
+    factories.put("experiment", ExperimentCommand::new);
+    factories.put("load", LoadCommand::new);
+    factories.put("training-run", TrainingRunCommand::new);
+    return factories;
+  }
+
+  /**
+   * Returns the commands that the arguments can mean: the one that the first argument names, so
+   * that a start does not process the options of the others, or else all of them.
+   */
+  private static Map<String, Command> commands(String[] arguments) {
+    Map<String, Supplier<Command>> factories = commandFactories();
+    if (arguments.length > 0 && factories.containsKey(arguments[0])) {
+      factories.keySet().retainAll(Set.of(arguments[0]));
+    }
     Map<String, Command> commands = new LinkedHashMap<>();
-    commands.put("serve", new ServeCommand());
-    commands.put("gateway", new GatewayCommand());
-    commands.put("check", new CheckCommand());
-    commands.put("document", new DocumentCommand());
-    commands.put("status", new QueryCommand("/status"));
-    commands.put("placement", new QueryCommand("/placement"));
-    commands.put("explain", new ExplainCommand());
-    commands.put("stand-in", new StandInCommand());
-    commands.put("demo-check", new DemoCheckCommand());
-    commands.put("experiment", new ExperimentCommand());
-    commands.put("load", new LoadCommand());
+    factories.forEach((name, factory) -> commands.put(name, factory.get()));
     return commands;
   }
 
--- a/src/main/java/org/magnoliavale/internal/command/StandInCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/StandInCommand.java
@@ -24,16 +24,20 @@
 import org.magnoliavale.internal.standin.PlatformLimits;
 import org.magnoliavale.internal.standin.PlatformStandIn;
 import org.magnoliavale.internal.standin.ServiceStandIn;
+import org.magnoliavale.platform.standin.DeploymentStandIn;
 
-/** Runs stand-ins for external systems in demos: the platform, or the endpoints of a document. */
-@Parameters(commandDescription = "Run stand-ins for demos: platform, endpoints")
+/**
+ * Runs stand-ins for external systems: the platform or the endpoints of a document, or the users'
+ * platform that {@code gateway} runs on.
+ */
+@Parameters(commandDescription = "Run stand-ins for demos: platform, endpoints, gateway-platform")
 final class StandInCommand implements Command {
   private static final Duration WEIGHT_LOAD_TIMEOUT = Duration.ofMinutes(2);
   private static final int MAXIMUM_WEIGHT_CONNECTIONS = 256;
   private static final long ADAPTER_LOAD_MS = 10;
   private static final long INSTANCE_LIST_LAG_MS = 1_000;
 
-  @Parameter(description = "platform|endpoints", required = true)
+  @Parameter(description = "platform|endpoints|gateway-platform", required = true)
   private List<String> kind;
 
   @Parameter(names = "--address", description = "Listen address of the platform stand-in")
@@ -71,6 +75,8 @@
         switch (kind.getFirst()) {
           case "platform" -> List.of(platformStandIn());
           case "endpoints" -> endpointStandIns();
+          case "gateway-platform" ->
+              List.of(new DeploymentStandIn(Values.address(address).getPort()));
           default -> List.of();
         };
     if (services.isEmpty()) {
--- a/src/main/java/org/magnoliavale/internal/gateway/ResetDetectingConnector.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ResetDetectingConnector.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 
 /**
  * Creates client connections that distinguish a connection reset from an orderly close.
@@ -44,4 +45,15 @@
       SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
     return new ResetDetectingEndPoint((SocketChannel) channel, selector, key, getScheduler());
   }
+
+  /** Returns a factory that is never started, since no connection uses TLS. */
+  @Override
+  protected SslContextFactory.Client newSslContextFactory() {
+    return new SslContextFactory.Client() {
+      @Override
+      protected void doStart() {
+        // Starting would read the certificates of the JDK's trust store.
+      }
+    };
+  }
 }
--- a/src/main/java/org/magnoliavale/internal/lease/LeaseTimes.java
+++ b/src/main/java/org/magnoliavale/internal/lease/LeaseTimes.java
@@ -18,7 +18,7 @@
    * @throws IllegalArgumentException unless the lease duration exceeds twice the clock drift
    */
   public static LeaseTimes of(Duration duration, Duration clockDrift) {
-    if (clockDrift.multipliedBy(2).compareTo(duration) >= 0) {
+    if (clockDrift.plus(clockDrift).compareTo(duration) >= 0) {
       throw new IllegalArgumentException("lease duration must exceed twice the clock drift");
     }
     return new LeaseTimes(duration.toMillis(), clockDrift.toMillis());
--- a/src/main/java/org/magnoliavale/internal/metrics/InstanceMetrics.java
+++ b/src/main/java/org/magnoliavale/internal/metrics/InstanceMetrics.java
@@ -21,10 +21,14 @@
 public final class InstanceMetrics {
   private final MetricRegistry registry = new MetricRegistry();
   private final CollectorRegistry collectorRegistry = new CollectorRegistry();
-  private final JsonMapper mapper =
-      JsonMapper.builder()
-          .addModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false))
-          .build();
+
+  /** Holds the mapper, which only instances that serve JSON need. */
+  private static final class JsonExport {
+    private static final JsonMapper MAPPER =
+        JsonMapper.builder()
+            .addModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false))
+            .build();
+  }
 
   /** Creates metrics without entries. */
   public InstanceMetrics() {
@@ -53,7 +57,7 @@
 
   /** Returns all metrics as JSON. */
   public byte[] json() throws IOException {
-    return mapper.writeValueAsBytes(registry);
+    return JsonExport.MAPPER.writeValueAsBytes(registry);
   }
 
   /** Returns all metrics in the Prometheus text format, version 0.0.4. */
--- /dev/null
+++ b/src/main/java/org/magnoliavale/platform/standin/DeploymentStandIn.java
@@ -0,0 +1,130 @@
+package org.magnoliavale.platform.standin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.json.Json;
+
+/**
+ * A small deployment on loopback: a store on one port and its workers on the ports after it, with a
+ * configuration of a plain service and an engine service.
+ *
+ * <p>Routes of host {@link #HOST}: {@code /read/} is idempotent, {@code /write/} is not, and {@code
+ * /draft/} streams the answer of a model.
+ */
+public final class DeploymentStandIn implements Service {
+  /** Host name of all routes. */
+  public static final String HOST = "menus.example";
+
+  /** Data centre of the workers. */
+  public static final String DATA_CENTRE = "local";
+
+  private static final String PLAIN_SERVICE = "ordering";
+  private static final String ENGINE_SERVICE = "assistant";
+  private static final int PLAIN_WORKERS = 2;
+  private static final int ENGINE_WORKERS = 3;
+  private static final int MODELS = 6;
+  private static final int ADAPTERS_PER_MODEL = 4;
+  private static final long ROUTE_TIMEOUT_MS = 10_000;
+  private static final long TARGET_LATENCY_MS = 500;
+
+  private final StoreStandIn store;
+  private final List<WorkerStandIn> workers = new ArrayList<>();
+
+  /** Returns a deployment that is not started yet. */
+  public DeploymentStandIn(int storePort) {
+    store = new StoreStandIn(loopback(storePort));
+    for (int index = 1; index <= PLAIN_WORKERS + ENGINE_WORKERS; index++) {
+      String service = index <= PLAIN_WORKERS ? PLAIN_SERVICE : ENGINE_SERVICE;
+      workers.add(
+          new WorkerStandIn(
+              "worker-" + index, service, DATA_CENTRE, loopback(storePort + index), store));
+    }
+  }
+
+  private static InetSocketAddress loopback(int port) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+  }
+
+  /** Returns the number of ports that the deployment uses, beginning with the store's. */
+  public int ports() {
+    return 1 + workers.size();
+  }
+
+  /** Returns the number of calls that the store has received. */
+  public long storeCalls() {
+    return store.calls();
+  }
+
+  @Override
+  public void start() {
+    store.start();
+    store.write("op", "config", Json.bytes(configuration()));
+    workers.forEach(WorkerStandIn::start);
+  }
+
+  @Override
+  public void stop() {
+    workers.forEach(WorkerStandIn::stop);
+    store.stop();
+  }
+
+  private static ObjectNode configuration() {
+    ObjectNode configuration = JsonNodeFactory.instance.objectNode().put("version", 1);
+    ArrayNode routes = configuration.putArray("routes");
+    routes.add(route("/read/", "safe", PLAIN_SERVICE));
+    routes.add(route("/write/", "unsafe", PLAIN_SERVICE));
+    routes.add(route("/draft/", "stream", ENGINE_SERVICE).put("resumable", true));
+    ArrayNode services = configuration.putArray("services");
+    services.addObject().put("name", PLAIN_SERVICE).put("connection-limit", 100);
+    services
+        .addObject()
+        .put("name", ENGINE_SERVICE)
+        .put("connection-limit", 100)
+        .set("engine", engine());
+    configuration.putObject("limits").put("body-bytes", 1 << 20);
+    return configuration;
+  }
+
+  private static ObjectNode route(String prefix, String kind, String service) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("name", "route" + prefix.replace('/', '-'))
+        .put("host", HOST)
+        .put("prefix", prefix)
+        .put("kind", kind)
+        .put("service", service)
+        .put("attempts", 2)
+        .put("timeout-ms", ROUTE_TIMEOUT_MS)
+        .put("target-latency-ms", TARGET_LATENCY_MS);
+  }
+
+  private static ObjectNode engine() {
+    ObjectNode engine =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("slots", 8)
+            .put("kv-cache-tokens", 100_000)
+            .put("weights-mb", 220)
+            .put("adapter-slots", 8)
+            .put("loads-per-s", 2);
+    ArrayNode models = engine.putArray("models");
+    for (int number = 1; number <= MODELS; number++) {
+      models
+          .addObject()
+          .put("name", "model-" + number)
+          .put("weights-mb", 70)
+          .put("load-s", 1)
+          .put("disk-s", 0.5)
+          .put("warm-s", 0.2)
+          .put("adapters", ADAPTERS_PER_MODEL)
+          .put("adapter-mb", 0.1);
+    }
+    return engine;
+  }
+}
--- a/src/test/java/org/magnoliavale/internal/command/MainTest.java
+++ b/src/test/java/org/magnoliavale/internal/command/MainTest.java
@@ -39,7 +39,8 @@
           "stand-in",
           "demo-check",
           "experiment",
-          "load"
+          "load",
+          "training-run"
         })
     void printsCommandUsageAndSucceeds(String command) {
       Result result = run(command, "--help");
--- /dev/null
+++ b/src/test/java/org/magnoliavale/platform/StoreClientTest.java
@@ -0,0 +1,126 @@
+package org.magnoliavale.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.http.HttpClients;
+import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.platform.Transaction;
+import org.magnoliavale.platform.standin.StoreStandIn;
+
+/** Runs the client of the platform's store against its stand-in. */
+class StoreClientTest {
+  private static final String TABLE = "fleet";
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+  private final StoreStandIn store =
+      new StoreStandIn(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  private final HttpClient http = HttpClients.create("test", 4, PATIENCE, PATIENCE);
+  private StoreClient client;
+
+  @BeforeEach
+  void start() {
+    store.start();
+    HttpClients.start(http);
+    InetSocketAddress address =
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), store.port());
+    client = new StoreClient(JsonClient.of(http), address, PATIENCE);
+  }
+
+  @AfterEach
+  void stop() {
+    HttpClients.stop(http);
+    store.stop();
+  }
+
+  private long write(String key, String value) {
+    StoreClient.Result result =
+        client.apply(TABLE, Transaction.builder().write(key, value).build());
+    assertThat(result).isInstanceOf(StoreClient.Result.Success.class);
+    return ((StoreClient.Result.Success) result).newestVersion();
+  }
+
+  private static String text(StoreClient.StoredRow row) {
+    return new String(row.value(), StandardCharsets.UTF_8);
+  }
+
+  @Nested
+  class Ranges {
+    @Test
+    void returnTheRowsOfOneTableFromAKeyOn() {
+      write("a", "1");
+      write("b", "2");
+      store.write("other", "c", "3".getBytes(StandardCharsets.UTF_8));
+      var rows = ((StoreClient.Result.Success) client.readAll(TABLE, "b")).rows();
+      assertThat(rows).extracting(StoreClient.StoredRow::key).containsExactly("b");
+      assertThat(text(rows.getFirst())).isEqualTo("2");
+    }
+
+    @Test
+    void omitDeletedRows() {
+      write("a", "1");
+      client.apply(TABLE, Transaction.builder().delete("a").build());
+      assertThat(((StoreClient.Result.Success) client.readAll(TABLE, "")).rows()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Conditions {
+    @Test
+    void holdForTheVersionThatWasWritten() {
+      long version = write("a", "1");
+      StoreClient.Result result =
+          client.apply(TABLE, Transaction.builder().require("a", version).write("a", "2").build());
+      assertThat(result).isInstanceOf(StoreClient.Result.Success.class);
+    }
+
+    @Test
+    void failWithTheCurrentRowAndChangeNothing() {
+      long version = write("a", "1");
+      StoreClient.Result result =
+          client.apply(
+              TABLE,
+              Transaction.builder()
+                  .require("a", version - 1)
+                  .write("a", "2")
+                  .write("b", "2")
+                  .build());
+      assertThat(result).isInstanceOf(StoreClient.Result.ConditionFailed.class);
+      assertThat(((StoreClient.Result.ConditionFailed) result).rows().getFirst().version())
+          .isEqualTo(version);
+      assertThat(((StoreClient.Result.Success) client.readAll(TABLE, "")).rows()).hasSize(1);
+    }
+  }
+
+  @Nested
+  class Changes {
+    @Test
+    void areReturnedInOrderWithDeletions() {
+      long version = write("a", "1");
+      write("b", "2");
+      client.apply(TABLE, Transaction.builder().delete("a").build());
+      var rows =
+          ((StoreClient.Result.Success) client.awaitChanges(TABLE, version, Duration.ZERO)).rows();
+      assertThat(rows).extracting(StoreClient.StoredRow::key).containsExactly("b", "a");
+      assertThat(rows.getLast().value()).isNull();
+    }
+
+    @Test
+    void endAnOpenPoll() {
+      long version = write("a", "1");
+      Thread writer = Thread.ofVirtual().start(() -> write("b", "2"));
+      var rows =
+          ((StoreClient.Result.Success) client.awaitChanges(TABLE, version, PATIENCE)).rows();
+      assertThat(rows).extracting(StoreClient.StoredRow::key).containsExactly("b");
+      assertThat(writer).isNotNull();
+    }
+  }
+}
