Plan placement in a bounded share of the processor

"Has the endpoint a copy of its own" stands once now.

Ruled out: a fixed longer interval, which would delay adapters on small sites.

--- a/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointView.java
@@ -45,11 +45,14 @@
     return entry.identity().id();
   }
 
+  /** Returns whether a model's weights are in the endpoint's memory cache or on its disk. */
+  boolean hasLocalCopy(Artifact model) {
+    return entry.inMemory().contains(model.model()) || entry.onDisk().contains(model.model());
+  }
+
   /** Returns whether a model is loaded or being loaded, or its weights are on the endpoint. */
   boolean isLocallyAvailable(Artifact model) {
-    return artifacts.contains(model)
-        || entry.inMemory().contains(model.model())
-        || entry.onDisk().contains(model.model());
+    return artifacts.contains(model) || hasLocalCopy(model);
   }
 
   boolean isUsable() {
--- a/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.residency;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.magnoliavale.internal.dispatch.Artifact;
@@ -68,8 +69,23 @@
   /** Share of waiting requests that are still served after a longer load. */
   private static final double LONG_LOAD_SERVED_SHARE = 0.5;
 
+  /**
+   * The replicas of a model that serve now; loading ones can't take over when one is evicted.
+   *
+   * @param saturation sum of the saturation of their endpoints
+   */
+  private record ReadyReplicas(int count, double saturation) {
+    static final ReadyReplicas NONE = new ReadyReplicas(0, 0);
+
+    ReadyReplicas plus(EndpointView view) {
+      return new ReadyReplicas(count + 1, saturation + view.saturation());
+    }
+  }
+
   private final List<EndpointView> views;
-  private final Map<Artifact, ArtifactUse> uses;
+  private final Map<Artifact, ArtifactUse> modelUses;
+  private final Map<Artifact, ReadyReplicas> readyReplicas;
+  private final Map<Artifact, Double> localCopyValues = new HashMap<>();
   private final Map<Artifact, Integer> replicas;
   private final Map<String, Boolean> delayTolerantModels;
   private final DemandPhase phase;
@@ -81,22 +97,34 @@
       Map<String, Boolean> delayTolerantModels,
       DemandPhase phase) {
     this.views = views;
-    this.uses = uses;
+    this.modelUses = sumByModel(uses);
+    this.readyReplicas = countReady(views);
     this.replicas = replicas;
     this.delayTolerantModels = delayTolerantModels;
     this.phase = phase;
   }
 
-  /** Returns the demand for a model and all its adapters. */
-  ArtifactUse use(Artifact model) {
-    ArtifactUse total = uses.getOrDefault(model, ArtifactUse.NONE);
-    for (Map.Entry<Artifact, ArtifactUse> entry : uses.entrySet()) {
-      Artifact artifact = entry.getKey();
-      if (artifact.adapter().isPresent() && artifact.baseModel().equals(model)) {
-        total = total.plus(entry.getValue());
+  private static Map<Artifact, ArtifactUse> sumByModel(Map<Artifact, ArtifactUse> uses) {
+    Map<Artifact, ArtifactUse> sums = new HashMap<>();
+    uses.forEach((artifact, use) -> sums.merge(artifact.baseModel(), use, ArtifactUse::plus));
+    return sums;
+  }
+
+  private static Map<Artifact, ReadyReplicas> countReady(List<EndpointView> views) {
+    Map<Artifact, ReadyReplicas> ready = new HashMap<>();
+    for (EndpointView view : views) {
+      for (Artifact artifact : view.artifacts()) {
+        if (view.isReady(artifact)) {
+          ready.put(artifact, ready.getOrDefault(artifact, ReadyReplicas.NONE).plus(view));
+        }
       }
     }
-    return total;
+    return ready;
+  }
+
+  /** Returns the demand for a model and all its adapters. */
+  ArtifactUse use(Artifact model) {
+    return modelUses.getOrDefault(model, ArtifactUse.NONE);
   }
 
   /** Returns the requests that one more replica serves and that would otherwise be late. */
@@ -113,7 +141,12 @@
     }
     double reduction = slowdown(model, count) - slowdown(model, count + 1);
     double gain = rate * serving * SLOWDOWN_LOSS * reduction;
-    return count == 1 ? gain + Math.max(failoverValue(rate, serving), localCopyValue(model)) : gain;
+    return count == 1
+        ? gain
+            + Math.max(
+                failoverValue(rate, serving),
+                localCopyValues.computeIfAbsent(model, this::localCopyValue))
+        : gain;
   }
 
   /**
@@ -137,7 +170,10 @@
   double lossOfRemoving(Artifact model) {
     ArtifactUse use = use(model);
     double rate = use.perSecond() * weight(model);
-    int count = Math.min(replicas.getOrDefault(model, 1), readyReplicas(model));
+    int count =
+        Math.min(
+            replicas.getOrDefault(model, 1),
+            readyReplicas.getOrDefault(model, ReadyReplicas.NONE).count());
     if (count <= 1) {
       return standbyValue(model) + rate * RELOAD_WAIT_S + use.waiting();
     }
@@ -151,11 +187,6 @@
         : loss;
   }
 
-  /** Counts replicas that serve now; loading ones can't take over when one is evicted. */
-  private int readyReplicas(Artifact model) {
-    return (int) views.stream().filter(view -> view.isReady(model)).count();
-  }
-
   private static double failoverValue(double rate, double seconds) {
     return rate >= MINIMUM_SECOND_REPLICA_RATE ? rate * seconds * SECOND_REPLICA_SAVED_SHARE : 0;
   }
@@ -172,13 +203,7 @@
   }
 
   private double observedSaturation(Artifact model, int count) {
-    double sum = 0;
-    for (EndpointView view : views) {
-      if (view.isReady(model)) {
-        sum += view.saturation();
-      }
-    }
-    return sum / count;
+    return readyReplicas.getOrDefault(model, ReadyReplicas.NONE).saturation() / count;
   }
 
   /** Returns whether there is currently no urgent demand for a model. */
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -57,6 +57,7 @@
   private final LoadRateLimit storeLoadLimit;
   private final Map<EndpointIdentity, EndpointTracker> trackers = new HashMap<>();
   private final Map<EndpointIdentity, DirectoryEntry> entries = new HashMap<>();
+  private final PlanningPace pace = new PlanningPace();
   private final Set<EndpointIdentity> endpointsInUse = new HashSet<>();
   private long fencingToken;
   private long changeCount;
@@ -201,13 +202,19 @@
     if (lease.fencingToken() != fencingToken) {
       takeOver(loadsPerSecond, now);
     }
-    for (EndpointIdentity identity : engines.keySet()) {
-      if (health.isUnreachable(identity)) {
-        trackers.get(identity).markUnreachable(now);
-      }
-    }
-    requestReports(now);
+    engines.keySet().stream()
+        .filter(health::isUnreachable)
+        .forEach(identity -> trackers.get(identity).markUnreachable(now));
+    requestReports(engines.keySet(), now);
     resendUnanswered(now);
+    if (pace.isDue(now)) {
+      plan(engines, loadsPerSecond, now);
+      pace.finished(now, nanoClock.getAsLong());
+    }
+  }
+
+  private void plan(
+      Map<EndpointIdentity, EngineSpecification> engines, double loadsPerSecond, long now) {
     List<EndpointView> views = new ArrayList<>();
     engines.forEach(
         (identity, engine) ->
@@ -247,11 +254,11 @@
     return engines;
   }
 
-  private void requestReports(long now) {
-    for (EndpointIdentity identity : engines().keySet()) {
+  private void requestReports(Set<EndpointIdentity> engines, long now) {
+    for (EndpointIdentity identity : engines) {
       DirectoryEntry entry = entries.get(identity);
-      EndpointTracker tracker = trackers.get(entry.identity());
-      if (tracker.isReportDue(now) && endpointsInUse.add(entry.identity())) {
+      EndpointTracker tracker = trackers.get(identity);
+      if (tracker.isReportDue(now) && endpointsInUse.add(identity)) {
         tracker.markReportRequested(now);
         executor.execute(() -> fetchReport(entry, tracker));
       }
@@ -285,12 +292,7 @@
       return;
     }
     boolean load = step.operation() == EndpointCommand.Operation.LOAD;
-    boolean model = step.artifact().adapter().isEmpty();
-    boolean fromStore =
-        load
-            && model
-            && !view.entry().inMemory().contains(step.artifact().model())
-            && !view.entry().onDisk().contains(step.artifact().model());
+    boolean fromStore = step.loadsModel() && !view.hasLocalCopy(step.artifact());
     if (fromStore) {
       if (!storeLoadLimit.allows(loadsPerSecond, now)) {
         endpointsInUse.remove(identity);
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -32,7 +32,12 @@
       EndpointCommand.Operation operation,
       Artifact artifact,
       Optional<Artifact> pendingModel,
-      String reason) {}
+      String reason) {
+    /** Returns whether the step loads the weights of a model. */
+    boolean loadsModel() {
+      return operation == EndpointCommand.Operation.LOAD && artifact.adapter().isEmpty();
+    }
+  }
 
   /** Factor by which a gain must exceed the loss from evicted models, to avoid oscillation. */
   private static final double HYSTERESIS_FACTOR = 1.3;
@@ -246,7 +251,7 @@
                   artifact ->
                       artifact.adapter().isEmpty()
                           && value.hasNoUrgentDemand(artifact)
-                          && !hasLocalCopy(view, artifact));
+                          && !view.hasLocalCopy(artifact));
       boolean makesRoom =
           view.pendingModel()
               .filter(
@@ -260,11 +265,6 @@
     return count;
   }
 
-  private static boolean hasLocalCopy(EndpointView view, Artifact model) {
-    return view.entry().inMemory().contains(model.model())
-        || view.entry().onDisk().contains(model.model());
-  }
-
   private static double loadSeconds(EndpointView view, Artifact model) {
     Optional<ModelSpecification> known = view.engine().model(model.model());
     if (known.isEmpty()) {
