--- a/src/main/java/org/magnoliavale/internal/gateway/CommandLeaseManager.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/CommandLeaseManager.java
@@ -12,8 +12,8 @@
 import org.magnoliavale.internal.residency.CommandLease;
 
 /**
- * Acquires and renews the command lease on a virtual thread of its own. Access to the lease's state
- * machine is synchronized on that object; table calls are made outside the lock.
+ * Acquires and renews the command lease in a loop of its own. Access to the lease's state machine
+ * is synchronized on that object; table calls are made outside the lock.
  *
  * <p>The monotonic clock does not advance while a machine is suspended, but the wall clock does. A
  * jump of the wall clock against the monotonic clock therefore means that the lease may have
@@ -23,13 +23,18 @@
   private static final Logger LOG = Logs.of("lease");
   private static final long TICK_INTERVAL_MS = 60;
 
+  /** Interval while another instance holds the lease and its heartbeats arrive. */
+  private static final long IDLE_TICK_INTERVAL_MS = 250;
+
   /** Jump of the wall clock above which a suspension of the machine is assumed, in milliseconds. */
   private static final long SUSPENSION_THRESHOLD_MS = 250;
 
   private final LeaseManager leaseManager;
   private final Table table;
   private final BooleanSupplier holderAlive;
-  private volatile boolean stopped;
+  private final TickLoop ticks =
+      new TickLoop(
+          "lease", TICK_INTERVAL_MS, IDLE_TICK_INTERVAL_MS, this::needsFrequentTicks, this::step);
   private volatile boolean surrendered;
   private boolean wasHeld;
   private long lastClockOffsetMs;
@@ -81,12 +86,17 @@
 
   /** Applies the lease state that a peer's heartbeat reported. */
   void applyPeerState(long leaseRowVersion, long surrenderedEpoch) {
+    boolean surrenderIsNew;
     synchronized (leaseManager) {
+      surrenderIsNew = surrenderedEpoch > leaseManager.surrenderedEpoch();
       leaseManager.observeSurrender(surrenderedEpoch);
       if (leaseRowVersion > 0) {
         leaseManager.observeRenewal(leaseRowVersion, monotonicMs());
       }
     }
+    if (surrenderIsNew) {
+      ticks.wake();
+    }
   }
 
   @Override
@@ -108,7 +118,7 @@
   }
 
   void start() {
-    Thread.ofVirtual().name("lease").start(this::runLoop);
+    ticks.start();
   }
 
   /** Releases the lease and does not acquire it again. */
@@ -119,7 +129,7 @@
   }
 
   void stop() {
-    stopped = true;
+    ticks.stop();
   }
 
   /** Reads the lease row on the next tick, for example because the holder is leaving. */
@@ -127,17 +137,11 @@
     synchronized (leaseManager) {
       leaseManager.checkNow();
     }
+    ticks.wake();
   }
 
-  private void runLoop() {
-    try {
-      while (!stopped) {
-        step();
-        Thread.sleep(TICK_INTERVAL_MS);
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  private boolean needsFrequentTicks() {
+    return isHeld() || !holderAlive.getAsBoolean();
   }
 
   private void step() {
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -0,0 +1,107 @@
+package org.magnoliavale.internal.gateway;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.DirectoryReadResult;
+import org.magnoliavale.internal.directory.DirectorySource;
+import org.magnoliavale.internal.directory.EndpointDirectory;
+import org.magnoliavale.internal.logging.Logs;
+
+/**
+ * Reads the endpoint directory periodically, on a virtual thread. A failed read is logged once and
+ * repeated; the last entries stay in use meanwhile.
+ */
+final class DirectoryPoller {
+  private static final Logger LOG = Logs.of("instance");
+  private static final long INTERVAL_MS = 1_200;
+
+  /** Interval of the lease holder, which announces draining endpoints to its peers. */
+  private static final long HOLDER_INTERVAL_MS = 500;
+
+  /** Interval of the lease holder while a command or an engine report is pending. */
+  private static final long PENDING_INTERVAL_MS = 250;
+
+  private final DirectorySource source;
+  private final BooleanSupplier leaseHeld;
+  private final BooleanSupplier awaitingEndpoints;
+  private final Consumer<Collection<DirectoryEntry>> listener;
+  private final EndpointDirectory directory = new EndpointDirectory();
+  private volatile boolean loaded;
+  private volatile boolean stopped;
+
+  /**
+   * Returns a poller that is not started yet.
+   *
+   * @param leaseHeld whether this instance holds the command lease
+   * @param awaitingEndpoints whether the holder waits for an effect of a command
+   * @param listener receives the entries after each successful read
+   */
+  DirectoryPoller(
+      DirectorySource source,
+      BooleanSupplier leaseHeld,
+      BooleanSupplier awaitingEndpoints,
+      Consumer<Collection<DirectoryEntry>> listener) {
+    this.source = source;
+    this.leaseHeld = leaseHeld;
+    this.awaitingEndpoints = awaitingEndpoints;
+    this.listener = listener;
+  }
+
+  void start() {
+    Thread.ofVirtual().name("directory").start(this::pollLoop);
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  /** Returns whether the directory has been read at least once. */
+  boolean isLoaded() {
+    return loaded;
+  }
+
+  private void pollLoop() {
+    boolean available = true;
+    try {
+      while (!stopped) {
+        available = readOnce(available);
+        TimeUnit.MILLISECONDS.sleep(intervalMs());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Reads the directory once; returns whether it was available. */
+  private boolean readOnce(boolean wasAvailable) {
+    return switch (source.read()) {
+      case DirectoryReadResult.Entries(List<DirectoryEntry> entries) -> {
+        listener.accept(directory.update(entries, System.nanoTime()));
+        loaded = true;
+        if (!wasAvailable) {
+          LOG.infof("Endpoint directory available again. count=%d", entries.size());
+        }
+        yield true;
+      }
+      case DirectoryReadResult.Unavailable(String reason) -> {
+        directory.markUnavailable();
+        if (wasAvailable) {
+          LOG.infof("Endpoint directory unavailable. reason=%s", reason);
+        }
+        yield false;
+      }
+    };
+  }
+
+  private long intervalMs() {
+    if (!leaseHeld.getAsBoolean()) {
+      return INTERVAL_MS;
+    }
+    return awaitingEndpoints.getAsBoolean() ? PENDING_INTERVAL_MS : HOLDER_INTERVAL_MS;
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayHandler.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayHandler.java
@@ -25,16 +25,19 @@
   private final CallProtocol protocol;
   private final IntSupplier maximumBodyBytes;
   private final BooleanSupplier closeConnection;
+  private final Runnable callStarted;
 
   GatewayHandler(
       CallRegistry calls,
       CallProtocol protocol,
       IntSupplier maximumBodyBytes,
-      BooleanSupplier closeConnection) {
+      BooleanSupplier closeConnection,
+      Runnable callStarted) {
     this.calls = calls;
     this.protocol = protocol;
     this.maximumBodyBytes = maximumBodyBytes;
     this.closeConnection = closeConnection;
+    this.callStarted = callStarted;
   }
 
   @Override
@@ -75,6 +78,7 @@
             body,
             arrivalNanos);
     writer.monitorDisconnect(calls.begin(call, writer));
+    callStarted.run();
   }
 
   private static String authority(Request request) {
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -21,8 +21,6 @@
 import org.magnoliavale.internal.call.CrashDetector;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.DirectoryEntry;
-import org.magnoliavale.internal.directory.DirectoryReadResult;
-import org.magnoliavale.internal.directory.EndpointDirectory;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.http.HttpAddresses;
@@ -61,18 +59,8 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
   private static final Duration CONTROL_IDLE_TIMEOUT = Duration.ofSeconds(4);
 
-  /** Poll interval of the endpoint directory. */
-  private static final long DIRECTORY_POLL_INTERVAL_MS = 1_200;
-
-  /**
-   * Directory poll interval of the lease holder, which announces draining endpoints to its peers.
-   */
-  private static final long HOLDER_POLL_INTERVAL_MS = 500;
-
-  /** Directory poll interval of the lease holder while a command or an engine report is pending. */
-  private static final long PENDING_POLL_INTERVAL_MS = 250;
-
   private static final long TICK_INTERVAL_MS = 50;
+  private static final long IDLE_TICK_INTERVAL_MS = 250;
 
   /** Minimum drain time, so that the load balancer notices that the instance is not ready. */
   private static final Duration MINIMUM_DRAIN_TIME = Duration.ofMillis(3_500);
@@ -91,6 +79,9 @@
   /** Maximum time for which this instance acts as lease holder after it sends a renewal. */
   private static final long LEASE_RENEWAL_TIMEOUT_MS = 1_900;
 
+  /** Time after which a silent peer no longer counts; relayed heartbeats may be seconds apart. */
+  private static final Duration PEER_EXPIRY = Duration.ofSeconds(5);
+
   private final GatewaySettings settings;
   private final PlatformAdapters adapters;
   private final HttpClient controlClient;
@@ -99,7 +90,7 @@
   private final InstanceMetrics metrics = new InstanceMetrics();
   private final Membership membership;
   private final EndpointPool endpoints;
-  private final EndpointDirectory directory = new EndpointDirectory();
+  private final DirectoryPoller directory;
   private final CallRegistry calls;
   private final PeerStateExchange peerState;
   private final InstanceRegistry registry;
@@ -109,11 +100,12 @@
   private final CrashDetector crashDetector;
   private final GatewayServers servers;
   private final ConfigurationPoller configuration;
+  private final TickLoop ticks =
+      new TickLoop(
+          "tick", TICK_INTERVAL_MS, IDLE_TICK_INTERVAL_MS, this::needsFrequentTicks, this::tick);
   private final Executor commandExecutor = Executors.newVirtualThreadPerTaskExecutor();
-  private volatile boolean directoryLoaded;
   private List<String> announcedDrainingEndpoints = List.of();
   private volatile boolean stopping;
-  private volatile boolean stopped;
 
   private GatewayInstance(GatewaySettings settings, PlatformAdapters.Factory factory) {
     this.settings = settings;
@@ -124,7 +116,7 @@
     endpointClient = transport.createEndpointClient(CONNECT_TIMEOUT);
     adapters = factory.create(JsonClient.of(controlClient), settings);
     configuration = new ConfigurationPoller(adapters.configuration());
-    membership = new Membership(settings.peers().silenceTimeout());
+    membership = new Membership(PEER_EXPIRY);
     endpoints = new EndpointPool(settings.dataCentre(), this::liveInstanceCount, new Random());
     CrashRegistry crashes = new CrashRegistry(incarnation, InstantSource.system());
     crashDetector = new CrashDetector(crashes);
@@ -140,16 +132,17 @@
             fleetDemand,
             endpoints,
             System::nanoTime);
-    registry =
-        new InstanceRegistry(
-            adapters.table(),
-            new ListedInstance(
-                settings.instanceId(), HttpAddresses.format(settings.peers().address()), "live"),
-            System::nanoTime);
+    registry = createRegistry();
     lease =
         new CommandLeaseManager(
             createLeaseManager(incarnation), adapters.table(), peerState::isLeaseHolderAlive);
     residency = createResidencyController(fleetDemand);
+    directory =
+        new DirectoryPoller(
+            adapters.directory(),
+            lease::isHeld,
+            residency::isAwaitingEndpoints,
+            this::directoryChanged);
     links =
         new PeerLinks(
             settings.peers(),
@@ -164,7 +157,8 @@
         new GatewayServers(
             settings,
             transport,
-            new GatewayHandler(calls, adapters.protocol(), this::maximumBodyBytes, () -> stopping),
+            new GatewayHandler(
+                calls, adapters.protocol(), this::maximumBodyBytes, () -> stopping, ticks::wake),
             new ReadinessHandler(this::isReady),
             metrics);
     registerMetrics();
@@ -203,6 +197,17 @@
         .build();
   }
 
+  private InstanceRegistry createRegistry() {
+    return new InstanceRegistry(
+        adapters.table(),
+        new ListedInstance(
+            settings.instanceId(),
+            HttpAddresses.format(settings.peers().address()),
+            "live",
+            settings.dataCentre()),
+        System::nanoTime);
+  }
+
   private FleetRetryBudget createRetryBudget() {
     return new FleetRetryBudget(
         settings.retryRatio(),
@@ -241,7 +246,7 @@
   }
 
   private boolean isReady() {
-    return configuration.routes() != null && directoryLoaded && !stopping;
+    return configuration.routes() != null && directory.isLoaded() && !stopping;
   }
 
   private void announceDemand() {
@@ -266,10 +271,10 @@
     transport.startEndpointClient(endpointClient);
     servers.start();
     configuration.start();
-    Thread.ofVirtual().name("directory").start(this::pollDirectory);
+    directory.start();
     links.start();
     lease.start();
-    Thread.ofVirtual().name("tick").start(this::tickLoop);
+    ticks.start();
     LOG.infof(
         "Started. instance=%s callers=%s readiness=%s metrics=%s store=%s",
         settings.instanceId(),
@@ -279,41 +284,9 @@
         settings.storeAddress());
   }
 
-  private void pollDirectory() {
-    boolean available = true;
-    while (!stopped) {
-      DirectoryReadResult result = adapters.directory().read();
-      switch (result) {
-        case DirectoryReadResult.Entries(List<DirectoryEntry> entries) -> {
-          applyDirectoryEntries(directory.update(entries, System.nanoTime()));
-          if (!available) {
-            LOG.infof("Endpoint directory available again. count=%d", entries.size());
-          }
-          available = true;
-        }
-        case DirectoryReadResult.Unavailable(String reason) -> {
-          directory.markUnavailable();
-          if (available) {
-            LOG.infof("Endpoint directory unavailable. reason=%s", reason);
-          }
-          available = false;
-        }
-      }
-      sleep(directoryPollIntervalMs());
-    }
-  }
-
-  private long directoryPollIntervalMs() {
-    if (!lease.isHeld()) {
-      return DIRECTORY_POLL_INTERVAL_MS;
-    }
-    return residency.isAwaitingEndpoints() ? PENDING_POLL_INTERVAL_MS : HOLDER_POLL_INTERVAL_MS;
-  }
-
-  private void applyDirectoryEntries(Collection<DirectoryEntry> entries) {
+  private void directoryChanged(Collection<DirectoryEntry> entries) {
     endpoints.update(entries, System.nanoTime());
     residency.update(entries);
-    directoryLoaded = true;
     if (lease.isHeld() && !endpoints.draining().equals(announcedDrainingEndpoints)) {
       announcedDrainingEndpoints = endpoints.draining();
       links.sendHeartbeatsNow();
@@ -321,15 +294,16 @@
     calls.endpointsChanged();
   }
 
-  private void tickLoop() {
-    while (!stopped) {
-      calls.tick();
-      peerState.applyLocalState();
-      residency.tick();
-      if (lease.consumeSurrendered()) {
-        links.sendHeartbeatsNow();
-      }
-      sleep(TICK_INTERVAL_MS);
+  private boolean needsFrequentTicks() {
+    return calls.size() > 0 || lease.isHeld();
+  }
+
+  private void tick() {
+    calls.tick();
+    peerState.applyLocalState();
+    residency.tick();
+    if (lease.consumeSurrendered()) {
+      links.sendHeartbeatsNow();
     }
   }
 
@@ -350,9 +324,14 @@
     calls.rejectAll();
     awaitDrain(startNanos, settings.gracePeriod().minus(TERMINATION_RESERVE));
     LOG.infof("Stopped. calls=%d", calls.size());
-    stopped = true;
+    stopPolling();
+  }
+
+  private void stopPolling() {
     configuration.stop();
+    directory.stop();
     lease.stop();
+    ticks.stop();
   }
 
   /** Waits until the instance is drained, for at most {@code limit} after the stop began. */
@@ -364,9 +343,7 @@
 
   /** Stops polling, the links, the servers and the clients at once, without draining calls. */
   public void halt() {
-    stopped = true;
-    configuration.stop();
-    lease.stop();
+    stopPolling();
     links.stop();
     servers.stop();
     HttpClients.stop(endpointClient);
--- a/src/main/java/org/magnoliavale/internal/gateway/InstanceRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/InstanceRegistry.java
@@ -35,13 +35,22 @@
   /** Time after which a row with an unchanged version is ignored. */
   private static final long EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+  /** Fleet size above which rows are read less often, since every instance reads all of them. */
+  private static final int SMALL_FLEET = 12;
+
+  private static final long STARTUP_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(8);
+
   /**
    * Read interval during the startup period; short, so that a new instance finds its peers soon.
    */
   private static final long STARTUP_READ_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
   private static final long READ_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(4);
-  private static final long STARTUP_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(8);
+
+  private static final long LARGE_FLEET_STARTUP_READ_INTERVAL_NANOS =
+      TimeUnit.MILLISECONDS.toNanos(2_500);
+
+  private static final long LARGE_FLEET_READ_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(15);
 
   private record VersionObservation(long version, long firstSeenNanos) {}
 
@@ -69,14 +78,20 @@
     if (!rowWritten || now - lastWriteNanos > RENEWAL_INTERVAL_NANOS) {
       writeOwnRow(now);
     }
-    long interval =
-        now - startNanos < STARTUP_PERIOD_NANOS ? STARTUP_READ_INTERVAL_NANOS : READ_INTERVAL_NANOS;
-    if (!rowsRead || now - lastReadNanos >= interval) {
+    if (!rowsRead || now - lastReadNanos >= readIntervalNanos(now)) {
       readRows(now);
     }
     return lastInstances;
   }
 
+  private long readIntervalNanos(long now) {
+    boolean starting = now - startNanos < STARTUP_PERIOD_NANOS;
+    if (lastInstances.map(List::size).orElse(0) <= SMALL_FLEET) {
+      return starting ? STARTUP_READ_INTERVAL_NANOS : READ_INTERVAL_NANOS;
+    }
+    return starting ? LARGE_FLEET_STARTUP_READ_INTERVAL_NANOS : LARGE_FLEET_READ_INTERVAL_NANOS;
+  }
+
   /** Deletes this instance's row. */
   void deregister() {
     table.commit(Transaction.builder().delete(ROW_KEY_PREFIX + ownEntry.id()).build());
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/gateway/TickLoop.java
@@ -0,0 +1,88 @@
+package org.magnoliavale.internal.gateway;
+
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.jboss.logging.Logger;
+import org.magnoliavale.Service;
+import org.magnoliavale.internal.logging.Logs;
+
+/**
+ * Runs a task periodically on a virtual thread: often while there is something to watch, seldom
+ * otherwise, since each wake-up costs processor time. {@link #wake} runs it at once.
+ *
+ * <p>An exception of the task is logged, and the loop goes on.
+ */
+final class TickLoop implements Service {
+  private static final Logger LOG = Logs.of("instance");
+
+  private final String name;
+  private final long busyIntervalMs;
+  private final long idleIntervalMs;
+  private final BooleanSupplier busy;
+  private final Runnable task;
+  private final Semaphore wakeUps = new Semaphore(0);
+  private volatile boolean idle;
+  private volatile boolean stopped;
+
+  /**
+   * Returns a loop that is not started yet.
+   *
+   * @param busy whether the next run is due after the busy interval
+   */
+  TickLoop(
+      String name, long busyIntervalMs, long idleIntervalMs, BooleanSupplier busy, Runnable task) {
+    this.name = name;
+    this.busyIntervalMs = busyIntervalMs;
+    this.idleIntervalMs = idleIntervalMs;
+    this.busy = busy;
+    this.task = task;
+  }
+
+  @Override
+  public void start() {
+    Thread.ofVirtual().name(name).start(this::run);
+  }
+
+  @Override
+  public void stop() {
+    stopped = true;
+    wakeUps.release();
+  }
+
+  /** Ends an idle pause; does nothing while the busy interval is in use. */
+  void wake() {
+    if (idle) {
+      idle = false;
+      wakeUps.release();
+    }
+  }
+
+  private void run() {
+    try {
+      while (!stopped) {
+        runTask();
+        pause();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void runTask() {
+    try {
+      task.run();
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "Periodic task failed. task=%s", name);
+    }
+  }
+
+  private void pause() throws InterruptedException {
+    idle = true;
+    // Read after the flag is set, so that what begins in between is either seen here or wakes.
+    long intervalMs = busy.getAsBoolean() ? busyIntervalMs : idleIntervalMs;
+    wakeUps.tryAcquire(intervalMs, TimeUnit.MILLISECONDS);
+    idle = false;
+    wakeUps.drainPermits();
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/link/AcceptedLink.java
+++ b/src/main/java/org/magnoliavale/internal/link/AcceptedLink.java
@@ -24,6 +24,8 @@
 
   private final LinkContext link;
   private final ByteString nonce = LinkProof.newNonce();
+  private final HeartbeatRelay.Progress progress = new HeartbeatRelay.Progress();
+  private ChannelHandlerContext context;
   private String peer;
 
   AcceptedLink(LinkContext link) {
@@ -32,6 +34,7 @@
 
   @Override
   public void channelActive(ChannelHandlerContext context) {
+    this.context = context;
     Challenge challenge = Challenge.newBuilder().setNonce(nonce).build();
     context.writeAndFlush(Frame.newBuilder().setChallenge(challenge).build());
   }
@@ -44,6 +47,8 @@
     }
     switch (frame.getBodyCase()) {
       case HEARTBEAT -> onHeartbeat(context, frame.getHeartbeat());
+      case RELAYED_HEARTBEATS ->
+          link.exchange().relayed(peer, frame.getRelayedHeartbeats().getHeartbeatsList());
       case DOCUMENT_REQUEST -> context.writeAndFlush(Frames.documentBody(link.state().document()));
       case DOCUMENT_BODY ->
           link.listener().documentReceived(Frames.document(frame.getDocumentBody()));
@@ -62,13 +67,15 @@
       return;
     }
     peer = hello.getInstance();
+    link.accepted().add(this);
+    link.exchange().followed(peer);
     ByteString proof = link.proof().prove("welcome", hello.getIncarnation(), hello.getNonce());
     context.writeAndFlush(
         Frame.newBuilder().setWelcome(Welcome.newBuilder().setProof(proof)).build());
   }
 
   private void onHeartbeat(ChannelHandlerContext context, Heartbeat heartbeat) {
-    link.listener().heartbeatReceived(peer, heartbeat);
+    link.exchange().received(peer, heartbeat);
     long ownVersion = link.state().document().version();
     HeartbeatAnswer answer = HeartbeatAnswer.newBuilder().setDocumentVersion(ownVersion).build();
     context.writeAndFlush(Frame.newBuilder().setHeartbeatAnswer(answer).build());
@@ -77,6 +84,23 @@
     }
   }
 
+  /** Sends the heartbeats of other instances that the peer needs. */
+  void relayHeartbeats() {
+    Frames.relayedHeartbeats(link.exchange().takePendingForFollower(peer, progress))
+        .ifPresent(context::writeAndFlush);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    if (link.accepted().remove(this) && link.accepted().stream().noneMatch(this::hasSamePeer)) {
+      link.exchange().unfollowed(peer);
+    }
+  }
+
+  private boolean hasSamePeer(AcceptedLink other) {
+    return other.peer.equals(peer);
+  }
+
   private void reject(ChannelHandlerContext context, String reason) {
     link.rejectedFrames().inc();
     LOG.warnf("Link rejected. from=%s why=%s", context.channel().remoteAddress(), reason);
--- a/src/main/java/org/magnoliavale/internal/link/ConnectedLink.java
+++ b/src/main/java/org/magnoliavale/internal/link/ConnectedLink.java
@@ -13,30 +13,42 @@
 
 /**
  * The connecting end of a link. Authenticates itself and the peer, then sends this instance's
- * heartbeats. One handler serves one connection and runs on its event loop; only {@link #isReady}
- * may be called from another thread.
+ * heartbeats. One handler serves one connection and runs on its event loop only.
  */
 final class ConnectedLink extends SimpleChannelInboundHandler<Frame> {
   private static final Logger LOG = Logs.of("link");
 
   private final LinkContext link;
+  private final String peer;
+  private final HeartbeatRelay.Progress progress = new HeartbeatRelay.Progress();
   private final ByteString nonce = LinkProof.newNonce();
-  private volatile ChannelHandlerContext readyContext;
+  private ChannelHandlerContext readyContext;
 
-  ConnectedLink(LinkContext link) {
+  ConnectedLink(LinkContext link, String peer) {
     this.link = link;
+    this.peer = peer;
   }
 
-  /** Sends a heartbeat if the handshake is complete; otherwise does nothing. */
-  void sendHeartbeat() {
+  /**
+   * Sends this instance's heartbeat, and those that it relays to the peer, if the handshake is
+   * complete; otherwise does nothing.
+   */
+  void sendHeartbeat(Frame heartbeat) {
     ChannelHandlerContext context = readyContext;
     if (context != null) {
-      context.writeAndFlush(Frame.newBuilder().setHeartbeat(link.state().heartbeat()).build());
+      context.write(heartbeat);
+      relayHeartbeats();
+      context.flush();
     }
   }
 
-  boolean isReady() {
-    return readyContext != null;
+  /** Sends the heartbeats that this instance relays to the peer, if the handshake is complete. */
+  void relayHeartbeats() {
+    ChannelHandlerContext context = readyContext;
+    if (context != null) {
+      Frames.relayedHeartbeats(link.exchange().takePendingForTarget(peer, progress))
+          .ifPresent(context::writeAndFlush);
+    }
   }
 
   @Override
@@ -51,6 +63,8 @@
           context.writeAndFlush(Frames.documentRequest());
         }
       }
+      case RELAYED_HEARTBEATS ->
+          link.exchange().relayed(peer, frame.getRelayedHeartbeats().getHeartbeatsList());
       case DOCUMENT_REQUEST -> context.writeAndFlush(Frames.documentBody(link.state().document()));
       case DOCUMENT_BODY ->
           link.listener().documentReceived(Frames.document(frame.getDocumentBody()));
@@ -65,7 +79,7 @@
         ByteString proof = frame.getWelcome().getProof();
         if (link.proof().isValid("welcome", link.incarnation(), nonce, proof)) {
           readyContext = context;
-          sendHeartbeat();
+          sendHeartbeat(Frames.heartbeat(link.exchange().nextHeartbeat()));
         } else {
           reject(context, "peer failed authentication with the shared key");
         }
--- a/src/main/java/org/magnoliavale/internal/link/Frames.java
+++ b/src/main/java/org/magnoliavale/internal/link/Frames.java
@@ -8,12 +8,17 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.document.DocumentText;
 import org.magnoliavale.internal.document.StoredSection;
 import org.magnoliavale.internal.link.protocol.DocumentBody;
 import org.magnoliavale.internal.link.protocol.DocumentRequest;
 import org.magnoliavale.internal.link.protocol.Frame;
+import org.magnoliavale.internal.link.protocol.Heartbeat;
+import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
+import org.magnoliavale.internal.link.protocol.RelayedHeartbeats;
 import org.magnoliavale.internal.link.protocol.Section;
 
 /** Encoding of link frames: protobuf messages with a length prefix of four bytes. */
@@ -39,6 +44,19 @@
         new ProtobufEncoder());
   }
 
+  static Frame heartbeat(Heartbeat heartbeat) {
+    return Frame.newBuilder().setHeartbeat(heartbeat).build();
+  }
+
+  /** Returns a frame with heartbeats of other instances; empty if there are none. */
+  static Optional<Frame> relayedHeartbeats(List<RelayedHeartbeat> heartbeats) {
+    if (heartbeats.isEmpty()) {
+      return Optional.empty();
+    }
+    RelayedHeartbeats body = RelayedHeartbeats.newBuilder().addAllHeartbeats(heartbeats).build();
+    return Optional.of(Frame.newBuilder().setRelayedHeartbeats(body).build());
+  }
+
   static Frame documentRequest() {
     return Frame.newBuilder().setDocumentRequest(DocumentRequest.getDefaultInstance()).build();
   }
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -0,0 +1,147 @@
+package org.magnoliavale.internal.link;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.magnoliavale.internal.link.protocol.Heartbeat;
+import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
+
+/**
+ * Numbers this instance's heartbeats, passes received ones to the listener, and decides what each
+ * link is sent of other instances' heartbeats. Used by one thread.
+ */
+final class HeartbeatExchange {
+  private final String self;
+  private final PeerState state;
+  private final PeerListener listener;
+  private final LongSupplier nanoClock;
+  private final long startedMs;
+  private final Runnable urgentListener;
+  private final HeartbeatRelay relay;
+  private final Set<String> followers = new HashSet<>();
+  private LinkTopology topology = LinkTopology.empty();
+  private String leaseHolder = "";
+  private long lastNumber;
+
+  /**
+   * Creates an exchange.
+   *
+   * @param startedMs wall clock at the start of this instance, in Unix milliseconds
+   * @param urgentListener runs when a heartbeat arrived that other instances need without delay
+   */
+  HeartbeatExchange(
+      String self,
+      PeerState state,
+      PeerListener listener,
+      LongSupplier nanoClock,
+      long startedMs,
+      Runnable urgentListener) {
+    this.self = self;
+    this.state = state;
+    this.listener = listener;
+    this.nanoClock = nanoClock;
+    this.startedMs = startedMs;
+    this.urgentListener = urgentListener;
+    this.relay = new HeartbeatRelay(self);
+  }
+
+  /** Sets whom this instance connects to. */
+  void setTopology(LinkTopology newTopology) {
+    topology = newTopology;
+  }
+
+  /** Returns this instance's next heartbeat, to be sent on all outgoing links. */
+  Heartbeat nextHeartbeat() {
+    Heartbeat heartbeat =
+        state.heartbeat().toBuilder().setStartedMs(startedMs).setNumber(++lastNumber).build();
+    if (heartbeat.getGivesOrders()) {
+      leaseHolder = self;
+    }
+    if (!topology.mesh()) {
+      relay.recordOwn(heartbeat, nanoClock.getAsLong());
+    }
+    return heartbeat;
+  }
+
+  /** Applies a heartbeat that its sender sent on a link to this instance. */
+  void received(String peer, Heartbeat heartbeat) {
+    receive(peer, heartbeat, peer, 0);
+  }
+
+  /** Applies heartbeats that a peer passed on. */
+  void relayed(String peer, List<RelayedHeartbeat> heartbeats) {
+    for (RelayedHeartbeat relayed : heartbeats) {
+      receive(relayed.getInstance(), relayed.getHeartbeat(), peer, relayed.getAgeMs());
+    }
+  }
+
+  private void receive(String origin, Heartbeat heartbeat, String peer, long ageMs) {
+    if (!relay.accept(origin, heartbeat, peer, ageMs, nanoClock.getAsLong())) {
+      return;
+    }
+    if (heartbeat.getGivesOrders()) {
+      leaseHolder = origin;
+    } else if (origin.equals(leaseHolder)) {
+      leaseHolder = "";
+    }
+    listener.heartbeatReceived(origin, heartbeat);
+    boolean urgent = HeartbeatRelay.mattersAtOnce(heartbeat) || isWaiting(heartbeat);
+    if (urgent && !topology.mesh()) {
+      urgentListener.run();
+    }
+  }
+
+  private static boolean isWaiting(Heartbeat heartbeat) {
+    return heartbeat.getUsesList().stream().anyMatch(use -> use.getWaiting() > 0);
+  }
+
+  /** Records that an instance connected to this one. */
+  void followed(String peer) {
+    followers.add(peer);
+  }
+
+  /** Records that the link from an instance was closed. */
+  void unfollowed(String peer) {
+    followers.remove(peer);
+  }
+
+  /** Returns whether instances that are not relays themselves use this one as their relay. */
+  boolean isServing() {
+    return followers.stream().anyMatch(peer -> !topology.isRelay(peer));
+  }
+
+  /** Returns the heartbeats to send on a link that {@code peer} opened. */
+  List<RelayedHeartbeat> takePendingForFollower(String peer, HeartbeatRelay.Progress progress) {
+    if (topology.mesh() || topology.targets().contains(peer)) {
+      return List.of();
+    }
+    boolean demand = peer.equals(leaseHolder);
+    return relay.takePending(
+        new HeartbeatRelay.Receiver(peer, demand, origin -> true), progress, now());
+  }
+
+  /** Returns the heartbeats to send on a link that this instance opened. */
+  List<RelayedHeartbeat> takePendingForTarget(String peer, HeartbeatRelay.Progress progress) {
+    if (topology.mesh()) {
+      return List.of();
+    }
+    return relay.takePending(
+        new HeartbeatRelay.Receiver(peer, leadsToHolder(peer), this::isOwnFollower),
+        progress,
+        now());
+  }
+
+  private boolean isOwnFollower(String origin) {
+    return followers.contains(origin) && !topology.isRelay(origin) && relay.isDirect(origin);
+  }
+
+  /** Returns whether a relay is the lease holder or in its data centre, and so needs the demand. */
+  private boolean leadsToHolder(String target) {
+    return target.equals(leaseHolder) || topology.isSameDataCentre(target, leaseHolder);
+  }
+
+  private long now() {
+    return nanoClock.getAsLong();
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
+++ b/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
@@ -13,15 +13,16 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.traffic.GlobalTrafficShapingHandler;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import org.magnoliavale.Service;
 import org.magnoliavale.internal.ini.Values;
+import org.magnoliavale.internal.link.protocol.Frame;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.platform.InstanceList;
 import org.magnoliavale.internal.platform.ListedInstance;
@@ -29,19 +30,25 @@
 
 /**
  * The links of this instance to its peers. Accepts connections from other instances and keeps one
- * connection open to each other instance in the platform's instance list.
+ * connection open to each instance that the {@link LinkTopology} of the platform's instance list
+ * names: all others in a small fleet, and relays in a large one.
  *
  * <p>The list is read once a second, on a virtual thread; each read also reconnects links that were
- * closed. All channels share one event loop thread, and only that thread accesses the map of
- * outgoing links. A connection that fails authentication, carries an invalid frame or receives
- * nothing within the silence timeout is closed. A failure to bind the port is thrown by {@link
- * #start}.
+ * closed. All channels share one event loop thread, and only that thread accesses the links. A
+ * connection that fails authentication, carries an invalid frame or receives nothing within the
+ * silence timeout is closed. A failure to bind the port is thrown by {@link #start}.
  */
 public final class PeerLinks implements Service {
   private static final Logger LOG = Logs.of("link");
   private static final long LIST_POLL_INTERVAL_MS = 1_000;
   private static final int CONNECT_TIMEOUT_MS = 1_000;
 
+  /** Time for which urgent heartbeats are collected before they are passed on. */
+  private static final long URGENT_DELAY_MS = 20;
+
+  /** Time for which an instance whose link failed is not used as a relay. */
+  private static final long UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   private record Outgoing(Channel channel, ConnectedLink handler) {}
 
   private final PeerSettings settings;
@@ -52,6 +59,8 @@
   private final GlobalTrafficShapingHandler trafficHandler =
       new GlobalTrafficShapingHandler(eventLoop, 0);
   private final Map<String, Outgoing> outgoing = new HashMap<>();
+  private final Map<String, Long> unreachableUntil = new HashMap<>();
+  private boolean urgentRelayScheduled;
   private volatile boolean stopped;
   private Channel serverChannel;
 
@@ -72,6 +81,14 @@
             new LinkProof(settings.sharedKey()),
             state,
             listener,
+            new HeartbeatExchange(
+                self.instance(),
+                state,
+                listener,
+                System::nanoTime,
+                System.currentTimeMillis(),
+                this::scheduleUrgentRelay),
+            new HashSet<>(),
             settings.silenceTimeout(),
             rejectedFrames);
   }
@@ -121,7 +138,23 @@
   }
 
   private void sendHeartbeats() {
-    outgoing.values().forEach(link -> link.handler().sendHeartbeat());
+    Frame heartbeat = Frames.heartbeat(context.exchange().nextHeartbeat());
+    outgoing.values().forEach(link -> link.handler().sendHeartbeat(heartbeat));
+    context.accepted().forEach(AcceptedLink::relayHeartbeats);
+  }
+
+  private void scheduleUrgentRelay() {
+    if (!urgentRelayScheduled) {
+      urgentRelayScheduled = true;
+      eventLoop.schedule(this::relayUrgentHeartbeats, URGENT_DELAY_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Passes on the heartbeats that must not wait for the next interval. */
+  private void relayUrgentHeartbeats() {
+    urgentRelayScheduled = false;
+    outgoing.values().forEach(link -> link.handler().relayHeartbeats());
+    context.accepted().forEach(AcceptedLink::relayHeartbeats);
   }
 
   private void pollInstanceList() {
@@ -135,22 +168,48 @@
     }
   }
 
-  /** Connects to listed instances that have no open link. Runs on the event loop thread. */
+  /**
+   * Connects to the instances that the topology names, and closes links that it no longer needs.
+   * Runs on the event loop thread.
+   */
   private void connectToListed(List<ListedInstance> listed) {
     if (stopped) {
       return;
     }
-    Set<String> names = new HashSet<>();
+    LinkTopology topology =
+        LinkTopology.of(
+            context.instance(), listed, this::isReachable, context.exchange().isServing());
+    context.exchange().setTopology(topology);
     for (ListedInstance instance : listed) {
-      names.add(instance.id());
-      boolean self = instance.id().equals(context.instance());
-      boolean usable = !self && Values.isAddress(instance.peerAddress());
+      boolean usable =
+          topology.targets().contains(instance.id()) && Values.isAddress(instance.peerAddress());
       if (usable && !isOpen(outgoing.get(instance.id()))) {
         connect(instance.id(), Values.address(instance.peerAddress()));
       }
     }
-    // Open links to unlisted instances are kept: the list lags, and links detect failures sooner.
-    outgoing.entrySet().removeIf(e -> !names.contains(e.getKey()) && !isOpen(e.getValue()));
+    List<Outgoing> unneeded = new ArrayList<>();
+    outgoing
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean target = topology.targets().contains(entry.getKey());
+              // Open links of a mesh are kept: the list lags, and links detect failures sooner.
+              boolean kept = target || topology.mesh() && isOpen(entry.getValue());
+              return !kept && unneeded.add(entry.getValue());
+            });
+    unneeded.forEach(link -> link.channel().close());
+  }
+
+  private boolean isReachable(String instance) {
+    Long until = unreachableUntil.get(instance);
+    return until == null || System.nanoTime() - until >= 0;
+  }
+
+  private void onClosed(String instance, Channel channel) {
+    Outgoing current = outgoing.get(instance);
+    if (current != null && current.channel() == channel) {
+      unreachableUntil.put(instance, System.nanoTime() + UNREACHABLE_NANOS);
+    }
   }
 
   private static boolean isOpen(Outgoing link) {
@@ -158,7 +217,7 @@
   }
 
   private void connect(String instance, InetSocketAddress address) {
-    ConnectedLink handler = new ConnectedLink(context);
+    ConnectedLink handler = new ConnectedLink(context, instance);
     Channel channel =
         new Bootstrap()
             .group(eventLoop)
@@ -176,6 +235,7 @@
             .connect(address)
             .channel();
     outgoing.put(instance, new Outgoing(channel, handler));
+    channel.closeFuture().addListener(closed -> onClosed(instance, channel));
     LOG.debugf("Connecting. instance=%s address=%s", instance, address);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/logging/AsynchronousHandler.java
+++ b/src/main/java/org/magnoliavale/internal/logging/AsynchronousHandler.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogRecord;
 
 /**
@@ -21,6 +22,10 @@
   private static final int QUEUE_CAPACITY = 65_536;
   private static final int BUFFER_BYTES = 65_536;
   private static final long CLOSE_TIMEOUT_MS = 2_000;
+  private static final long CLOSE_CHECK_INTERVAL_MS = 1_000;
+
+  /** Wakes the writer; it is not written. */
+  private static final LogRecord WAKE = new LogRecord(Level.OFF, "");
 
   private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
   private final LongAdder dropped = new LongAdder();
@@ -52,6 +57,7 @@
   @Override
   public void close() {
     closed = true;
+    queue.offer(WAKE);
     try {
       writer.join(CLOSE_TIMEOUT_MS);
     } catch (InterruptedException e) {
@@ -62,8 +68,8 @@
   private void writeLoop() {
     try {
       while (!closed || !queue.isEmpty()) {
-        LogRecord record = queue.poll(100, TimeUnit.MILLISECONDS);
-        if (record != null) {
+        LogRecord record = queue.poll(CLOSE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        if (record != null && record != WAKE) {
           write(record);
         }
         if (queue.isEmpty()) {
--- a/src/main/java/org/magnoliavale/internal/platform/ListedInstance.java
+++ b/src/main/java/org/magnoliavale/internal/platform/ListedInstance.java
@@ -8,8 +8,14 @@
  * @param id name of the instance
  * @param peerAddress address for links from other instances, as {@code address:port}
  * @param state {@code live} or {@code leaving}
+ * @param dataCentre data centre of the instance; empty if unknown
  */
-public record ListedInstance(String id, String peerAddress, String state) {
+public record ListedInstance(String id, String peerAddress, String state, String dataCentre) {
+  /** Creates an entry; a missing data centre, as in rows of older instances, becomes empty. */
+  public ListedInstance {
+    dataCentre = dataCentre == null ? "" : dataCentre;
+  }
+
   /** Returns whether the platform is about to stop the instance. */
   @JsonIgnore
   public boolean isLeaving() {
--- a/src/main/java/org/magnoliavale/internal/standin/InstanceListStandIn.java
+++ b/src/main/java/org/magnoliavale/internal/standin/InstanceListStandIn.java
@@ -57,7 +57,7 @@
     for (ProbedInstance instance : instances) {
       String state = visibleStates.get(instance.id());
       if (state != null) {
-        list.add(new ListedInstance(instance.id(), instance.peerAddress(), state));
+        list.add(new ListedInstance(instance.id(), instance.peerAddress(), state, ""));
       }
     }
     return list;
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
@@ -0,0 +1,143 @@
+package org.magnoliavale.internal.link;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Plays heartbeats of whole fleets on a virtual clock. */
+class HeartbeatExchangeTest {
+  private static final long SETTLING_MS = 4_000;
+
+  /** Time within which an instance must have heard of each live one; see the gateway's expiry. */
+  private static final long PEER_EXPIRY_MS = 5_000;
+
+  /** Time without a heartbeat after which an instance looks for another lease holder. */
+  private static final long HOLDER_TIMEOUT_MS = 1_000;
+
+  private static Set<String> idsExcept(
+      List<SimulatedLinks.Instance> instances, SimulatedLinks.Instance excluded) {
+    return instances.stream()
+        .filter(instance -> instance != excluded)
+        .map(SimulatedLinks.Instance::id)
+        .collect(Collectors.toSet());
+  }
+
+  @Nested
+  class LargeFleet {
+    private final SimulatedLinks links = new SimulatedLinks(5, 19);
+
+    @Test
+    void tellsEveryInstanceOfAllOthers() {
+      links.run(SETTLING_MS);
+      for (SimulatedLinks.Instance instance : links.all()) {
+        assertThat(instance.heardWithin(PEER_EXPIRY_MS))
+            .containsAll(idsExcept(links.all(), instance));
+      }
+    }
+
+    @Test
+    void tellsEveryInstanceOfTheLeaseHolderInEveryInterval() {
+      SimulatedLinks.Instance holder = follower();
+      holder.holdLease(true);
+      links.run(SETTLING_MS);
+      for (SimulatedLinks.Instance instance : links.all()) {
+        if (instance != holder) {
+          assertThat(instance.heardWithin(HOLDER_TIMEOUT_MS)).contains(holder.id());
+        }
+      }
+    }
+
+    @Test
+    void bringsTheDemandOfAllInstancesToTheLeaseHolder() {
+      SimulatedLinks.Instance holder = follower();
+      holder.holdLease(true);
+      links.run(SETTLING_MS);
+      assertThat(holder.knownDemand()).containsAll(idsExcept(links.all(), holder));
+    }
+
+    @Test
+    void bringsTheDemandToALeaseHolderThatRelays() {
+      SimulatedLinks.Instance holder =
+          links.all().stream().filter(SimulatedLinks.Instance::isRelay).findFirst().orElseThrow();
+      holder.holdLease(true);
+      links.run(SETTLING_MS);
+      assertThat(holder.knownDemand()).containsAll(idsExcept(links.all(), holder));
+    }
+
+    @Test
+    void goesOnWhenAllRelaysOfADataCentreFail() {
+      SimulatedLinks.Instance holder = follower();
+      holder.holdLease(true);
+      links.run(SETTLING_MS);
+      links.fail(
+          links.all().stream()
+              .filter(instance -> instance.isRelay() && instance.id().startsWith("front-1-"))
+              .toList());
+      links.run(8_000);
+      for (SimulatedLinks.Instance instance : links.alive()) {
+        if (instance != holder) {
+          assertThat(instance.heardWithin(HOLDER_TIMEOUT_MS)).contains(holder.id());
+        }
+        assertThat(instance.heardWithin(PEER_EXPIRY_MS))
+            .containsAll(idsExcept(links.alive(), instance));
+      }
+    }
+
+    @Test
+    void forgetsFailedInstancesEverywhere() {
+      links.run(SETTLING_MS);
+      SimulatedLinks.Instance failed = follower();
+      links.fail(List.of(failed));
+      links.run(HeartbeatRelay.EXPIRY_MS + PEER_EXPIRY_MS + 1_000);
+      for (SimulatedLinks.Instance instance : links.alive()) {
+        assertThat(instance.heardWithin(PEER_EXPIRY_MS)).doesNotContain(failed.id());
+      }
+    }
+
+    private SimulatedLinks.Instance follower() {
+      return links.all().stream().filter(instance -> !instance.isRelay()).findFirst().orElseThrow();
+    }
+  }
+
+  @Nested
+  class Cost {
+    /** Bytes per second that control may send at an instance, from the users' letter. */
+    private static final long BUDGET_BYTES_PER_SECOND = 5_000;
+
+    private static final long SECONDS = 20;
+
+    private long messagesPerSecond(SimulatedLinks links, boolean relays) {
+      return links.all().stream()
+              .filter(instance -> instance.isRelay() == relays)
+              .mapToLong(SimulatedLinks.Instance::messages)
+              .max()
+              .orElse(0)
+          / SECONDS;
+    }
+
+    @Test
+    void doesNotGrowWithTheFleetForInstancesThatDoNotRelay() {
+      SimulatedLinks small = new SimulatedLinks(5, 19);
+      SimulatedLinks large = new SimulatedLinks(22, 16);
+      small.run(SECONDS * 1_000);
+      large.run(SECONDS * 1_000);
+      assertThat(messagesPerSecond(large, false))
+          .isLessThanOrEqualTo(messagesPerSecond(small, false) + 2);
+    }
+
+    @Test
+    void staysWithinTheBudgetOfBytesForInstancesThatDoNotRelay() {
+      SimulatedLinks links = new SimulatedLinks(22, 16);
+      links.run(SECONDS * 1_000);
+      for (SimulatedLinks.Instance instance : links.all()) {
+        if (!instance.isRelay()) {
+          assertThat(instance.bytes() / SECONDS).isLessThan(BUDGET_BYTES_PER_SECOND);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatRelayTest.java
@@ -0,0 +1,136 @@
+package org.magnoliavale.internal.link;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.link.protocol.ArtifactUse;
+import org.magnoliavale.internal.link.protocol.Heartbeat;
+import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
+
+class HeartbeatRelayTest {
+  private static final long START_NANOS = TimeUnit.HOURS.toNanos(1);
+
+  private final HeartbeatRelay relay = new HeartbeatRelay("self");
+  private final HeartbeatRelay.Progress progress = new HeartbeatRelay.Progress();
+
+  private static Heartbeat.Builder heartbeat(long number) {
+    return Heartbeat.newBuilder().setStartedMs(1_000).setNumber(number);
+  }
+
+  private static long at(long milliseconds) {
+    return START_NANOS + TimeUnit.MILLISECONDS.toNanos(milliseconds);
+  }
+
+  private boolean acceptDirect(String origin, Heartbeat.Builder heartbeat, long atMs) {
+    return relay.accept(origin, heartbeat.build(), origin, 0, at(atMs));
+  }
+
+  private boolean acceptRelayed(String origin, Heartbeat.Builder heartbeat, long ageMs, long atMs) {
+    return relay.accept(origin, heartbeat.build(), "relay", ageMs, at(atMs));
+  }
+
+  private List<RelayedHeartbeat> pending(String peer, boolean demand, long atMs) {
+    HeartbeatRelay.Receiver receiver = new HeartbeatRelay.Receiver(peer, demand, origin -> true);
+    return relay.takePending(receiver, progress, at(atMs));
+  }
+
+  @Nested
+  class Accepting {
+    @Test
+    void takesANewerHeartbeatOnce() {
+      assertThat(acceptRelayed("a", heartbeat(2), 10, 0)).isTrue();
+      assertThat(acceptRelayed("a", heartbeat(2), 10, 5)).isFalse();
+      assertThat(acceptRelayed("a", heartbeat(1), 10, 5)).isFalse();
+      assertThat(acceptRelayed("a", heartbeat(3), 10, 5)).isTrue();
+    }
+
+    @Test
+    void takesARestartedInstanceAndNoEarlierRunAfterIt() {
+      acceptRelayed("a", heartbeat(9), 0, 0);
+      assertThat(acceptRelayed("a", heartbeat(1).setStartedMs(2_000), 0, 10)).isTrue();
+      assertThat(acceptRelayed("a", heartbeat(10), 0, 20)).isFalse();
+    }
+
+    @Test
+    void takesARestartedInstanceWhoseClockWentBackOnceTheEarlierRunIsSilent() {
+      acceptRelayed("a", heartbeat(9), 0, 0);
+      assertThat(acceptRelayed("a", heartbeat(1).setStartedMs(500), 0, 10)).isFalse();
+      assertThat(acceptRelayed("a", heartbeat(2).setStartedMs(500), 0, 2_100)).isTrue();
+    }
+
+    @Test
+    void takesWhatItsSenderSendsItselfWithoutNumbers() {
+      Heartbeat.Builder unnumbered = Heartbeat.newBuilder();
+      assertThat(acceptDirect("a", unnumbered, 0)).isTrue();
+      assertThat(acceptDirect("a", unnumbered, 500)).isTrue();
+    }
+
+    @Test
+    void ignoresItsOwnHeartbeatAndExpiredOnes() {
+      assertThat(acceptRelayed("self", heartbeat(5), 0, 0)).isFalse();
+      assertThat(acceptRelayed("a", heartbeat(5), HeartbeatRelay.EXPIRY_MS + 1, 0)).isFalse();
+    }
+  }
+
+  @Nested
+  class PassingOn {
+    @Test
+    void sendsEachHeartbeatOnceOnALink() {
+      acceptDirect("a", heartbeat(1), 0);
+      assertThat(pending("b", false, 10)).hasSize(1);
+      assertThat(pending("b", false, 3_000)).isEmpty();
+    }
+
+    @Test
+    void sendsNothingBackToWhereItCameFrom() {
+      acceptDirect("a", heartbeat(1), 0);
+      acceptRelayed("c", heartbeat(1), 5, 0);
+      assertThat(pending("a", false, 10))
+          .extracting(RelayedHeartbeat::getInstance)
+          .containsExactly("c");
+      assertThat(pending("relay", false, 10))
+          .extracting(RelayedHeartbeat::getInstance)
+          .containsExactly("a");
+    }
+
+    @Test
+    void refreshesSlowlyWhatDoesNotMatterAtOnce() {
+      acceptDirect("a", heartbeat(1), 0);
+      pending("b", false, 0);
+      acceptDirect("a", heartbeat(2), 500);
+      assertThat(pending("b", false, 500)).isEmpty();
+      acceptDirect("a", heartbeat(5), 2_000);
+      assertThat(pending("b", false, 2_000)).hasSize(1);
+    }
+
+    @Test
+    void sendsHoldersLeaversAndCrashesAtOnce() {
+      pending("b", false, 0);
+      acceptDirect("a", heartbeat(1), 0);
+      pending("b", false, 0);
+      acceptDirect("a", heartbeat(2).setGivesOrders(true), 100);
+      assertThat(pending("b", false, 100)).hasSize(1);
+      acceptDirect("a", heartbeat(3).setLeaving(true), 200);
+      assertThat(pending("b", false, 200)).hasSize(1);
+    }
+
+    @Test
+    void sendsDemandOnlyToThoseThatNeedIt() {
+      ArtifactUse use = ArtifactUse.newBuilder().setArtifact("model").setWaiting(1).build();
+      acceptDirect("a", heartbeat(1).addUses(use), 0);
+      assertThat(pending("b", false, 0).getFirst().getHeartbeat().getUsesCount()).isZero();
+      acceptDirect("a", heartbeat(2).addUses(use), 100);
+      assertThat(pending("b", true, 100).getFirst().getHeartbeat().getUsesCount()).isOne();
+    }
+
+    @Test
+    void addsUpTheAgeAndForgetsAFailedInstance() {
+      acceptRelayed("a", heartbeat(1), 1_000, 0);
+      assertThat(pending("b", false, 500).getFirst().getAgeMs()).isEqualTo(1_500);
+      assertThat(pending("c", false, 3_100)).isEmpty();
+    }
+  }
+}
