Go on polling after an unexpected exception

Cause: an exception while the configuration or the endpoint directory was read or applied ended the polling thread with a stack trace and nothing else; the instance then served its last state for ever.

PollersTest was red for both pollers and is green.

--- a/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
@@ -39,7 +39,7 @@
   private void pollLoop() {
     boolean available = true;
     while (!stopped) {
-      ConfigurationPollResult result = source.poll();
+      ConfigurationPollResult result = poll();
       switch (result) {
         case ConfigurationPollResult.Found(RouteTable newRoutes) -> install(newRoutes);
         case ConfigurationPollResult.Unchanged() -> {}
@@ -58,6 +58,15 @@
     }
   }
 
+  private ConfigurationPollResult poll() {
+    try {
+      return source.poll();
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "Configuration could not be read.");
+      return new ConfigurationPollResult.Unavailable(e.toString());
+    }
+  }
+
   private void install(RouteTable newRoutes) {
     RouteTable current = routes;
     if (current != null && newRoutes.version() <= current.version()) {
--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -79,6 +79,15 @@
 
   /** Reads the directory once; returns whether it was available. */
   private boolean readOnce(boolean wasAvailable) {
+    try {
+      return applyRead(wasAvailable);
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "Endpoint directory could not be read or applied.");
+      return false;
+    }
+  }
+
+  private boolean applyRead(boolean wasAvailable) {
     return switch (source.read()) {
       case DirectoryReadResult.Entries(List<DirectoryEntry> entries) -> {
         listener.accept(directory.update(entries, System.nanoTime()));
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
@@ -0,0 +1,61 @@
+package org.magnoliavale.internal.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.directory.DirectoryReadResult;
+import org.magnoliavale.internal.route.ConfigurationPollResult;
+
+/** An unexpected exception while reading must not end the polling, which nobody would notice. */
+class PollersTest {
+  private static final long PATIENCE_S = 20;
+
+  @Test
+  void directoryIsReadAgainAfterAnUnexpectedException() throws InterruptedException {
+    AtomicInteger reads = new AtomicInteger();
+    CountDownLatch read = new CountDownLatch(1);
+    DirectoryPoller poller =
+        new DirectoryPoller(
+            () -> {
+              if (reads.incrementAndGet() == 1) {
+                throw new IllegalStateException("expected by the test");
+              }
+              return new DirectoryReadResult.Entries(List.of());
+            },
+            () -> true,
+            () -> true,
+            entries -> read.countDown());
+    poller.start();
+    try {
+      assertThat(read.await(PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+    } finally {
+      poller.stop();
+    }
+  }
+
+  @Test
+  void configurationIsReadAgainAfterAnUnexpectedException() throws InterruptedException {
+    AtomicInteger polls = new AtomicInteger();
+    Semaphore polled = new Semaphore(0);
+    ConfigurationPoller poller =
+        new ConfigurationPoller(
+            () -> {
+              if (polls.incrementAndGet() == 1) {
+                throw new IllegalStateException("expected by the test");
+              }
+              polled.release();
+              return new ConfigurationPollResult.Unavailable("none yet");
+            });
+    poller.start();
+    try {
+      assertThat(polled.tryAcquire(PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+    } finally {
+      poller.stop();
+    }
+  }
+}
