--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -46,9 +46,11 @@
     this.relay = new HeartbeatRelay(self);
   }
 
-  /** Sets whom this instance connects to. */
-  void setTopology(LinkTopology newTopology) {
+  /** Sets whom this instance connects to; returns whether that is a change. */
+  boolean setTopology(LinkTopology newTopology) {
+    boolean changed = !newTopology.targets().equals(topology.targets());
     topology = newTopology;
+    return changed;
   }
 
   /** Returns this instance's next heartbeat, to be sent on all outgoing links. */
--- a/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
+++ b/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
@@ -160,7 +160,7 @@
   private void pollInstanceList() {
     try {
       while (!stopped) {
-        instanceList.read().ifPresent(listed -> eventLoop.execute(() -> connectToListed(listed)));
+        readInstanceList();
         Thread.sleep(LIST_POLL_INTERVAL_MS);
       }
     } catch (InterruptedException e) {
@@ -168,6 +168,14 @@
     }
   }
 
+  private void readInstanceList() {
+    try {
+      instanceList.read().ifPresent(listed -> eventLoop.execute(() -> connectToListed(listed)));
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "Instance list could not be read.");
+    }
+  }
+
   /**
    * Connects to the instances that the topology names, and closes links that it no longer needs.
    * Runs on the event loop thread.
@@ -179,7 +187,14 @@
     LinkTopology topology =
         LinkTopology.of(
             context.instance(), listed, this::isReachable, context.exchange().isServing());
-    context.exchange().setTopology(topology);
+    if (context.exchange().setTopology(topology)) {
+      LOG.infof(
+          "Link targets changed. mesh=%s instances=%d relays=%d targets=%s",
+          topology.mesh(),
+          topology.dataCentres().size(),
+          topology.relays().size(),
+          topology.mesh() ? topology.targets().size() : topology.targets());
+    }
     for (ListedInstance instance : listed) {
       boolean usable =
           topology.targets().contains(instance.id()) && Values.isAddress(instance.peerAddress());
