Ignore a relayed heartbeat that can't be applied, and keep its link

Cause, found on reading the relays once more: one malformed heartbeat threw in the event loop and closed the link on which it was passed on, and a relay carries those of many instances; reconnecting would have brought the same heartbeat again. HeartbeatExchangeTest (MalformedHeartbeats) was red with the exception and is green: the heartbeat is logged and ignored, the ones beside it are applied.

--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -4,14 +4,18 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import org.jboss.logging.Logger;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
+import org.magnoliavale.internal.logging.Logs;
 
 /**
  * Numbers this instance's heartbeats, passes received ones to the listener, and decides what each
  * link is sent of other instances' heartbeats. Used by one thread.
  */
 final class HeartbeatExchange {
+  private static final Logger LOG = Logs.of("link");
+
   private final String self;
   private final PeerState state;
   private final PeerListener listener;
@@ -71,10 +75,15 @@
     receive(peer, heartbeat, peer, 0);
   }
 
-  /** Applies heartbeats that a peer passed on. */
+  /** Applies heartbeats that a peer passed on; one that can't be applied is ignored. */
   void relayed(String peer, List<RelayedHeartbeat> heartbeats) {
     for (RelayedHeartbeat relayed : heartbeats) {
-      receive(relayed.getInstance(), relayed.getHeartbeat(), peer, relayed.getAgeMs());
+      try {
+        receive(relayed.getInstance(), relayed.getHeartbeat(), peer, relayed.getAgeMs());
+      } catch (RuntimeException e) {
+        // The link is kept: it carries the heartbeats of many other instances.
+        LOG.warnf(e, "Relayed heartbeat ignored. instance=%s", relayed.getInstance());
+      }
     }
   }
 
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
@@ -2,11 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.document.DocumentText;
+import org.magnoliavale.internal.link.protocol.Heartbeat;
+import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
 
 /** Plays heartbeats of whole fleets on a virtual clock. */
 class HeartbeatExchangeTest {
@@ -103,6 +107,51 @@
     }
   }
 
+  @Nested
+  class MalformedHeartbeats {
+    private final List<String> applied = new ArrayList<>();
+    private final HeartbeatExchange exchange =
+        new HeartbeatExchange("self", new Silent(), new Failing(), () -> 1, 1, () -> {});
+
+    private static final class Silent implements PeerState {
+      @Override
+      public Heartbeat heartbeat() {
+        return Heartbeat.getDefaultInstance();
+      }
+
+      @Override
+      public DocumentText document() {
+        return new DocumentText(0, List.of());
+      }
+    }
+
+    private final class Failing implements PeerListener {
+      @Override
+      public void heartbeatReceived(String instance, Heartbeat heartbeat) {
+        if (instance.equals("malformed")) {
+          throw new IllegalArgumentException("expected by the test");
+        }
+        applied.add(instance);
+      }
+
+      @Override
+      public void documentReceived(DocumentText document) {}
+    }
+
+    private static RelayedHeartbeat from(String instance) {
+      return RelayedHeartbeat.newBuilder()
+          .setInstance(instance)
+          .setHeartbeat(Heartbeat.newBuilder().setNumber(1))
+          .build();
+    }
+
+    @Test
+    void doNotKeepARelayFromPassingOnTheOthers() {
+      exchange.relayed("relay", List.of(from("a"), from("malformed"), from("b")));
+      assertThat(applied).containsExactly("a", "b");
+    }
+  }
+
   @Nested
   class Cost {
     /** Bytes per second that control may send at an instance, from the users' letter. */
