Leave a silent stream alone unless another endpoint can go on with it

Cause: a stream that paused for over 1.2 s was given up when its endpoint had sent this instance nothing for 0.9 s. With 8 instances each has several streams at an endpoint, and silence on all of them means something; with 95 it has one, so a slow but sound stream (preempted, a long prompt beside it) looked like a dead endpoint. It was cut, waited about a second for another holder of its model, and was broken off where there was none.

StreamCallTest, ofTheOnlyEndpointThatHoldsTheModelDoesNotCutASoundStream: red before (the stream was cancelled), green now. movesAStartedStreamOnceAnotherEndpointHoldsTheModel keeps what the time-out is for. Ruled out: a longer time-out, which would cut later and help dark endpoints later.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -87,8 +87,9 @@
   }
 
   /**
-   * Gives up the attempt if the call may be retried and the endpoint is silent, or if an idempotent
-   * call gets no response head in time.
+   * Gives up the attempt if the call may be retried, the endpoint is silent and another one can
+   * take the call now, or if an idempotent call gets no response head in time. Silence alone is no
+   * reason: with few attempts at an endpoint, a slow one looks like one that has failed.
    */
   void tick(long nowNanos) {
     long limit = call.plan().silenceTimeoutNanos();
@@ -101,7 +102,7 @@
         streaming && silence > TimeUnit.MILLISECONDS.toNanos(EVENT_SILENCE_TIMEOUT_MS);
     boolean endpointSilent =
         pool().isUnresponsive(identity(), nowNanos) || !pool().isAvailable(identity());
-    if (noHead && endpointSilent || noEvent && endpointSilent) {
+    if ((noHead || noEvent) && endpointSilent && call.hasAlternative(identity(), nowNanos)) {
       abandon("silent", nowNanos);
     } else if (noHead && call.plan().route().kind() == CallKind.IDEMPOTENT) {
       abandon("slow", nowNanos);
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -161,11 +161,18 @@
     caller.abort();
   }
 
+  private SelectionCriteria selectionCriteria() {
+    return new SelectionCriteria(
+        plan.service(), plan.metadata().generation(), Set.copyOf(excludedEndpoints));
+  }
+
+  /** Returns whether an endpoint other than {@code current} can take the call now. */
+  boolean hasAlternative(EndpointIdentity current, long nowNanos) {
+    return context.endpoints().hasAlternative(selectionCriteria(), current, nowNanos);
+  }
+
   private void dispatch(long nowNanos) {
-    SelectionCriteria selection =
-        new SelectionCriteria(
-            plan.service(), plan.metadata().generation(), Set.copyOf(excludedEndpoints));
-    switch (context.endpoints().choose(selection, plan.connectionLimit(), nowNanos)) {
+    switch (context.endpoints().choose(selectionCriteria(), plan.connectionLimit(), nowNanos)) {
       case EndpointChoice.Selected send -> send(send, nowNanos);
       case EndpointChoice.AwaitArtifact(Artifact artifact) -> awaitArtifact(artifact);
       case EndpointChoice.Unavailable(String reason) -> handleUnavailable(reason, nowNanos);
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -111,6 +111,18 @@
     return new EndpointChoice.Selected(best.entry(), load, best.reportAgeMs(nowNanos));
   }
 
+  /** Returns whether an endpoint other than {@code current} is healthy and can take a request. */
+  public synchronized boolean hasAlternative(
+      SelectionCriteria criteria, EndpointIdentity current, long nowNanos) {
+    return availableEndpoints(criteria).stream()
+        .filter(state -> !state.entry().identity().equals(current))
+        .filter(state -> state.isHealthy(nowNanos))
+        .anyMatch(
+            state ->
+                criteria.generation().isEmpty()
+                    || state.holds(criteria.generation().get().artifact(), nowNanos));
+  }
+
   private List<EndpointState> availableEndpoints(SelectionCriteria criteria) {
     List<EndpointState> available = new ArrayList<>();
     for (EndpointState state : endpoints.values()) {
--- a/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
@@ -75,6 +75,33 @@
       assertThat(connector.sent().getFirst().isCancelled()).isTrue();
     }
 
+    @Test
+    void ofTheOnlyEndpointThatHoldsTheModelDoesNotCutASoundStream() {
+      updateEndpoints(TestEntries.entry("a", 1, "n"), TestEntries.entry("b", 1, "m"));
+      call("/stream/x", "X-Model", "n");
+      connector.last().begin(200);
+      connector.last().content(EVENT_ONE);
+      advance(1_000);
+      advance(700);
+      assertThat(connector.last().isCancelled()).isFalse();
+      connector.last().content(EVENT_TWO);
+      connector.last().listener().onCompleted();
+      assertThat(caller.body()).isEqualTo(EVENT_ONE + EVENT_TWO);
+      assertThat(caller.ending()).isEqualTo("finished");
+    }
+
+    @Test
+    void movesAStartedStreamOnceAnotherEndpointHoldsTheModel() {
+      updateEndpoints(TestEntries.entry("a", 1, "n"), TestEntries.entry("b", 1, "m"));
+      call("/stream/x", "X-Model", "n");
+      connector.last().begin(200);
+      connector.last().content(EVENT_ONE);
+      advance(1_500);
+      updateEndpoints(TestEntries.entry("a", 2, "n"), TestEntries.entry("b", 2, "m", "n"));
+      advance(50);
+      assertThat(endpoints()).containsExactly("a", "b");
+    }
+
     @Test
     void neverCausesARetryOfANonIdempotentCall() {
       call("/unsafe/x");
