Log how endpoints appear, drain and go, and the age of the directory with each request

Cause: the log had no line on the directory's contents, so the three hypotheses on requests to leaving endpoints (docs/incidents/drain-after-notice.md) could not be told apart.

Added under the prefix 'directory': an endpoint that is added, whose listing or draining state changes, or that a peer reports as draining; directory-age-ms in 'Sent'. One line per change of an endpoint, none per read. No logic changed. EndpointPoolTest, CallTest and StreamCallTest pass.

--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -19,13 +19,14 @@
   void sent(EndpointChoice.Selected choice, int attempt, Duration timeRemaining) {
     LOG.infof(
         "Sent. request=%s route=%s endpoint=%s artifact=%s load=%.0f report-age-ms=%d"
-            + " configuration=%d attempt=%d left-ms=%d",
+            + " directory-age-ms=%d configuration=%d attempt=%d left-ms=%d",
         plan.attemptId(),
         plan.route().name(),
         choice.endpoint().identity(),
         plan.artifactText(),
         choice.load(),
         choice.reportAgeMs(),
+        choice.directoryAgeMs(),
         plan.configurationVersion(),
         attempt,
         timeRemaining.toMillis());
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
@@ -4,8 +4,14 @@
 
 /** Result of selecting an endpoint for a request. */
 public sealed interface EndpointChoice {
-  /** An endpoint was selected, and the request counts as in flight there. */
-  record Selected(DirectoryEntry endpoint, double load, long reportAgeMs)
+  /**
+   * An endpoint was selected, and the request counts as in flight there.
+   *
+   * @param load estimated requests at the endpoint before this one
+   * @param reportAgeMs age of the load that the endpoint reported, in milliseconds; -1 if none
+   * @param directoryAgeMs time since the directory was last read, in milliseconds
+   */
+  record Selected(DirectoryEntry endpoint, double load, long reportAgeMs, long directoryAgeMs)
       implements EndpointChoice {}
 
   /** No endpoint holds the artifact; the request has to wait until one does. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -10,9 +10,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.logging.Logs;
 
 /**
  * Tracks the state of all endpoints as seen by this instance, and selects one for each attempt.
@@ -26,6 +28,8 @@
  * its last attempt has ended. Times are in nanoseconds of a monotonic clock.
  */
 public final class EndpointPool {
+  private static final Logger LOG = Logs.of("directory");
+
   /** Delay that each request on an engine adds to a new one, in milliseconds. */
   private static final double ENGINE_DELAY_PER_REQUEST_MS = 4;
 
@@ -50,6 +54,7 @@
   private final IntSupplier instances;
   private final RandomGenerator random;
   private final Map<EndpointIdentity, EndpointState> endpoints = new HashMap<>();
+  private long updatedNanos;
 
   /**
    * Returns an empty pool.
@@ -67,11 +72,10 @@
   /** Applies a read of the directory. Attempts at endpoints that have disappeared continue. */
   public synchronized void update(Collection<DirectoryEntry> entries, long nowNanos) {
     Set<EndpointIdentity> present = new HashSet<>();
+    updatedNanos = nowNanos;
     for (DirectoryEntry entry : entries) {
       present.add(entry.identity());
-      endpoints
-          .computeIfAbsent(entry.identity(), ignored -> new EndpointState(entry, nowNanos))
-          .update(entry);
+      endpoints.computeIfAbsent(entry.identity(), ignored -> add(entry, nowNanos)).update(entry);
     }
     endpoints.forEach((identity, state) -> state.setListed(present.contains(identity)));
     endpoints
@@ -79,6 +83,13 @@
         .removeIf(state -> !present.contains(state.entry().identity()) && state.inFlight() == 0);
   }
 
+  private static EndpointState add(DirectoryEntry entry, long nowNanos) {
+    LOG.infof(
+        "Endpoint added. endpoint=%s service=%s address=%s draining=%s heartbeat=%d",
+        entry.identity(), entry.service(), entry.address(), entry.draining(), entry.heartbeat());
+    return new EndpointState(entry, nowNanos);
+  }
+
   /**
    * Selects an endpoint for a request and counts the request as in flight there.
    *
@@ -108,7 +119,11 @@
     EndpointState best = leastDelayed(healthy.isEmpty() ? eligible : healthy, criteria, nowNanos);
     double load = best.load(instances.getAsInt(), nowNanos);
     best.attemptStarted(criteria.generation(), nowNanos);
-    return new EndpointChoice.Selected(best.entry(), load, best.reportAgeMs(nowNanos));
+    return new EndpointChoice.Selected(
+        best.entry(),
+        load,
+        best.reportAgeMs(nowNanos),
+        TimeUnit.NANOSECONDS.toMillis(nowNanos - updatedNanos));
   }
 
   /** Returns whether an endpoint other than {@code current} is healthy and can take a request. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -6,11 +6,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.LoadedModel;
+import org.magnoliavale.internal.logging.Logs;
 
 /** State of one incarnation of an endpoint as seen by this instance. Not thread-safe. */
 final class EndpointState {
+  private static final Logger LOG = Logs.of("directory");
+
   /** Age after which a reported load is ignored. */
   private static final long REPORT_VALIDITY_MS = 2_000;
 
@@ -102,16 +106,31 @@
       missingUntil.clear();
       announcedLoaded.removeIf(artifact -> shows(newEntry, artifact));
     }
+    if (newEntry.draining() != entry.draining()) {
+      LOG.infof(
+          "Endpoint entry changed. endpoint=%s draining=%s heartbeat=%d previous-heartbeat=%d",
+          newEntry.identity(), newEntry.draining(), newEntry.heartbeat(), entry.heartbeat());
+    }
     entry = newEntry;
   }
 
   /** Sets whether the endpoint is listed; one that is listed again accepts requests again. */
   void setListed(boolean value) {
+    if (value != listed) {
+      LOG.infof(
+          "Endpoint listing changed. endpoint=%s listed=%s in-flight=%d",
+          entry.identity(), value, inFlight);
+    }
     listed = value;
   }
 
   /** Marks the endpoint as draining before its entry has been read here. */
   void markDraining() {
+    if (!markedDraining) {
+      LOG.infof(
+          "Endpoint marked as draining by a peer. endpoint=%s draining=%s",
+          entry.identity(), entry.draining());
+    }
     markedDraining = true;
   }
 
