Remove an endpoint at once that goes after it was seen since the store's return

Cause: after a failed read every entry that disappeared was kept for 2.2 s, also one that had been read since and so can't have expired in the outage; and the end of that time was only noticed at the next read, up to 1.2 s later. Now only entries that were missing since the return are awaited, and a read comes when that time ends.

EndpointDirectoryTest.endpointThatIsRemovedAfterItWasSeenAgainIsGoneAtOnce failed before.

--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
@@ -2,26 +2,31 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Merges successive reads of the list of endpoints. Not thread-safe.
  *
- * <p>An entry that disappears is removed at once, unless the list could not be read shortly before:
- * entries expire while the platform's store is unavailable, and endpoints rewrite them soon after
- * it has recovered.
+ * <p>An entry that disappears is removed at once, unless it may have expired while the list could
+ * not be read: entries expire while the platform's store is unavailable, and endpoints rewrite them
+ * soon after it has recovered. Such an entry is kept for a short time; one that has been seen since
+ * the recovery is not.
  */
 public final class EndpointDirectory {
   /** Time that endpoints have to renew their entries after the store has recovered. */
   static final long RENEWAL_GRACE_MS = 2_200;
 
-  private static final long NEVER = Long.MIN_VALUE;
-
   private final Map<String, DirectoryEntry> entries = new HashMap<>();
+
+  /** Ids of the entries that have not been seen since the store recovered. */
+  private final Set<String> awaited = new HashSet<>();
+
   private boolean storeUnavailable;
-  private long recoveredMs = NEVER;
+  private long graceEndMs;
 
   /** Records that the list could not be read. */
   public void markUnavailable() {
@@ -38,13 +43,23 @@
     long nowMs = TimeUnit.NANOSECONDS.toMillis(nowNanos);
     if (storeUnavailable) {
       storeUnavailable = false;
-      recoveredMs = nowMs;
+      graceEndMs = nowMs + RENEWAL_GRACE_MS;
+      awaited.addAll(entries.keySet());
     }
     Map<String, DirectoryEntry> current = new HashMap<>();
     listed.forEach(entry -> current.put(entry.identity().id(), entry));
-    boolean graceElapsed = recoveredMs == NEVER || nowMs - recoveredMs >= RENEWAL_GRACE_MS;
-    entries.keySet().removeIf(id -> graceElapsed && !current.containsKey(id));
+    awaited.removeAll(current.keySet());
+    if (graceRemainingMs(nowNanos) == 0) {
+      awaited.clear();
+    }
+    entries.keySet().removeIf(id -> !current.containsKey(id) && !awaited.contains(id));
     entries.putAll(current);
     return List.copyOf(entries.values());
   }
+
+  /** Returns the time until entries that are still missing count as removed; 0 if none are kept. */
+  public long graceRemainingMs(long nowNanos) {
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(nowNanos);
+    return awaited.isEmpty() ? 0 : Math.max(0, graceEndMs - nowMs);
+  }
 }
--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -70,7 +70,7 @@
     try {
       while (!stopped) {
         available = readOnce(available);
-        TimeUnit.MILLISECONDS.sleep(intervalMs());
+        TimeUnit.MILLISECONDS.sleep(delayMs(System.nanoTime()));
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -107,6 +107,12 @@
     };
   }
 
+  /** Returns the time until the next read, which comes no later than kept entries are removed. */
+  long delayMs(long nowNanos) {
+    long graceMs = directory.graceRemainingMs(nowNanos);
+    return graceMs == 0 ? intervalMs() : Math.min(intervalMs(), graceMs);
+  }
+
   private long intervalMs() {
     if (!leaseHeld.getAsBoolean()) {
       return INTERVAL_MS;
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
@@ -0,0 +1,72 @@
+package org.magnoliavale.internal.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.dispatch.TestEntries;
+
+class EndpointDirectoryTest {
+  private final EndpointDirectory directory = new EndpointDirectory();
+  private long nowMs = 100_000;
+
+  private Collection<DirectoryEntry> read(DirectoryEntry... listed) {
+    return directory.update(List.of(listed), nowNanos());
+  }
+
+  private long nowNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(nowMs);
+  }
+
+  private static void assertNoneAccepts(Collection<DirectoryEntry> entries) {
+    assertThat(entries).allMatch(DirectoryEntry::draining);
+  }
+
+  private static void assertAccepts(Collection<DirectoryEntry> entries) {
+    assertThat(entries).hasSize(1).noneMatch(DirectoryEntry::draining);
+  }
+
+  @Nested
+  class AfterAnUnavailableStore {
+    @Test
+    void endpointWhoseEntryExpiredMeanwhileIsKeptForTheGracePeriod() {
+      read(TestEntries.entry("a", 4));
+      directory.markUnavailable();
+      assertAccepts(read());
+      nowMs += EndpointDirectory.RENEWAL_GRACE_MS - 1;
+      assertAccepts(read());
+      nowMs++;
+      assertThat(read()).isEmpty();
+    }
+
+    @Test
+    void endpointThatIsRemovedAfterItWasSeenAgainIsGoneAtOnce() {
+      read(TestEntries.entry("a", 4));
+      directory.markUnavailable();
+      assertAccepts(read(TestEntries.entry("a", 5)));
+      nowMs += 100;
+      assertThat(read()).isEmpty();
+    }
+
+    @Test
+    void graceEndsOnTimeThoughReadsAreFarApart() {
+      read(TestEntries.entry("a", 4));
+      directory.markUnavailable();
+      read();
+      nowMs += 1_200;
+      assertThat(directory.graceRemainingMs(nowNanos()))
+          .isEqualTo(EndpointDirectory.RENEWAL_GRACE_MS - 1_200);
+    }
+
+    @Test
+    void nothingIsAwaitedOnceAllEndpointsWereSeen() {
+      read(TestEntries.entry("a", 4));
+      directory.markUnavailable();
+      read(TestEntries.entry("a", 5));
+      assertThat(directory.graceRemainingMs(nowNanos())).isZero();
+    }
+  }
+}
