Tell peers which endpoints have left the directory

The endpoint's entry was removed at 7.605 s, without a notice before; three instances were cut from the store from 3 to 7 s and read the directory again at 8.315 s.

Cause: an instance that can't read can't tell an outage of the store, in which entries of live endpoints expire, from being cut off alone, in which a removal is a removal. It took the first for granted and kept the endpoint for 2.2 s after its first read. The other five instances had seen the removal at 7.67 s and told nobody: only the holder of the command lease told its peers something, and only which entries say draining.

Now the instances that see an entry go tell the others, with the entry's heartbeat, for 10 s; an endpoint that a peer has seen leaving gets no requests, until an entry comes that is newer. If no instance saw it go, all were cut off, and entries are kept as before.

--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDepartures.java
@@ -0,0 +1,83 @@
+package org.magnoliavale.internal.directory;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.magnoliavale.internal.collection.BoundedMap;
+
+/**
+ * Remembers which endpoints have left the directory, as seen by this instance or told by a peer, so
+ * that one instance's knowledge serves the whole fleet. Thread-safe.
+ *
+ * <p>An instance that was cut off from the platform's store can't tell on its own whether an entry
+ * was removed or expired in an outage of the store; peers that could read the directory all the
+ * while can. An endpoint is back with an entry that is newer than the removed one.
+ *
+ * <p>Incarnations without a start time are not remembered: another incarnation of the same id could
+ * not be told apart. Times are in nanoseconds of a monotonic clock.
+ */
+public final class EndpointDepartures {
+  private static final int MAXIMUM_REMEMBERED = 1_024;
+
+  /** Time for which peers are told, so that one that was cut off meanwhile hears of it, too. */
+  private static final long ANNOUNCEMENT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  /**
+   * An endpoint that has left.
+   *
+   * @param endpoint the incarnation
+   * @param lastHeartbeat heartbeat of its last known entry; older entries are out of date
+   */
+  public record Departure(EndpointIdentity endpoint, long lastHeartbeat) {}
+
+  private record Known(long lastHeartbeat, boolean seenHere, long nanos) {}
+
+  private final BoundedMap<EndpointIdentity, Known> departures =
+      BoundedMap.evictingLeastRecentlyUsed(MAXIMUM_REMEMBERED);
+  private boolean unannounced;
+
+  /** Records that this instance has seen an entry disappear from the directory. */
+  public void observeRemoval(DirectoryEntry entry, long nowNanos) {
+    record(new Departure(entry.identity(), entry.heartbeat()), true, nowNanos);
+  }
+
+  /** Records a departure that a peer has seen. */
+  public void learn(Departure departure, long nowNanos) {
+    record(departure, false, nowNanos);
+  }
+
+  private synchronized void record(Departure departure, boolean seenHere, long nowNanos) {
+    EndpointIdentity endpoint = departure.endpoint();
+    Known known = departures.get(endpoint);
+    boolean news = known == null || known.lastHeartbeat() < departure.lastHeartbeat();
+    if (endpoint.startedAtMs() != 0 && news) {
+      departures.put(endpoint, new Known(departure.lastHeartbeat(), seenHere, nowNanos));
+      unannounced |= seenHere;
+    }
+  }
+
+  /** Returns whether an endpoint has left and {@code entry} is from before that. */
+  public synchronized boolean includes(DirectoryEntry entry) {
+    Known known = departures.get(entry.identity());
+    return known != null && entry.heartbeat() <= known.lastHeartbeat();
+  }
+
+  /** Returns whether this instance has seen a departure since the last call. */
+  public synchronized boolean takeNews() {
+    boolean news = unannounced;
+    unannounced = false;
+    return news;
+  }
+
+  /** Returns the recent departures that this instance was the first to see, to be told to peers. */
+  public synchronized List<Departure> announcements(long nowNanos) {
+    List<Departure> announcements = new ArrayList<>();
+    departures.forEach(
+        (endpoint, known) -> {
+          if (known.seenHere() && nowNanos - known.nanos() < ANNOUNCEMENT_NANOS) {
+            announcements.add(new Departure(endpoint, known.lastHeartbeat()));
+          }
+        });
+    return announcements;
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
@@ -14,12 +14,13 @@
  * <p>An entry that disappears is removed at once, unless it may have expired while the list could
  * not be read: entries expire while the platform's store is unavailable, and endpoints rewrite them
  * soon after it has recovered. Such an entry is kept for a short time; one that has been seen since
- * the recovery is not.
+ * the recovery, or that a peer has seen leaving, is not.
  */
 public final class EndpointDirectory {
   /** Time that endpoints have to renew their entries after the store has recovered. */
   static final long RENEWAL_GRACE_MS = 2_200;
 
+  private final EndpointDepartures departures;
   private final Map<String, DirectoryEntry> entries = new HashMap<>();
 
   /** Ids of the entries that have not been seen since the store recovered. */
@@ -28,6 +29,11 @@
   private boolean storeUnavailable;
   private long graceEndMs;
 
+  /** Returns an empty directory that records removed entries in {@code departures}. */
+  public EndpointDirectory(EndpointDepartures departures) {
+    this.departures = departures;
+  }
+
   /** Records that the list could not be read. */
   public void markUnavailable() {
     storeUnavailable = true;
@@ -52,11 +58,24 @@
     if (graceRemainingMs(nowNanos) == 0) {
       awaited.clear();
     }
-    entries.keySet().removeIf(id -> !current.containsKey(id) && !awaited.contains(id));
+    entries.values().removeIf(entry -> isRemoved(entry, current, nowNanos));
     entries.putAll(current);
     return List.copyOf(entries.values());
   }
 
+  private boolean isRemoved(
+      DirectoryEntry entry, Map<String, DirectoryEntry> current, long nowNanos) {
+    String id = entry.identity().id();
+    if (current.containsKey(id)) {
+      return false;
+    }
+    if (awaited.contains(id) && !departures.includes(entry)) {
+      return false;
+    }
+    departures.observeRemoval(entry, nowNanos);
+    return true;
+  }
+
   /** Returns the time until entries that are still missing count as removed; 0 if none are kept. */
   public long graceRemainingMs(long nowNanos) {
     long nowMs = TimeUnit.NANOSECONDS.toMillis(nowNanos);
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
@@ -52,6 +53,7 @@
 
   private final String dataCentre;
   private final IntSupplier instances;
+  private final EndpointDepartures departures;
   private final RandomGenerator random;
   private final Map<EndpointIdentity, EndpointState> endpoints = new HashMap<>();
   private long updatedNanos;
@@ -61,11 +63,17 @@
    *
    * @param dataCentre the data centre of this instance
    * @param instances number of live instances in the fleet
+   * @param departures endpoints that have left, which get no requests although they may be listed
    * @param random source of the random factor in selections
    */
-  public EndpointPool(String dataCentre, IntSupplier instances, RandomGenerator random) {
+  public EndpointPool(
+      String dataCentre,
+      IntSupplier instances,
+      EndpointDepartures departures,
+      RandomGenerator random) {
     this.dataCentre = dataCentre;
     this.instances = instances;
+    this.departures = departures;
     this.random = random;
   }
 
@@ -142,7 +150,7 @@
     List<EndpointState> available = new ArrayList<>();
     for (EndpointState state : endpoints.values()) {
       DirectoryEntry entry = state.entry();
-      if (state.isAvailable()
+      if (accepts(state)
           && entry.service().equals(criteria.service())
           && !criteria.excluded().contains(entry.identity())) {
         available.add(state);
@@ -151,6 +159,10 @@
     return available;
   }
 
+  private boolean accepts(EndpointState state) {
+    return state.isAvailable() && !departures.includes(state.entry());
+  }
+
   private EndpointState leastDelayed(
       List<EndpointState> candidates, SelectionCriteria criteria, long nowNanos) {
     EndpointState best = null;
@@ -288,7 +300,7 @@
   /** Returns whether an endpoint is listed and accepts new requests. */
   public synchronized boolean isAvailable(EndpointIdentity identity) {
     EndpointState state = endpoints.get(identity);
-    return state != null && state.isAvailable();
+    return state != null && accepts(state);
   }
 
   /** Returns the identities of endpoints whose entries show them as draining. */
@@ -311,7 +323,7 @@
   public synchronized int size(ServiceId service) {
     return (int)
         endpoints.values().stream()
-            .filter(state -> state.isAvailable() && state.entry().service().equals(service))
+            .filter(state -> accepts(state) && state.entry().service().equals(service))
             .count();
   }
 }
--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -9,6 +9,7 @@
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.DirectoryReadResult;
 import org.magnoliavale.internal.directory.DirectorySource;
+import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointDirectory;
 import org.magnoliavale.internal.logging.Logs;
 
@@ -30,23 +31,26 @@
   private final BooleanSupplier leaseHeld;
   private final BooleanSupplier awaitingEndpoints;
   private final Consumer<Collection<DirectoryEntry>> listener;
-  private final EndpointDirectory directory = new EndpointDirectory();
+  private final EndpointDirectory directory;
   private volatile boolean loaded;
   private volatile boolean stopped;
 
   /**
    * Returns a poller that is not started yet.
    *
+   * @param departures records the endpoints that leave the directory
    * @param leaseHeld whether this instance holds the command lease
    * @param awaitingEndpoints whether the holder waits for an effect of a command
    * @param listener receives the entries after each successful read
    */
   DirectoryPoller(
       DirectorySource source,
+      EndpointDepartures departures,
       BooleanSupplier leaseHeld,
       BooleanSupplier awaitingEndpoints,
       Consumer<Collection<DirectoryEntry>> listener) {
     this.source = source;
+    this.directory = new EndpointDirectory(departures);
     this.leaseHeld = leaseHeld;
     this.awaitingEndpoints = awaitingEndpoints;
     this.listener = listener;
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -21,6 +21,7 @@
 import org.magnoliavale.internal.call.CrashDetector;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.http.HttpAddresses;
@@ -89,6 +90,7 @@
   private final JettyTransport transport = new JettyTransport();
   private final InstanceMetrics metrics = new InstanceMetrics();
   private final Membership membership;
+  private final EndpointDepartures departures = new EndpointDepartures();
   private final EndpointPool endpoints;
   private final DirectoryPoller directory;
   private final CallRegistry calls;
@@ -117,7 +119,8 @@
     adapters = factory.create(JsonClient.of(controlClient), settings);
     configuration = new ConfigurationPoller(adapters.configuration());
     membership = new Membership(PEER_EXPIRY);
-    endpoints = new EndpointPool(settings.dataCentre(), this::liveInstanceCount, new Random());
+    endpoints =
+        new EndpointPool(settings.dataCentre(), this::liveInstanceCount, departures, new Random());
     CrashRegistry crashes = new CrashRegistry(incarnation, InstantSource.system());
     crashDetector = new CrashDetector(crashes);
     ArtifactDemand demand = new ArtifactDemand(this::announceDemand);
@@ -131,6 +134,7 @@
             demand,
             fleetDemand,
             endpoints,
+            departures,
             System::nanoTime);
     registry = createRegistry();
     lease =
@@ -140,6 +144,7 @@
     directory =
         new DirectoryPoller(
             adapters.directory(),
+            departures,
             lease::isHeld,
             residency::isAwaitingEndpoints,
             this::directoryChanged);
@@ -290,6 +295,8 @@
     if (lease.isHeld() && !endpoints.draining().equals(announcedDrainingEndpoints)) {
       announcedDrainingEndpoints = endpoints.draining();
       links.sendHeartbeatsNow();
+    } else if (departures.takeNews()) {
+      links.sendHeartbeatsNow();
     }
     calls.endpointsChanged();
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
@@ -11,6 +11,9 @@
 import org.magnoliavale.internal.containment.CrashCount;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.containment.Fingerprint;
+import org.magnoliavale.internal.directory.EndpointDepartures;
+import org.magnoliavale.internal.directory.EndpointDepartures.Departure;
+import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.document.DocumentText;
@@ -18,6 +21,7 @@
 import org.magnoliavale.internal.link.PeerListener;
 import org.magnoliavale.internal.link.PeerState;
 import org.magnoliavale.internal.link.protocol.CrashRecord;
+import org.magnoliavale.internal.link.protocol.DepartedEndpoint;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.residency.ArtifactUse;
 import org.magnoliavale.internal.residency.FleetDemand;
@@ -25,8 +29,8 @@
 
 /**
  * Builds the heartbeats that this instance sends to its peers and applies those that it receives:
- * artifact demand, residency changes, crash records, draining endpoints and the state of the
- * command lease.
+ * artifact demand, residency changes, crash records, draining and departed endpoints and the state
+ * of the command lease.
  *
  * <p>Called on link threads and on the instance's own threads; must not block. {@link #initialize}
  * must be called before the links start.
@@ -43,6 +47,7 @@
   private final ArtifactDemand localDemand;
   private final FleetDemand fleetDemand;
   private final EndpointPool endpoints;
+  private final EndpointDepartures departures;
   private final LongSupplier nanoClock;
   private ResidencyChangeLog changeLog = new ResidencyChangeLog();
   private Runnable residencyChanged = () -> {};
@@ -60,6 +65,7 @@
       ArtifactDemand localDemand,
       FleetDemand fleetDemand,
       EndpointPool endpoints,
+      EndpointDepartures departures,
       LongSupplier nanoClock) {
     this.localInstanceId = localInstanceId;
     this.membership = membership;
@@ -67,6 +73,7 @@
     this.localDemand = localDemand;
     this.fleetDemand = fleetDemand;
     this.endpoints = endpoints;
+    this.departures = departures;
     this.nanoClock = nanoClock;
   }
 
@@ -127,6 +134,12 @@
       heartbeat.addAllDrainingEndpoints(endpoints.draining());
     }
     heartbeat.setSurrenderedEpoch(lease.surrenderedEpoch());
+    for (Departure departure : departures.announcements(nanoClock.getAsLong())) {
+      heartbeat
+          .addDepartedEndpointsBuilder()
+          .setEndpoint(departure.endpoint().toString())
+          .setHeartbeat(departure.lastHeartbeat());
+    }
     localUsage()
         .forEach(
             (artifact, use) ->
@@ -170,6 +183,10 @@
     lease.applyPeerState(heartbeat.getLeaseRow(), heartbeat.getSurrenderedEpoch());
     recordLeaseHolder(instance, heartbeat, now);
     heartbeat.getDrainingEndpointsList().forEach(endpoints::markDraining);
+    for (DepartedEndpoint departed : heartbeat.getDepartedEndpointsList()) {
+      EndpointIdentity endpoint = EndpointIdentity.parse(departed.getEndpoint());
+      departures.learn(new Departure(endpoint, departed.getHeartbeat()), now);
+    }
     Map<Artifact, ArtifactUse> uses = new HashMap<>();
     boolean hasWaiting = false;
     for (var use : heartbeat.getUsesList()) {
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -97,7 +97,10 @@
       leaseHolder = "";
     }
     listener.heartbeatReceived(origin, heartbeat);
-    boolean urgent = HeartbeatRelay.mattersAtOnce(heartbeat) || isWaiting(heartbeat);
+    boolean urgent =
+        HeartbeatRelay.mattersAtOnce(heartbeat)
+            || isWaiting(heartbeat)
+            || heartbeat.getDepartedEndpointsCount() > 0;
     if (urgent && !topology.mesh()) {
       urgentListener.run();
     }
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.magnoliavale.internal.link.protocol.DepartedEndpoint;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
 
@@ -13,10 +14,11 @@
  * The newest heartbeat of each instance, and which of them are still to be sent on each link. Does
  * no I/O and reads no clock; not thread-safe.
  *
- * <p>A heartbeat that matters at once (of a lease holder or a leaving instance, or with crash
- * records) is passed on as soon as possible; any other one is passed on now and then, so that the
- * receiver knows that its sender lives. A heartbeat's age travels with it, and no instance passes
- * on one that has expired, so a failed instance disappears everywhere.
+ * <p>A heartbeat that matters at once (of a lease holder or a leaving instance, with crash records,
+ * or with endpoints that have left since the last one) is passed on as soon as possible; any other
+ * one is passed on now and then, so that the receiver knows that its sender lives. A heartbeat's
+ * age travels with it, and no instance passes on one that has expired, so a failed instance
+ * disappears everywhere.
  */
 final class HeartbeatRelay {
   /** Age at which a heartbeat is dropped. */
@@ -41,7 +43,7 @@
 
   private record Known(Heartbeat heartbeat, String receivedFrom, long originNanos) {}
 
-  private record Sent(long startedMs, long number, long nanos) {}
+  private record Sent(long startedMs, long number, List<DepartedEndpoint> departed, long nanos) {}
 
   private final String self;
   private final Map<String, Known> newest = new HashMap<>();
@@ -117,7 +119,10 @@
             progress.sent.put(
                 origin,
                 new Sent(
-                    known.heartbeat().getStartedMs(), known.heartbeat().getNumber(), nowNanos));
+                    known.heartbeat().getStartedMs(),
+                    known.heartbeat().getNumber(),
+                    known.heartbeat().getDepartedEndpointsList(),
+                    nowNanos));
           }
         });
     return pending;
@@ -134,6 +139,7 @@
     }
     return receiver.demand()
         || mattersAtOnce(heartbeat)
+        || !sent.departed().containsAll(heartbeat.getDepartedEndpointsList())
         || TimeUnit.NANOSECONDS.toMillis(nowNanos - sent.nanos()) >= REFRESH_INTERVAL_MS;
   }
 
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.dispatch.TestEntries;
@@ -32,7 +33,8 @@
   private final double retryReserve = 1_000;
   final ScriptedConnector connector = new ScriptedConnector();
   final RecordingCaller caller = new RecordingCaller();
-  final EndpointPool pool = new EndpointPool("east", () -> 1, new Random(1));
+  final EndpointPool pool =
+      new EndpointPool("east", () -> 1, new EndpointDepartures(), new Random(1));
 
   /** Runs once, at the next reading of the clock. */
   Runnable onNextClockReading = () -> {};
--- a/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
+++ b/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
@@ -10,7 +10,7 @@
 import org.magnoliavale.internal.dispatch.TestEntries;
 
 class EndpointDirectoryTest {
-  private final EndpointDirectory directory = new EndpointDirectory();
+  private final EndpointDirectory directory = new EndpointDirectory(new EndpointDepartures());
   private long nowMs = 100_000;
 
   private Collection<DirectoryEntry> read(DirectoryEntry... listed) {
--- a/src/test/java/org/magnoliavale/internal/dispatch/EndpointPoolTest.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/EndpointPoolTest.java
@@ -10,13 +10,15 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 
 class EndpointPoolTest {
   private static final int LIMIT = 100;
 
   private long now = TimeUnit.SECONDS.toNanos(100);
-  private final EndpointPool pool = new EndpointPool("east", () -> 2, new Random(1));
+  private final EndpointPool pool =
+      new EndpointPool("east", () -> 2, new EndpointDepartures(), new Random(1));
 
   private void list(DirectoryEntry... entries) {
     pool.update(List.of(entries), now);
--- a/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.directory.DirectoryReadResult;
+import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.route.ConfigurationPollResult;
 
 /** An unexpected exception while reading must not end the polling, which nobody would notice. */
@@ -27,6 +28,7 @@
               }
               return new DirectoryReadResult.Entries(List.of());
             },
+            new EndpointDepartures(),
             () -> true,
             () -> true,
             entries -> read.countDown());
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatRelayTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatRelayTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.link.protocol.ArtifactUse;
+import org.magnoliavale.internal.link.protocol.DepartedEndpoint;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
 
@@ -117,6 +118,18 @@
       assertThat(pending("b", false, 200)).hasSize(1);
     }
 
+    @Test
+    void sendsADepartedEndpointAtOnceAndRepeatsItSlowly() {
+      DepartedEndpoint departed =
+          DepartedEndpoint.newBuilder().setEndpoint("e@1").setHeartbeat(4).build();
+      acceptDirect("a", heartbeat(1), 0);
+      pending("b", false, 0);
+      acceptDirect("a", heartbeat(2).addDepartedEndpoints(departed), 100);
+      assertThat(pending("b", false, 100)).hasSize(1);
+      acceptDirect("a", heartbeat(3).addDepartedEndpoints(departed), 600);
+      assertThat(pending("b", false, 600)).isEmpty();
+    }
+
     @Test
     void sendsDemandOnlyToThoseThatNeedIt() {
       ArtifactUse use = ArtifactUse.newBuilder().setArtifact("model").setWaiting(1).build();
