Treat draining as final, whichever entry follows and whichever instance saw it

And only the holder of the command lease told its peers who drains; with no holder, or one that can't read, each instance had to rely on its own next read.

EndpointDepartures now keeps both draining and removed incarnations, apart from the pool's state; every instance that sees one first tells the others. An incarnation without a start time is forgotten with its entry, since the next one of that id can't be told apart. Instances of earlier builds still get the holder's list of draining endpoints.

Red before: EndpointDirectoryTest, EndpointThatAnnouncedThatItLeaves (3 of 3 at that time) and EndpointThatWasRemoved.isNotBackWithTheEntryThatWasRemoved; PeerStateExchangeTest on draining seen by an instance that holds no lease. EndpointPoolTest keeps its check of what a peer reports, through the new class.

--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDepartures.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDepartures.java
@@ -3,30 +3,38 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
 import org.magnoliavale.internal.collection.BoundedMap;
+import org.magnoliavale.internal.logging.Logs;
 
 /**
- * Remembers which endpoints have left the directory, as seen by this instance or told by a peer, so
- * that one instance's knowledge serves the whole fleet. Thread-safe.
+ * Remembers which endpoints drain or have left the directory, as seen by this instance or told by a
+ * peer, so that one instance's knowledge serves the whole fleet. Thread-safe.
  *
  * <p>An instance that was cut off from the platform's store can't tell on its own whether an entry
  * was removed or expired in an outage of the store; peers that could read the directory all the
- * while can. An endpoint is back with an entry that is newer than the removed one.
+ * while can. An endpoint is back with an entry that is newer than the removed one. Draining is
+ * final: whatever entry follows, the incarnation gets no more requests.
  *
- * <p>Incarnations without a start time are not remembered: another incarnation of the same id could
- * not be told apart. Times are in nanoseconds of a monotonic clock.
+ * <p>An incarnation without a start time is forgotten when its entry is removed, because the next
+ * one could not be told apart. Times are in nanoseconds of a monotonic clock.
  */
 public final class EndpointDepartures {
+  /** Stands for the last heartbeat of an endpoint that drains: any entry is out of date. */
+  public static final long DRAINING = Long.MAX_VALUE;
+
+  private static final Logger LOG = Logs.of("directory");
   private static final int MAXIMUM_REMEMBERED = 1_024;
 
   /** Time for which peers are told, so that one that was cut off meanwhile hears of it, too. */
   private static final long ANNOUNCEMENT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
   /**
-   * An endpoint that has left.
+   * An endpoint that drains or has left.
    *
    * @param endpoint the incarnation
-   * @param lastHeartbeat heartbeat of its last known entry; older entries are out of date
+   * @param lastHeartbeat heartbeat of its last known entry, or {@link #DRAINING}; entries up to
+   *     that heartbeat are out of date
    */
   public record Departure(EndpointIdentity endpoint, long lastHeartbeat) {}
 
@@ -36,27 +44,45 @@
       BoundedMap.evictingLeastRecentlyUsed(MAXIMUM_REMEMBERED);
   private boolean unannounced;
 
+  /** Records that this instance has seen an entry that says that its endpoint drains. */
+  public void observeDraining(DirectoryEntry entry, long nowNanos) {
+    record(new Departure(entry.identity(), DRAINING), true, nowNanos);
+  }
+
   /** Records that this instance has seen an entry disappear from the directory. */
-  public void observeRemoval(DirectoryEntry entry, long nowNanos) {
-    record(new Departure(entry.identity(), entry.heartbeat()), true, nowNanos);
+  public synchronized void observeRemoval(DirectoryEntry entry, long nowNanos) {
+    if (isIdentified(entry.identity())) {
+      record(new Departure(entry.identity(), entry.heartbeat()), true, nowNanos);
+    } else {
+      departures.remove(entry.identity());
+    }
   }
 
   /** Records a departure that a peer has seen. */
   public void learn(Departure departure, long nowNanos) {
-    record(departure, false, nowNanos);
+    if (isIdentified(departure.endpoint()) || departure.lastHeartbeat() == DRAINING) {
+      record(departure, false, nowNanos);
+    }
+  }
+
+  private static boolean isIdentified(EndpointIdentity endpoint) {
+    return endpoint.startedAtMs() != 0;
   }
 
   private synchronized void record(Departure departure, boolean seenHere, long nowNanos) {
     EndpointIdentity endpoint = departure.endpoint();
     Known known = departures.get(endpoint);
-    boolean news = known == null || known.lastHeartbeat() < departure.lastHeartbeat();
-    if (endpoint.startedAtMs() != 0 && news) {
-      departures.put(endpoint, new Known(departure.lastHeartbeat(), seenHere, nowNanos));
-      unannounced |= seenHere;
+    if (known != null && known.lastHeartbeat() >= departure.lastHeartbeat()) {
+      return;
     }
+    LOG.infof(
+        "Endpoint leaves. endpoint=%s draining=%s last-heartbeat=%d seen-here=%s",
+        endpoint, departure.lastHeartbeat() == DRAINING, departure.lastHeartbeat(), seenHere);
+    departures.put(endpoint, new Known(departure.lastHeartbeat(), seenHere, nowNanos));
+    unannounced |= seenHere;
   }
 
-  /** Returns whether an endpoint has left and {@code entry} is from before that. */
+  /** Returns whether an endpoint drains, or has left and {@code entry} is from before that. */
   public synchronized boolean includes(DirectoryEntry entry) {
     Known known = departures.get(entry.identity());
     return known != null && entry.heartbeat() <= known.lastHeartbeat();
--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
@@ -11,10 +11,11 @@
 /**
  * Merges successive reads of the list of endpoints. Not thread-safe.
  *
- * <p>An entry that disappears is removed at once, unless it may have expired while the list could
- * not be read: entries expire while the platform's store is unavailable, and endpoints rewrite them
- * soon after it has recovered. Such an entry is kept for a short time; one that has been seen since
- * the recovery, or that a peer has seen leaving, is not.
+ * <p>An entry from before its endpoint's departure counts as absent, whenever it is read. An entry
+ * that disappears is removed at once, unless it may have expired while the list could not be read:
+ * entries expire while the platform's store is unavailable, and endpoints rewrite them soon after
+ * it has recovered. Such an entry is kept for a short time; one that has been seen since the
+ * recovery, or that a peer has seen leaving, is not.
  */
 public final class EndpointDirectory {
   /** Time that endpoints have to renew their entries after the store has recovered. */
@@ -52,8 +53,7 @@
       graceEndMs = nowMs + RENEWAL_GRACE_MS;
       awaited.addAll(entries.keySet());
     }
-    Map<String, DirectoryEntry> current = new HashMap<>();
-    listed.forEach(entry -> current.put(entry.identity().id(), entry));
+    Map<String, DirectoryEntry> current = currentEntries(listed, nowNanos);
     awaited.removeAll(current.keySet());
     if (graceRemainingMs(nowNanos) == 0) {
       awaited.clear();
@@ -63,6 +63,20 @@
     return List.copyOf(entries.values());
   }
 
+  /** Maps the entries that are not out of date by endpoint id. */
+  private Map<String, DirectoryEntry> currentEntries(List<DirectoryEntry> listed, long nowNanos) {
+    Map<String, DirectoryEntry> current = new HashMap<>();
+    for (DirectoryEntry entry : listed) {
+      if (entry.draining()) {
+        departures.observeDraining(entry, nowNanos);
+        current.put(entry.identity().id(), entry);
+      } else if (!departures.includes(entry)) {
+        current.put(entry.identity().id(), entry);
+      }
+    }
+    return current;
+  }
+
   private boolean isRemoved(
       DirectoryEntry entry, Map<String, DirectoryEntry> current, long nowNanos) {
     String id = entry.identity().id();
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -312,13 +312,6 @@
         .toList();
   }
 
-  /** Marks an endpoint as draining before its entry has been read here. */
-  public synchronized void markDraining(String identity) {
-    endpoints.values().stream()
-        .filter(state -> state.entry().identity().toString().equals(identity))
-        .forEach(EndpointState::markDraining);
-  }
-
   /** Returns the number of endpoints of a service that accept new requests. */
   public synchronized int size(ServiceId service) {
     return (int)
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -59,7 +59,6 @@
   private final Set<Artifact> announcedLoaded = new HashSet<>();
   private DirectoryEntry entry;
   private boolean listed = true;
-  private boolean markedDraining;
   private boolean replaced;
   private int inFlight;
   private int inFlightAtReport;
@@ -124,23 +123,13 @@
     listed = value;
   }
 
-  /** Marks the endpoint as draining before its entry has been read here. */
-  void markDraining() {
-    if (!markedDraining) {
-      LOG.infof(
-          "Endpoint marked as draining by a peer. endpoint=%s draining=%s",
-          entry.identity(), entry.draining());
-    }
-    markedDraining = true;
-  }
-
   /** Records that another incarnation answers at the address. */
   void markReplaced() {
     replaced = true;
   }
 
   boolean isAvailable() {
-    return listed && !markedDraining && !replaced && !entry.draining();
+    return listed && !replaced && !entry.draining();
   }
 
   boolean isHealthy(long nowNanos) {
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
-import java.util.List;
 import java.util.Random;
 import java.util.UUID;
 import java.util.concurrent.Executor;
@@ -106,7 +105,6 @@
       new TickLoop(
           "tick", TICK_INTERVAL_MS, IDLE_TICK_INTERVAL_MS, this::needsFrequentTicks, this::tick);
   private final Executor commandExecutor = Executors.newVirtualThreadPerTaskExecutor();
-  private List<String> announcedDrainingEndpoints = List.of();
   private volatile boolean stopping;
 
   private GatewayInstance(GatewaySettings settings, PlatformAdapters.Factory factory) {
@@ -292,10 +290,7 @@
   private void directoryChanged(Collection<DirectoryEntry> entries) {
     endpoints.update(entries, System.nanoTime());
     residency.update(entries);
-    if (lease.isHeld() && !endpoints.draining().equals(announcedDrainingEndpoints)) {
-      announcedDrainingEndpoints = endpoints.draining();
-      links.sendHeartbeatsNow();
-    } else if (departures.takeNews()) {
+    if (departures.takeNews()) {
       links.sendHeartbeatsNow();
     }
     calls.endpointsChanged();
--- a/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
@@ -131,6 +131,7 @@
     if (lease.isHeld()) {
       heartbeat.setGivesOrders(true);
       heartbeat.setLeaseRow(lease.leaseRowVersion());
+      // For instances of earlier builds, which know no departed endpoints.
       heartbeat.addAllDrainingEndpoints(endpoints.draining());
     }
     heartbeat.setSurrenderedEpoch(lease.surrenderedEpoch());
@@ -182,11 +183,7 @@
     }
     lease.applyPeerState(heartbeat.getLeaseRow(), heartbeat.getSurrenderedEpoch());
     recordLeaseHolder(instance, heartbeat, now);
-    heartbeat.getDrainingEndpointsList().forEach(endpoints::markDraining);
-    for (DepartedEndpoint departed : heartbeat.getDepartedEndpointsList()) {
-      EndpointIdentity endpoint = EndpointIdentity.parse(departed.getEndpoint());
-      departures.learn(new Departure(endpoint, departed.getHeartbeat()), now);
-    }
+    applyDepartures(heartbeat, now);
     Map<Artifact, ArtifactUse> uses = new HashMap<>();
     boolean hasWaiting = false;
     for (var use : heartbeat.getUsesList()) {
@@ -224,6 +221,17 @@
     }
   }
 
+  private void applyDepartures(Heartbeat heartbeat, long now) {
+    for (String draining : heartbeat.getDrainingEndpointsList()) {
+      departures.learn(
+          new Departure(EndpointIdentity.parse(draining), EndpointDepartures.DRAINING), now);
+    }
+    for (DepartedEndpoint departed : heartbeat.getDepartedEndpointsList()) {
+      EndpointIdentity endpoint = EndpointIdentity.parse(departed.getEndpoint());
+      departures.learn(new Departure(endpoint, departed.getHeartbeat()), now);
+    }
+  }
+
   /** Records the lease holder; one that leaves or no longer holds the lease counts as not alive. */
   private void recordLeaseHolder(String instance, Heartbeat heartbeat, long now) {
     if (heartbeat.getGivesOrders() && !heartbeat.getLeaving()) {
--- a/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
+++ b/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
@@ -29,6 +29,59 @@
     assertThat(entries).hasSize(1).noneMatch(DirectoryEntry::draining);
   }
 
+  @Nested
+  class EndpointThatAnnouncedThatItLeaves {
+    @Test
+    void isNotReadyAgainWhenAnOlderEntryFollows() {
+      read(TestEntries.entry("a", 4));
+      read(TestEntries.draining("a", 5));
+      assertNoneAccepts(read(TestEntries.entry("a", 4)));
+    }
+
+    @Test
+    void isNotReadyAgainWhenANewerEntryFollows() {
+      read(TestEntries.draining("a", 5));
+      assertNoneAccepts(read(TestEntries.entry("a", 6)));
+    }
+
+    @Test
+    void isNotReadyAgainWhenAnEntryShowsUpAfterItsRemoval() {
+      read(TestEntries.draining("a", 5));
+      read();
+      assertNoneAccepts(read(TestEntries.entry("a", 6)));
+    }
+
+    @Test
+    void doesNotBindALaterIncarnation() {
+      read(TestEntries.draining("a", 5));
+      assertAccepts(read(TestEntries.laterIncarnation("a", 1)));
+    }
+
+    @Test
+    void doesNotBindALaterIncarnationThatDoesNotSayWhenItStarted() {
+      read(TestEntries.withoutStartTime(TestEntries.draining("a", 5)));
+      read();
+      assertAccepts(read(TestEntries.withoutStartTime(TestEntries.entry("a", 1))));
+    }
+  }
+
+  @Nested
+  class EndpointThatWasRemoved {
+    @Test
+    void isNotBackWithTheEntryThatWasRemoved() {
+      read(TestEntries.entry("a", 4));
+      read();
+      assertNoneAccepts(read(TestEntries.entry("a", 4)));
+    }
+
+    @Test
+    void isBackWithANewerEntry() {
+      read(TestEntries.entry("a", 4));
+      read();
+      assertAccepts(read(TestEntries.entry("a", 5)));
+    }
+  }
+
   @Nested
   class AfterAnUnavailableStore {
     @Test
--- a/src/test/java/org/magnoliavale/internal/dispatch/EndpointPoolTest.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/EndpointPoolTest.java
@@ -11,14 +11,15 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
+import org.magnoliavale.internal.directory.EndpointDepartures.Departure;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 
 class EndpointPoolTest {
   private static final int LIMIT = 100;
 
   private long now = TimeUnit.SECONDS.toNanos(100);
-  private final EndpointPool pool =
-      new EndpointPool("east", () -> 2, new EndpointDepartures(), new Random(1));
+  private final EndpointDepartures departures = new EndpointDepartures();
+  private final EndpointPool pool = new EndpointPool("east", () -> 2, departures, new Random(1));
 
   private void list(DirectoryEntry... entries) {
     pool.update(List.of(entries), now);
@@ -67,7 +68,7 @@
     void endpointThatAPeerReportsAsDrainingGetsNoRequests() {
       DirectoryEntry entry = TestEntries.entry("a", 1, "m");
       list(entry);
-      pool.markDraining(entry.identity().toString());
+      departures.learn(new Departure(entry.identity(), EndpointDepartures.DRAINING), now);
       assertThat(choose("m")).isInstanceOf(EndpointChoice.Unavailable.class);
     }
 
--- a/src/test/java/org/magnoliavale/internal/dispatch/TestEntries.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/TestEntries.java
@@ -36,6 +36,30 @@
     return entry(id, heartbeat, true, Set.of(), artifacts);
   }
 
+  /** Returns a later incarnation of an endpoint. */
+  public static DirectoryEntry laterIncarnation(String id, long heartbeat, String... artifacts) {
+    return withStartTime(entry(id, heartbeat, artifacts), 2);
+  }
+
+  /** Returns the same entry of an endpoint that does not say when it started. */
+  public static DirectoryEntry withoutStartTime(DirectoryEntry entry) {
+    return withStartTime(entry, 0);
+  }
+
+  private static DirectoryEntry withStartTime(DirectoryEntry entry, long startedAtMs) {
+    return new DirectoryEntry(
+        new EndpointIdentity(entry.identity().id(), startedAtMs),
+        entry.service(),
+        entry.address(),
+        entry.dataCentre(),
+        entry.draining(),
+        entry.slots(),
+        entry.heartbeat(),
+        entry.models(),
+        entry.inMemory(),
+        entry.onDisk());
+  }
+
   private static DirectoryEntry entry(
       String id, long heartbeat, boolean draining, Set<String> onDisk, String... artifacts) {
     List<LoadedModel> models = new ArrayList<>();
--- a/src/test/java/org/magnoliavale/internal/gateway/PeerStateExchangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/PeerStateExchangeTest.java
@@ -118,6 +118,15 @@
     }
   }
 
+  @Test
+  void endpointThatAnyInstanceHasSeenDrainingGetsNoRequestsFromItsPeers() {
+    east.read(TestEntries.entry("a", 4, "m"), TestEntries.entry("b", 4, "m"));
+    west.read(TestEntries.entry("a", 4, "m"), TestEntries.entry("b", 4, "m"));
+    east.read(TestEntries.draining("a", 5, "m"), TestEntries.entry("b", 5, "m"));
+    east.tell(west);
+    assertThat(west.endpointsInUse()).containsExactly("b");
+  }
+
   @Test
   void endpointWhoseEntryNoInstanceHasSeenRemovedIsKeptAfterAnUnavailableStore() {
     for (Peer peer : List.of(east, west)) {
