Block prompt segments that crash endpoints, not only whole requests

Cause: crashes were counted by path and body, and no two of these requests are alike.

Now the segments of a prompt but the last are counted, too. A call that waits for its model is checked when it is sent. A crash is also confirmed by a later incarnation in the directory, or if the endpoint was found down just before the loss.

The conversion of crash counts stood in two places and is one class now (CrashRecords); earlier builds' counts without names are still read. RetryTest hands its counts over as named crashes, as many as before.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -253,7 +253,7 @@
           .begin(responseHead.status(), call.context().protocol().responseHeaders(responseHeaders));
     }
     close(AttemptOutcome.ANSWERED, now);
-    call.context().crashDetector().answered(call.plan().fingerprint());
+    call.context().crashDetector().answered(call.plan().crashKeys());
     call.completeStream();
   }
 
@@ -277,7 +277,7 @@
       return;
     }
     if (responseHead.isSuccess()) {
-      call.context().crashDetector().answered(call.plan().fingerprint());
+      call.context().crashDetector().answered(call.plan().crashKeys());
     }
     call.respond(
         responseHead.status(),
@@ -332,7 +332,10 @@
 
   private void failAfterSend(String reason, long now) {
     close(AttemptOutcome.FAILED, now);
-    call.context().crashDetector().connectionLost(call.plan().fingerprint(), identity(), now);
+    if (!call.hasResponseStarted()) {
+      // A request whose answer had begun did not crash the endpoint that wrote it.
+      call.context().crashDetector().connectionLost(call.plan().crashKeys(), identity(), now);
+    }
     retryOrFail(reason, now);
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -98,13 +98,6 @@
         .ifPresent(
             artifact ->
                 context.artifactDemand().recordRequest(artifact, plan.isDelayTolerant(), nowNanos));
-    if (context.crashDetector().isBlocked(plan.fingerprint())) {
-      reject(
-          ErrorCode.REQUEST_CRASHES_ENDPOINTS,
-          "request was in flight in repeated endpoint crashes",
-          nowNanos);
-      return;
-    }
     dispatch(nowNanos);
   }
 
@@ -172,6 +165,11 @@
   }
 
   private void dispatch(long nowNanos) {
+    if (!responseStarted && context.crashDetector().isBlocked(plan.crashKeys())) {
+      // Also while the call waits: what crashes endpoints becomes known only with time.
+      giveUp(ErrorCode.REQUEST_CRASHES_ENDPOINTS, "in flight in repeated crashes", nowNanos);
+      return;
+    }
     switch (context.endpoints().choose(selectionCriteria(), plan.connectionLimit(), nowNanos)) {
       case EndpointChoice.Selected send -> send(send, nowNanos);
       case EndpointChoice.AwaitArtifact(Artifact artifact) -> awaitArtifact(artifact);
@@ -268,7 +266,7 @@
         plan.route().isRetryable()
             && possibleExecutions < plan.route().maximumAttempts()
             && hasTime(nowNanos)
-            && !context.crashDetector().isBlocked(plan.fingerprint())
+            && !context.crashDetector().isBlocked(plan.crashKeys())
             && context.retryBudget().trySpend(plan.service(), nowNanos);
     if (!retry) {
       return false;
@@ -329,7 +327,6 @@
   private void expire(long nowNanos) {
     boolean sent = state == State.SENT;
     cancelAttempt(AttemptOutcome.INCONCLUSIVE, nowNanos);
-    stopWaiting();
     if (responseStarted) {
       abortResponse("timeout");
     } else if (sent || possibleExecutions > 0) {
@@ -340,13 +337,16 @@
   }
 
   private void giveUp(String reason, long nowNanos) {
-    stopWaiting();
+    giveUp(ErrorCode.MODEL_UNAVAILABLE, reason, nowNanos);
+  }
+
+  private void giveUp(ErrorCode code, String reason, long nowNanos) {
     if (responseStarted) {
       abortResponse(reason);
     } else if (possibleExecutions > 0) {
       fail(ErrorCode.UPSTREAM_FAILED, reason);
     } else {
-      reject(ErrorCode.MODEL_UNAVAILABLE, reason, nowNanos);
+      reject(code, reason, nowNanos);
     }
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import org.magnoliavale.internal.containment.Fingerprint;
+import org.magnoliavale.internal.containment.CrashKeys;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.route.CallKind;
@@ -18,7 +18,7 @@
  * @param service the service that the call is sent to
  * @param connectionLimit connections that an endpoint of the service accepts from all instances
  * @param configurationVersion version of the configuration that route and service come from
- * @param fingerprint identifies the same request when it is sent again
+ * @param crashKeys what is suspected if an endpoint crashes with the call in flight
  */
 record CallPlan(
     CallRequest request,
@@ -27,7 +27,7 @@
     ServiceId service,
     int connectionLimit,
     long configurationVersion,
-    Fingerprint fingerprint) {
+    CrashKeys crashKeys) {
   /** Minimum time without a response head before a retryable attempt is given up. */
   private static final long MINIMUM_SILENCE_TIMEOUT_MS = 350;
 
--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -7,6 +7,7 @@
 import org.jboss.logging.Logger;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
+import org.magnoliavale.internal.containment.CrashKeys;
 import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
@@ -88,7 +89,7 @@
             service,
             limit,
             routes.version(),
-            Fingerprint.of(request.pathQuery(), request.body()));
+            crashKeys(request, metadata));
     Call[] self = new Call[1];
     Call call = new Call(context, plan, caller, () -> calls.remove(self[0]));
     self[0] = call;
@@ -96,6 +97,15 @@
     return call;
   }
 
+  private static CrashKeys crashKeys(CallRequest request, CallMetadata metadata) {
+    return new CrashKeys(
+        Fingerprint.of(request.pathQuery(), request.body()),
+        metadata.generation().stream()
+            .flatMap(generation -> generation.sharedSegments().stream())
+            .map(segment -> Fingerprint.ofSegment(segment.id()))
+            .toList());
+  }
+
   /** Rejects a request that matches no route or cannot be read. */
   public void reject(CallMetadata metadata, CallerResponse caller, ErrorCode code, String reason) {
     MagnoliavaleException problem = MagnoliavaleException.of(code, reason);
--- a/src/main/java/org/magnoliavale/internal/containment/CrashGuard.java
+++ b/src/main/java/org/magnoliavale/internal/containment/CrashGuard.java
@@ -66,7 +66,7 @@
    */
   public void connectionLost(Fingerprint fingerprint, Endpoint endpoint, String incarnation) {
     if (probe.hasCrashed(endpoint, incarnation)) {
-      registry.recordCrash(fingerprint, endpoint.id());
+      registry.recordCrash(fingerprint, endpoint.id() + "@" + incarnation);
     }
   }
 
--- a/src/main/java/org/magnoliavale/internal/containment/CrashRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/containment/CrashRegistry.java
@@ -2,6 +2,7 @@
 
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,14 +14,14 @@
 import org.magnoliavale.internal.logging.Logs;
 
 /**
- * Counts, over the whole fleet, in how many endpoint crashes each request was in flight.
- * Thread-safe.
+ * Counts, over the whole fleet, in how many endpoint crashes each request or prompt segment was in
+ * flight. Thread-safe.
  *
- * <p>Each instance counts the crashes that it observes and sends its counts to the others; the
- * fleet's count is the sum. The count of a request that is answered completely is lifted, so that
- * requests that only shared an endpoint with the cause of a crash are not blocked. A suspect is
- * sent only to endpoints where no other suspect is in flight, so that the next crash identifies the
- * cause.
+ * <p>Each instance notes the crashes that it observes and sends them to the others; a crash that
+ * several instances observe counts once. The count of a request that is answered completely is
+ * lifted, so that requests that only shared an endpoint with the cause of a crash are not blocked.
+ * A suspect is sent only to endpoints where no other suspect is in flight, so that the next crash
+ * identifies the cause.
  */
 public final class CrashRegistry {
   /** Number of crashes from which a request is blocked. */
@@ -34,20 +35,22 @@
   /** Maximum number of counts that are sent at a time. */
   private static final int MAXIMUM_SENT_COUNTS = 256;
 
-  private record InstanceCount(int crashes, long lastMs) {}
+  private record InstanceCrashes(Set<String> crashes, long lastMs) {}
 
   /** Counts of one request by instance; a lift removes the counts up to {@code liftedMs}. */
   private static final class RequestRecord {
-    private final Map<String, InstanceCount> counts = new HashMap<>();
+    private final Map<String, InstanceCrashes> counts = new HashMap<>();
     private long liftedMs = Long.MIN_VALUE;
 
     int crashes() {
-      return counts.values().stream().mapToInt(InstanceCount::crashes).sum();
+      Set<String> all = new HashSet<>();
+      counts.values().forEach(count -> all.addAll(count.crashes()));
+      return all.size();
     }
 
     long lastMs() {
       long last = liftedMs;
-      for (InstanceCount count : counts.values()) {
+      for (InstanceCrashes count : counts.values()) {
         last = Math.max(last, count.lastMs());
       }
       return last;
@@ -65,21 +68,29 @@
     this.clock = clock;
   }
 
-  /** Returns a request's crash count over the whole fleet. */
+  /** Returns a request's or segment's crash count over the whole fleet. */
   public synchronized int crashes(Fingerprint fingerprint) {
     removeExpired();
     RequestRecord record = records.get(fingerprint);
     return record == null ? 0 : record.crashes();
   }
 
-  /** Records that an endpoint crashed while a request was in flight there. */
-  public synchronized void recordCrash(Fingerprint fingerprint, EndpointId endpoint) {
+  /**
+   * Records that an endpoint crashed while a request was in flight there.
+   *
+   * @param incarnation the crashed incarnation of the endpoint, as all instances name it
+   */
+  public synchronized void recordCrash(Fingerprint fingerprint, String incarnation) {
     RequestRecord record = records.computeIfAbsent(fingerprint, ignored -> new RequestRecord());
-    InstanceCount own = record.counts.getOrDefault(localInstance, new InstanceCount(0, 0));
-    record.counts.put(localInstance, new InstanceCount(own.crashes() + 1, clock.millis()));
+    Set<String> own = new HashSet<>(Set.of(incarnation));
+    InstanceCrashes known = record.counts.get(localInstance);
+    if (known != null) {
+      own.addAll(known.crashes());
+    }
+    record.counts.put(localInstance, new InstanceCrashes(own, clock.millis()));
     LOG.warnf(
         "Endpoint crashed with request in flight. endpoint=%s fingerprint=%s crashes=%d",
-        endpoint, fingerprint, record.crashes());
+        incarnation, fingerprint, record.crashes());
   }
 
   /** Lifts a request's crash count; returns whether it had one. */
@@ -103,27 +114,29 @@
       record.liftedMs = Math.max(record.liftedMs, atMs);
       record.counts.values().removeIf(count -> count.lastMs() <= atMs);
     } else if (atMs > record.liftedMs) {
-      record.counts.put(instance, new InstanceCount(received.crashes(), atMs));
+      record.counts.put(instance, new InstanceCrashes(received.crashes(), atMs));
     }
   }
 
-  /** Returns the counts that this instance sends to the others. */
+  /** Returns the counts that this instance sends to the others; of too many, the highest. */
   public synchronized List<CrashCount> localCounts() {
     removeExpired();
     long now = clock.millis();
     List<CrashCount> localCounts = new ArrayList<>();
     records.forEach(
         (fingerprint, record) -> {
-          InstanceCount own = record.counts.get(localInstance);
+          InstanceCrashes own = record.counts.get(localInstance);
           if (own != null) {
             localCounts.add(new CrashCount(fingerprint, own.crashes(), now - own.lastMs(), false));
           } else if (record.counts.isEmpty()) {
-            localCounts.add(new CrashCount(fingerprint, 0, now - record.liftedMs, true));
+            localCounts.add(new CrashCount(fingerprint, Set.of(), now - record.liftedMs, true));
           }
         });
-    return localCounts.size() <= MAXIMUM_SENT_COUNTS
-        ? localCounts
-        : localCounts.subList(0, MAXIMUM_SENT_COUNTS);
+    if (localCounts.size() <= MAXIMUM_SENT_COUNTS) {
+      return localCounts;
+    }
+    localCounts.sort(Comparator.comparingInt(count -> -count.crashes().size()));
+    return localCounts.subList(0, MAXIMUM_SENT_COUNTS);
   }
 
   /** Returns all requests with a crash count, suspected or blocked, with their counts. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/GenerationRequest.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/GenerationRequest.java
@@ -17,4 +17,9 @@
   public GenerationRequest {
     segments = List.copyOf(segments);
   }
+
+  /** Returns the segments that other requests may share: all but the last. */
+  public List<PromptSegment> sharedSegments() {
+    return segments.subList(0, Math.max(0, segments.size() - 1));
+  }
 }
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -288,7 +288,9 @@
   }
 
   private void directoryChanged(Collection<DirectoryEntry> entries) {
-    endpoints.update(entries, System.nanoTime());
+    long now = System.nanoTime();
+    endpoints.update(entries, now);
+    crashDetector.endpointsListed(entries.stream().map(DirectoryEntry::identity).toList(), now);
     residency.update(entries);
     if (departures.takeNews()) {
       links.sendHeartbeatsNow();
--- a/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
@@ -1,22 +1,19 @@
 package org.magnoliavale.internal.gateway;
 
-import com.google.protobuf.ByteString;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.magnoliavale.internal.call.ArtifactDemand;
-import org.magnoliavale.internal.containment.CrashCount;
 import org.magnoliavale.internal.containment.CrashRegistry;
-import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointDepartures.Departure;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.document.DocumentText;
+import org.magnoliavale.internal.link.CrashRecords;
 import org.magnoliavale.internal.link.Membership;
 import org.magnoliavale.internal.link.PeerListener;
 import org.magnoliavale.internal.link.PeerState;
@@ -158,15 +155,7 @@
           .setArtifact(change.artifact().toString())
           .setHeld(change.held());
     }
-    for (CrashCount crashCount : crashes.localCounts()) {
-      heartbeat
-          .addCrashesBuilder()
-          .setFingerprint(
-              ByteString.copyFrom(HexFormat.of().parseHex(crashCount.fingerprint().value())))
-          .setCrashes(crashCount.crashes())
-          .setAgeMs(crashCount.ageMs())
-          .setLifted(crashCount.lifted());
-    }
+    crashes.localCounts().forEach(count -> heartbeat.addCrashes(CrashRecords.of(count)));
     return heartbeat.build();
   }
 
@@ -197,14 +186,7 @@
       demandChanged.run();
     }
     for (CrashRecord record : heartbeat.getCrashesList()) {
-      String fingerprint = HexFormat.of().formatHex(record.getFingerprint().toByteArray());
-      crashes.merge(
-          instance,
-          new CrashCount(
-              new Fingerprint(fingerprint),
-              record.getCrashes(),
-              record.getAgeMs(),
-              record.getLifted()));
+      crashes.merge(instance, CrashRecords.toCount(instance, record));
     }
     List<ResidencyChangeLog.Change> changes =
         heartbeat.getChangesList().stream()
--- a/src/main/java/org/magnoliavale/internal/instance/PeerExchange.java
+++ b/src/main/java/org/magnoliavale/internal/instance/PeerExchange.java
@@ -1,18 +1,14 @@
 package org.magnoliavale.internal.instance;
 
-import com.google.protobuf.ByteString;
-import java.util.HexFormat;
 import java.util.Map;
-import org.magnoliavale.internal.containment.CrashCount;
 import org.magnoliavale.internal.containment.CrashRegistry;
-import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.document.ActiveDocument;
 import org.magnoliavale.internal.document.DocumentText;
 import org.magnoliavale.internal.identifier.ModelId;
+import org.magnoliavale.internal.link.CrashRecords;
 import org.magnoliavale.internal.link.Membership;
 import org.magnoliavale.internal.link.PeerListener;
 import org.magnoliavale.internal.link.PeerState;
-import org.magnoliavale.internal.link.protocol.CrashRecord;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.link.protocol.ModelDemand;
 
@@ -63,7 +59,7 @@
                     ModelDemand.newBuilder()
                         .setModel(entry.getKey().value())
                         .setRequestsPerSecond(entry.getValue().floatValue())));
-    crashes.localCounts().forEach(crashCount -> heartbeat.addCrashes(toRecord(crashCount)));
+    crashes.localCounts().forEach(count -> heartbeat.addCrashes(CrashRecords.of(count)));
     return heartbeat.build();
   }
 
@@ -75,7 +71,9 @@
   @Override
   public void heartbeatReceived(String instance, Heartbeat heartbeat) {
     boolean startsLeaving = membership.recordHeartbeat(instance, heartbeat, System.nanoTime());
-    heartbeat.getCrashesList().forEach(record -> crashes.merge(instance, toCrashCount(record)));
+    heartbeat
+        .getCrashesList()
+        .forEach(record -> crashes.merge(instance, CrashRecords.toCount(instance, record)));
     if (startsLeaving) {
       onPeerLeaving.run();
     }
@@ -85,20 +83,4 @@
   public void documentReceived(DocumentText document) {
     activeDocument.install(document, "peer");
   }
-
-  private static CrashRecord toRecord(CrashCount crashCount) {
-    byte[] fingerprint = HexFormat.of().parseHex(crashCount.fingerprint().value());
-    return CrashRecord.newBuilder()
-        .setFingerprint(ByteString.copyFrom(fingerprint))
-        .setCrashes(crashCount.crashes())
-        .setAgeMs(crashCount.ageMs())
-        .setLifted(crashCount.lifted())
-        .build();
-  }
-
-  private static CrashCount toCrashCount(CrashRecord record) {
-    String fingerprint = HexFormat.of().formatHex(record.getFingerprint().toByteArray());
-    return new CrashCount(
-        new Fingerprint(fingerprint), record.getCrashes(), record.getAgeMs(), record.getLifted());
-  }
 }
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -32,10 +32,13 @@
   long now = TimeUnit.SECONDS.toNanos(100);
   private final double retryReserve = 1_000;
   final ScriptedConnector connector = new ScriptedConnector();
-  final RecordingCaller caller = new RecordingCaller();
+  RecordingCaller caller = new RecordingCaller();
   final EndpointPool pool =
       new EndpointPool("east", () -> 1, new EndpointDepartures(), new Random(1));
 
+  final CrashDetector crashDetector =
+      new CrashDetector(new CrashRegistry("self", () -> java.time.Instant.EPOCH));
+
   /** Runs once, at the next reading of the clock. */
   Runnable onNextClockReading = () -> {};
 
@@ -64,7 +67,7 @@
                 new FleetRetryBudget(
                     0, retryReserve, TimeUnit.SECONDS.toNanos(10), () -> 1, now - (long) 1e12),
                 new ArtifactDemand(() -> {}),
-                new CrashDetector(new CrashRegistry("self", () -> java.time.Instant.EPOCH)),
+                crashDetector,
                 () -> table,
                 new CallMetrics(new InstanceMetrics()),
                 this::readClock),
--- a/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
+++ b/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
@@ -54,7 +54,7 @@
     @Test
     void doesNotBindALaterIncarnation() {
       read(TestEntries.draining("a", 5));
-      assertAccepts(read(TestEntries.laterIncarnation("a", 1)));
+      assertAccepts(read(TestEntries.incarnation("a", 2)));
     }
 
     @Test
--- a/src/test/java/org/magnoliavale/internal/dispatch/TestEntries.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/TestEntries.java
@@ -36,9 +36,9 @@
     return entry(id, heartbeat, true, Set.of(), artifacts);
   }
 
-  /** Returns a later incarnation of an endpoint. */
-  public static DirectoryEntry laterIncarnation(String id, long heartbeat, String... artifacts) {
-    return withStartTime(entry(id, heartbeat, artifacts), 2);
+  /** Returns the first entry of an endpoint's incarnation; that of the other methods is 1. */
+  public static DirectoryEntry incarnation(String id, long startedAtMs, String... artifacts) {
+    return withStartTime(entry(id, 1, artifacts), startedAtMs);
   }
 
   /** Returns the same entry of an endpoint that does not say when it started. */
--- a/src/test/java/org/magnoliavale/internal/traffic/RetryTest.java
+++ b/src/test/java/org/magnoliavale/internal/traffic/RetryTest.java
@@ -181,7 +181,7 @@
 
     @Test
     void isRejectedForCrashesSeenByOtherInstances() {
-      crashes.merge("other", new CrashCount(fingerprint, 2, 0, false));
+      crashes.merge("other", new CrashCount(fingerprint, Set.of("x@1", "y@1"), 0, false));
       sender.then(CONNECTION_LOST).then(ScriptedSender.response(200, BODY));
       assertThat(code()).isEqualTo(ErrorCode.REQUEST_CRASHES_ENDPOINTS);
       assertThat(sender.sent()).hasSize(1);
@@ -229,7 +229,7 @@
     @Test
     void isNotSentToAnEndpointWithAnotherSuspect() {
       Set<Candidate> all = Set.copyOf(snapshot.models().values().iterator().next());
-      crashes.merge("other", new CrashCount(fingerprint, 1, 0, false));
+      crashes.merge("other", new CrashCount(fingerprint, Set.of("x@1"), 0, false));
       Candidate free = all.iterator().next();
       all.stream()
           .filter(candidate -> !candidate.equals(free))
