Tell of a lifted crash count for 30 s, and only by the instance that lifted it

Cause, found on reading: each instance that heard of a lift told of it again for ten minutes in every heartbeat. With segments counted, the segments that many requests share are lifted after each crash, so a few crashes would have put hundreds of records into each heartbeat of a large fleet, far beyond the 5 KB/s that control may cost.

An instance that was cut off for longer keeps its count until it expires or one of its own answers lifts it.

--- a/src/main/java/org/magnoliavale/internal/containment/CrashRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/containment/CrashRegistry.java
@@ -30,6 +30,9 @@
   /** Time without a further crash after which a count expires, in milliseconds. */
   public static final long EXPIRY_MS = 600_000;
 
+  /** Time for which the other instances are told of a lift, in milliseconds. */
+  static final long LIFT_ANNOUNCEMENT_MS = 30_000;
+
   private static final Logger LOG = Logs.of("containment");
 
   /** Maximum number of counts that are sent at a time. */
@@ -41,6 +44,7 @@
   private static final class RequestRecord {
     private final Map<String, InstanceCrashes> counts = new HashMap<>();
     private long liftedMs = Long.MIN_VALUE;
+    private boolean liftedHere;
 
     int crashes() {
       Set<String> all = new HashSet<>();
@@ -101,6 +105,7 @@
     }
     record.counts.clear();
     record.liftedMs = clock.millis();
+    record.liftedHere = true;
     LOG.infof("Crash count lifted. fingerprint=%s", fingerprint);
     return true;
   }
@@ -111,7 +116,10 @@
     RequestRecord record =
         records.computeIfAbsent(received.fingerprint(), ignored -> new RequestRecord());
     if (received.lifted()) {
-      record.liftedMs = Math.max(record.liftedMs, atMs);
+      if (atMs > record.liftedMs) {
+        record.liftedMs = atMs;
+        record.liftedHere = false;
+      }
       record.counts.values().removeIf(count -> count.lastMs() <= atMs);
     } else if (atMs > record.liftedMs) {
       record.counts.put(instance, new InstanceCrashes(received.crashes(), atMs));
@@ -128,7 +136,7 @@
           InstanceCrashes own = record.counts.get(localInstance);
           if (own != null) {
             localCounts.add(new CrashCount(fingerprint, own.crashes(), now - own.lastMs(), false));
-          } else if (record.counts.isEmpty()) {
+          } else if (record.liftedHere && now - record.liftedMs < LIFT_ANNOUNCEMENT_MS) {
             localCounts.add(new CrashCount(fingerprint, Set.of(), now - record.liftedMs, true));
           }
         });
