Probe an endpoint at once when a request is lost there before its answer began

Now the endpoint's report is asked for at once, three times 0.1 s apart, once a second for an incarnation; a refused connection or another incarnation's 421 confirms the crash. A time-out proves nothing.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -345,7 +345,7 @@
     close(AttemptOutcome.FAILED, now);
     if (!call.hasResponseStarted()) {
       // A request whose answer had begun did not crash the endpoint that wrote it.
-      call.context().crashDetector().connectionLost(call.plan().crashKeys(), identity(), now);
+      call.context().crashDetector().connectionLost(call.plan().crashKeys(), endpoint, now);
     }
     retryOrFail(reason, now);
   }
--- a/src/main/java/org/magnoliavale/internal/call/CrashDetector.java
+++ b/src/main/java/org/magnoliavale/internal/call/CrashDetector.java
@@ -11,13 +11,15 @@
 import org.magnoliavale.internal.containment.CrashKeys;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.containment.Fingerprint;
+import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 
 /**
  * Finds the requests and prompt segments that were in flight when an endpoint crashed. Thread-safe.
  *
  * <p>A lost connection alone does not prove a crash. It counts as one only if the endpoint is found
- * to be down, or replaced by a later incarnation, within 5 s.
+ * to be down, or replaced by a later incarnation, within 5 s. The endpoint is probed at once: in a
+ * large fleet an instance seldom sends anything to the same endpoint again so soon.
  *
  * <p>Requests share the segments of their prompts, so a segment that many have is in flight in many
  * crashes that another one caused. A complete answer proves a segment harmless and lifts its count,
@@ -31,6 +33,11 @@
   private static final int MAXIMUM_LOST_CONNECTIONS = 1_024;
 
   private static final int MAXIMUM_DOWN_ENDPOINTS = 256;
+  private static final int MAXIMUM_PROBED_ENDPOINTS = 256;
+
+  /** Time between two probes of the same incarnation. */
+  private static final long PROBE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private static final int MAXIMUM_ANSWERED_SEGMENTS = 8_192;
 
   /** Time between a lost connection and the failure that confirms a crash. */
@@ -39,15 +46,19 @@
   private record LostConnection(CrashKeys keys, EndpointIdentity endpoint, long nanos) {}
 
   private final CrashRegistry registry;
+  private final EndpointProbe probe;
   private final Deque<LostConnection> lostConnections = new ArrayDeque<>();
   private final BoundedMap<EndpointIdentity, Long> downSince =
       BoundedMap.evictingEldest(MAXIMUM_DOWN_ENDPOINTS);
+  private final BoundedMap<EndpointIdentity, Long> probedAt =
+      BoundedMap.evictingEldest(MAXIMUM_PROBED_ENDPOINTS);
   private final BoundedMap<Fingerprint, Boolean> answeredSegments =
       BoundedMap.evictingLeastRecentlyUsed(MAXIMUM_ANSWERED_SEGMENTS);
 
   /** Creates a detector that records crashes in {@code registry}. */
-  public CrashDetector(CrashRegistry registry) {
+  public CrashDetector(CrashRegistry registry, EndpointProbe probe) {
     this.registry = registry;
+    this.probe = probe;
   }
 
   /**
@@ -69,9 +80,9 @@
    * Records that a connection was lost while the endpoint may have been executing a request whose
    * answer had not begun.
    */
-  public synchronized void connectionLost(CrashKeys keys, EndpointIdentity endpoint, long nanos) {
-    LostConnection lost = new LostConnection(keys, endpoint, nanos);
-    Long down = downSince.get(endpoint);
+  public synchronized void connectionLost(CrashKeys keys, DirectoryEntry endpoint, long nanos) {
+    LostConnection lost = new LostConnection(keys, endpoint.identity(), nanos);
+    Long down = downSince.get(endpoint.identity());
     if (down != null && nanos - down <= CONFIRMATION_TIMEOUT_NANOS) {
       recordCrash(lost);
       return;
@@ -80,6 +91,11 @@
       lostConnections.removeFirst();
     }
     lostConnections.addLast(lost);
+    Long probed = probedAt.get(endpoint.identity());
+    if (probed == null || nanos - probed >= PROBE_INTERVAL_NANOS) {
+      probedAt.put(endpoint.identity(), nanos);
+      probe.probe(endpoint);
+    }
   }
 
   /** Records that an endpoint accepts no connection or has been replaced by another incarnation. */
--- a/src/main/java/org/magnoliavale/internal/command/InstanceClient.java
+++ b/src/main/java/org/magnoliavale/internal/command/InstanceClient.java
@@ -45,7 +45,7 @@
         yield status < 300 ? Command.SUCCESS : Command.FAILURE;
       }
       case JsonCallResult.OutcomeUnknown(String reason) -> reportNoResponse(reason);
-      case JsonCallResult.NotSent(String reason) -> reportNoResponse(reason);
+      case JsonCallResult.NotSent(String reason, boolean ignored) -> reportNoResponse(reason);
     };
   }
 
--- a/src/main/java/org/magnoliavale/internal/engine/HttpEngineClient.java
+++ b/src/main/java/org/magnoliavale/internal/engine/HttpEngineClient.java
@@ -49,7 +49,8 @@
     return switch (client.post(endpoint.address(), COMMANDS_PATH, command, timeout)) {
       case JsonCallResult.Response(int status, byte[] ignored) -> resultOf(status);
       case JsonCallResult.OutcomeUnknown(String reason) -> new CommandResult.Unknown(reason);
-      case JsonCallResult.NotSent(String reason) -> new CommandResult.NotSent(reason);
+      case JsonCallResult.NotSent(String reason, boolean ignored) ->
+          new CommandResult.NotSent(reason);
     };
   }
 
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -62,6 +62,9 @@
   private static final long TICK_INTERVAL_MS = 50;
   private static final long IDLE_TICK_INTERVAL_MS = 250;
 
+  private static final int MAXIMUM_PROBES = 3;
+  private static final long PROBE_INTERVAL_MS = 100;
+
   /** Minimum drain time, so that the load balancer notices that the instance is not ready. */
   private static final Duration MINIMUM_DRAIN_TIME = Duration.ofMillis(3_500);
 
@@ -120,7 +123,7 @@
     endpoints =
         new EndpointPool(settings.dataCentre(), this::liveInstanceCount, departures, new Random());
     CrashRegistry crashes = new CrashRegistry(incarnation, InstantSource.system());
-    crashDetector = new CrashDetector(crashes);
+    crashDetector = new CrashDetector(crashes, this::probe);
     ArtifactDemand demand = new ArtifactDemand(this::announceDemand);
     FleetDemand fleetDemand = new FleetDemand();
     calls = new CallRegistry(createCallContext(demand), ThreadLocalRandom.current());
@@ -234,6 +237,20 @@
     metrics.registry().register("configuration_version", (Gauge<Long>) this::configurationVersion);
   }
 
+  /** Checks an endpoint in background; one that crashes may accept connections a moment longer. */
+  private void probe(DirectoryEntry endpoint) {
+    commandExecutor.execute(
+        () -> {
+          for (int check = 0; check < MAXIMUM_PROBES; check++) {
+            if (adapters.control().isDown(endpoint)) {
+              crashDetector.endpointDown(endpoint.identity(), System.nanoTime());
+              return;
+            }
+            sleep(PROBE_INTERVAL_MS);
+          }
+        });
+  }
+
   private int liveInstanceCount() {
     return membership.instanceCount(System.nanoTime());
   }
--- a/src/main/java/org/magnoliavale/internal/http/JsonCallResult.java
+++ b/src/main/java/org/magnoliavale/internal/http/JsonCallResult.java
@@ -8,6 +8,6 @@
   /** Sending had started, but no complete response was received; the outcome is unknown. */
   record OutcomeUnknown(String reason) implements JsonCallResult {}
 
-  /** Nothing of the request was sent. */
-  record NotSent(String reason) implements JsonCallResult {}
+  /** Nothing of the request was sent; {@code refused} if nothing listens at the address. */
+  record NotSent(String reason, boolean refused) implements JsonCallResult {}
 }
--- a/src/main/java/org/magnoliavale/internal/http/JsonClient.java
+++ b/src/main/java/org/magnoliavale/internal/http/JsonClient.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.http;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
@@ -84,6 +85,6 @@
     String reason = cause.getClass().getSimpleName();
     return sendStarted
         ? new JsonCallResult.OutcomeUnknown(reason)
-        : new JsonCallResult.NotSent(reason);
+        : new JsonCallResult.NotSent(reason, cause instanceof ConnectException);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/platform/HttpPlatform.java
+++ b/src/main/java/org/magnoliavale/internal/platform/HttpPlatform.java
@@ -65,7 +65,8 @@
     return switch (result) {
       case JsonCallResult.Response(int status, byte[] body) -> parseResult(status, body);
       case JsonCallResult.OutcomeUnknown(String reason) -> new TableResult.OutcomeUnknown(reason);
-      case JsonCallResult.NotSent(String reason) -> new TableResult.Unavailable(reason);
+      case JsonCallResult.NotSent(String reason, boolean ignored) ->
+          new TableResult.Unavailable(reason);
     };
   }
 
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointControl.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointControl.java
@@ -8,6 +8,12 @@
   /** Sends a command once, without retries. */
   EndpointCommandResult send(DirectoryEntry endpoint, EndpointCommand command);
 
+  /**
+   * Returns whether an incarnation certainly does not run any more: its address refuses connections
+   * or belongs to another one.
+   */
+  boolean isDown(DirectoryEntry endpoint);
+
   /** Fetches a report; empty if the endpoint gives no valid answer. */
   Optional<EndpointReport> fetchReport(DirectoryEntry endpoint);
 }
--- a/src/main/java/org/magnoliavale/platform/StoreClient.java
+++ b/src/main/java/org/magnoliavale/platform/StoreClient.java
@@ -148,7 +148,7 @@
     return switch (result) {
       case JsonCallResult.Response(int status, byte[] ignored) ->
           new Result.Unavailable("HTTP status " + status);
-      case JsonCallResult.NotSent(String reason) -> new Result.Unavailable(reason);
+      case JsonCallResult.NotSent(String reason, boolean ignored) -> new Result.Unavailable(reason);
       case JsonCallResult.OutcomeUnknown(String reason) -> new Result.OutcomeUnknown(reason);
     };
   }
--- a/src/main/java/org/magnoliavale/platform/WorkerControl.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerControl.java
@@ -22,6 +22,7 @@
 /** Sends commands to the platform's workers and reads their reports. */
 final class WorkerControl implements EndpointControl {
   private static final String EXPECTED_INSTANCE = "X-Expected-Instance";
+  private static final int MISDIRECTED_REQUEST = 421;
 
   private final JsonClient client;
   private final Duration timeout;
@@ -63,7 +64,7 @@
       case 200 -> EndpointCommandResult.DONE;
       case 409 -> EndpointCommandResult.CONFLICT;
       case 412 -> EndpointCommandResult.FENCED;
-      case 421 -> EndpointCommandResult.OTHER_INCARNATION;
+      case MISDIRECTED_REQUEST -> EndpointCommandResult.OTHER_INCARNATION;
       case 400 -> EndpointCommandResult.INVALID;
       default -> EndpointCommandResult.UNKNOWN;
     };
@@ -74,11 +75,23 @@
   }
 
   @Override
-  public Optional<EndpointReport> fetchReport(DirectoryEntry endpoint) {
+  public boolean isDown(DirectoryEntry endpoint) {
+    return switch (requestReport(endpoint)) {
+      case JsonCallResult.NotSent(String ignored, boolean refused) -> refused;
+      case JsonCallResult.Response(int status, byte[] ignored) -> status == MISDIRECTED_REQUEST;
+      case JsonCallResult.OutcomeUnknown ignored -> false;
+    };
+  }
+
+  private JsonCallResult requestReport(DirectoryEntry endpoint) {
     InetSocketAddress address = endpoint.address();
-    JsonCallResult result =
-        client.send(
-            "GET", address, "/-/report", expectedInstanceHeader(endpoint), new byte[0], timeout);
+    return client.send(
+        "GET", address, "/-/report", expectedInstanceHeader(endpoint), new byte[0], timeout);
+  }
+
+  @Override
+  public Optional<EndpointReport> fetchReport(DirectoryEntry endpoint) {
+    JsonCallResult result = requestReport(endpoint);
     if (!(result instanceof JsonCallResult.Response(int status, byte[] body)) || status != 200) {
       return Optional.empty();
     }
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -37,7 +37,7 @@
       new EndpointPool("east", () -> 1, new EndpointDepartures(), new Random(1));
 
   final CrashDetector crashDetector =
-      new CrashDetector(new CrashRegistry("self", () -> java.time.Instant.EPOCH));
+      new CrashDetector(new CrashRegistry("self", () -> java.time.Instant.EPOCH), endpoint -> {});
 
   /** Runs once, at the next reading of the clock. */
   Runnable onNextClockReading = () -> {};
--- a/src/test/java/org/magnoliavale/internal/call/CrashDetectorTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CrashDetectorTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -12,7 +13,9 @@
 import org.magnoliavale.internal.containment.CrashKeys;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.containment.Fingerprint;
+import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.dispatch.TestEntries;
 import org.magnoliavale.internal.link.CrashRecords;
 import org.magnoliavale.internal.link.protocol.CrashRecord;
 
@@ -21,8 +24,9 @@
 
   private final CrashRegistry registry = new CrashRegistry("self", () -> Instant.EPOCH);
   private final CrashRegistry peerRegistry = new CrashRegistry("peer", () -> Instant.EPOCH);
-  private final CrashDetector detector = new CrashDetector(registry);
-  private final CrashDetector peer = new CrashDetector(peerRegistry);
+  private final List<DirectoryEntry> probed = new ArrayList<>();
+  private final CrashDetector detector = new CrashDetector(registry, probed::add);
+  private final CrashDetector peer = new CrashDetector(peerRegistry, endpoint -> {});
   private long nowNanos = 100 * SECOND_NANOS;
   private int requests;
 
@@ -34,13 +38,17 @@
         List.of(segments).stream().map(Fingerprint::ofSegment).toList());
   }
 
-  private static EndpointIdentity endpoint(int number) {
-    return new EndpointIdentity("e" + number, 1);
+  private static DirectoryEntry endpoint(int number) {
+    return TestEntries.entry("e" + number, 1);
+  }
+
+  private static EndpointIdentity identity(int number) {
+    return endpoint(number).identity();
   }
 
   private void crash(CrashDetector observer, int endpoint, String... segments) {
     observer.connectionLost(request(segments), endpoint(endpoint), nowNanos);
-    observer.endpointDown(endpoint(endpoint), nowNanos);
+    observer.endpointDown(identity(endpoint), nowNanos);
   }
 
   private void exchange() {
@@ -132,6 +140,16 @@
 
   @Nested
   class LostConnection {
+    @Test
+    void hasItsEndpointProbedOnceASecond() {
+      for (int attempt = 0; attempt < 5; attempt++) {
+        detector.connectionLost(request("segment"), endpoint(1), nowNanos);
+      }
+      assertThat(probed).containsExactly(endpoint(1));
+      detector.connectionLost(request("segment"), endpoint(1), nowNanos + SECOND_NANOS);
+      assertThat(probed).hasSize(2);
+    }
+
     @Test
     void isNoCrashWhileTheEndpointIsNotFoundDown() {
       for (int endpoint = 1; endpoint <= 6; endpoint++) {
@@ -143,7 +161,7 @@
     @Test
     void isACrashIfTheEndpointWasFoundDownJustBefore() {
       for (int endpoint = 1; endpoint <= 3; endpoint++) {
-        detector.endpointDown(endpoint(endpoint), nowNanos);
+        detector.endpointDown(identity(endpoint), nowNanos);
         detector.connectionLost(request("segment"), endpoint(endpoint), nowNanos + SECOND_NANOS);
       }
       assertThat(detector.isBlocked(request("segment"))).isTrue();
@@ -154,7 +172,7 @@
       for (int endpoint = 1; endpoint <= 3; endpoint++) {
         detector.connectionLost(request("segment"), endpoint(endpoint), nowNanos);
       }
-      detector.endpointsListed(List.of(endpoint(1), endpoint(2), endpoint(3)), nowNanos);
+      detector.endpointsListed(List.of(identity(1), identity(2), identity(3)), nowNanos);
       assertThat(detector.isBlocked(request("segment"))).isFalse();
       detector.endpointsListed(
           List.of(
--- a/src/test/java/org/magnoliavale/internal/call/CrashingSegmentTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CrashingSegmentTest.java
@@ -7,7 +7,6 @@
 import org.magnoliavale.internal.containment.CrashKeys;
 import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.directory.DirectoryEntry;
-import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.dispatch.TestEntries;
 
 class CrashingSegmentTest extends CallFixture {
@@ -89,12 +88,12 @@
   }
 
   private void crashElsewhere(String segment, int crash) {
-    EndpointIdentity endpoint = TestEntries.entry("elsewhere-" + crash, 1).identity();
+    DirectoryEntry endpoint = TestEntries.entry("elsewhere-" + crash, 1);
     crashDetector.connectionLost(
         new CrashKeys(
             Fingerprint.of("/" + crash, new byte[0]), List.of(Fingerprint.ofSegment(segment))),
         endpoint,
         now);
-    crashDetector.endpointDown(endpoint, now);
+    crashDetector.endpointDown(endpoint.identity(), now);
   }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
@@ -53,6 +53,11 @@
       return EndpointCommandResult.INVALID;
     }
 
+    @Override
+    public boolean isDown(DirectoryEntry entry) {
+      return false;
+    }
+
     @Override
     public Optional<EndpointReport> fetchReport(DirectoryEntry entry) {
       return Optional.empty();
