Don't count a crash for a segment that was answered after it

CrashDetectorTest.Segment.isNotCountedForACrashBeforeItsLastCompleteAnswer failed before. WorkerControlTest holds what counts as down: refused, or another incarnation; not silence.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -258,7 +258,7 @@
           .begin(responseHead.status(), call.context().protocol().responseHeaders(responseHeaders));
     }
     close(AttemptOutcome.ANSWERED, now);
-    call.context().crashDetector().answered(call.plan().crashKeys());
+    call.context().crashDetector().answered(call.plan().crashKeys(), now);
     call.completeStream();
   }
 
@@ -288,7 +288,7 @@
       return;
     }
     if (responseHead.isSuccess()) {
-      call.context().crashDetector().answered(call.plan().crashKeys());
+      call.context().crashDetector().answered(call.plan().crashKeys(), now);
     }
     call.respond(
         responseHead.status(),
--- a/src/main/java/org/magnoliavale/internal/call/CrashDetector.java
+++ b/src/main/java/org/magnoliavale/internal/call/CrashDetector.java
@@ -52,7 +52,7 @@
       BoundedMap.evictingEldest(MAXIMUM_DOWN_ENDPOINTS);
   private final BoundedMap<EndpointIdentity, Long> probedAt =
       BoundedMap.evictingEldest(MAXIMUM_PROBED_ENDPOINTS);
-  private final BoundedMap<Fingerprint, Boolean> answeredSegments =
+  private final BoundedMap<Fingerprint, Long> answeredSegments =
       BoundedMap.evictingLeastRecentlyUsed(MAXIMUM_ANSWERED_SEGMENTS);
 
   /** Creates a detector that records crashes in {@code registry}. */
@@ -133,16 +133,24 @@
 
   private void recordCrash(LostConnection lost) {
     String incarnation = lost.endpoint().toString();
-    lost.keys().all().forEach(key -> registry.recordCrash(key, incarnation));
+    lost.keys().all().stream()
+        .filter(key -> !isAnsweredSince(key, lost.nanos()))
+        .forEach(key -> registry.recordCrash(key, incarnation));
+  }
+
+  /** Returns whether a segment was answered completely after a crash that is confirmed later. */
+  private boolean isAnsweredSince(Fingerprint key, long nanos) {
+    Long answered = answeredSegments.get(key);
+    return answered != null && answered - nanos > 0;
   }
 
   /** Clears the crash counts of a request that was answered completely, and of its segments. */
-  public synchronized void answered(CrashKeys keys) {
+  public synchronized void answered(CrashKeys keys, long nanos) {
     for (Fingerprint key : keys.all()) {
       if (registry.crashes(key) > 0) {
         registry.lift(key);
       }
     }
-    keys.segments().forEach(segment -> answeredSegments.put(segment, Boolean.TRUE));
+    keys.segments().forEach(segment -> answeredSegments.put(segment, nanos));
   }
 }
--- a/src/test/java/org/magnoliavale/internal/call/CrashDetectorTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CrashDetectorTest.java
@@ -74,7 +74,7 @@
 
     @Test
     void thatWasAnsweredIsBlockedOnlyAfterFiveCrashesWithoutAnAnswer() {
-      detector.answered(request("common"));
+      detector.answered(request("common"), nowNanos);
       for (int endpoint = 1; endpoint <= 4; endpoint++) {
         crash(detector, endpoint, "common");
       }
@@ -83,12 +83,26 @@
       assertThat(detector.isBlocked(request("common"))).isTrue();
     }
 
+    @Test
+    void isNotCountedForACrashBeforeItsLastCompleteAnswer() {
+      for (int endpoint = 1; endpoint <= 6; endpoint++) {
+        detector.connectionLost(request("common"), endpoint(endpoint), nowNanos);
+      }
+      nowNanos += SECOND_NANOS;
+      detector.answered(request("common"), nowNanos);
+      nowNanos += SECOND_NANOS;
+      for (int endpoint = 1; endpoint <= 6; endpoint++) {
+        detector.endpointDown(identity(endpoint), nowNanos);
+      }
+      assertThat(detector.isBlocked(request("common"))).isFalse();
+    }
+
     @Test
     void isFreeAgainWithACompleteAnswer() {
       for (int endpoint = 1; endpoint <= 3; endpoint++) {
         crash(detector, endpoint, "common");
       }
-      detector.answered(request("common"));
+      detector.answered(request("common"), nowNanos);
       assertThat(detector.isBlocked(request("common"))).isFalse();
     }
 
@@ -99,7 +113,7 @@
       }
       exchange();
       assertThat(peer.isBlocked(request("common"))).isTrue();
-      peer.answered(request("common"));
+      peer.answered(request("common"), nowNanos);
       exchange();
       assertThat(detector.isBlocked(request("common"))).isFalse();
     }
--- a/src/test/java/org/magnoliavale/internal/call/CrashingSegmentFleetTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CrashingSegmentFleetTest.java
@@ -209,7 +209,7 @@
       }
       if (nowMs >= attempt.endsMs) {
         running.get(e).remove(attempt);
-        detectors[attempt.instance].answered(attempt.request.keys());
+        detectors[attempt.instance].answered(attempt.request.keys(), nanos());
       }
     }
   }
