Give tests ports that no outgoing connection can take

Deployment.freePort asked the system for a port, closed it and had it bound later; meanwhile the system may give the same port to an outgoing connection or to the next call. Now ports come from below the range of outgoing connections, each once, from a start that differs by process, and are still checked to be free.

--- a/src/test/java/org/magnoliavale/internal/instance/Deployment.java
+++ b/src/test/java/org/magnoliavale/internal/instance/Deployment.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.magnoliavale.Magnoliavale;
 import org.magnoliavale.Service;
 import org.magnoliavale.internal.document.Document;
@@ -25,6 +26,13 @@
   static final String ADMINISTRATOR = "administrator-token";
   private static final long LIST_LAG_MS = 100;
 
+  /** First of the ports for tests; systems give outgoing connections higher ones. */
+  private static final int FIRST_PORT = 12_000;
+
+  private static final int PORTS = 18_000;
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger((int) (ProcessHandle.current().pid() * 97));
+
   private final int platformPort = freePort();
   private final List<Service> services = new ArrayList<>();
   private final List<EngineStandIn> engines = new ArrayList<>();
@@ -36,11 +44,19 @@
   private final List<Integer> peerPorts = new ArrayList<>();
   private String document = TestDocuments.base();
 
+  /**
+   * Returns a port that is free now and that neither an outgoing connection nor another call is
+   * given until it is bound.
+   */
   static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+    while (true) {
+      int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // The port is in use; the next one may be free.
+        continue;
+      }
     }
   }
 
