--- a/src/test/java/org/magnoliavale/internal/instance/Deployment.java
+++ b/src/test/java/org/magnoliavale/internal/instance/Deployment.java
@@ -26,10 +26,13 @@
   static final String ADMINISTRATOR = "administrator-token";
   private static final long LIST_LAG_MS = 100;
 
-  /** First of the ports for tests; systems give outgoing connections higher ones. */
-  private static final int FIRST_PORT = 12_000;
+  /**
+   * First of the ports for tests: above those that the demo, training-run and bin/measure-start
+   * use, and, with {@link #PORTS}, below those that systems give outgoing connections.
+   */
+  private static final int FIRST_PORT = 22_500;
 
-  private static final int PORTS = 18_000;
+  private static final int PORTS = 10_000;
   private static final AtomicInteger NEXT_PORT =
       new AtomicInteger((int) (ProcessHandle.current().pid() * 97));
 
