Look at one record, not at all, when a crash count is asked for

Each check of a call went through all records to remove expired ones, and since segments are counted and waiting calls are checked at each tick there are several checks a call. Now a check looks at its own record; expired ones are removed when a crash is recorded and when counts are sent. What counts is the same: the test CrashRegistryTest.countExpiresWithoutAFurtherCrash is new and holds for both.

--- a/src/main/java/org/magnoliavale/internal/containment/CrashRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/containment/CrashRegistry.java
@@ -74,9 +74,8 @@
 
   /** Returns a request's or segment's crash count over the whole fleet. */
   public synchronized int crashes(Fingerprint fingerprint) {
-    removeExpired();
     RequestRecord record = records.get(fingerprint);
-    return record == null ? 0 : record.crashes();
+    return record == null || isExpired(record) ? 0 : record.crashes();
   }
 
   /**
@@ -85,6 +84,7 @@
    * @param incarnation the crashed incarnation of the endpoint, as all instances name it
    */
   public synchronized void recordCrash(Fingerprint fingerprint, String incarnation) {
+    removeExpired();
     RequestRecord record = records.computeIfAbsent(fingerprint, ignored -> new RequestRecord());
     Set<String> own = new HashSet<>(Set.of(incarnation));
     InstanceCrashes known = record.counts.get(localInstance);
@@ -182,7 +182,10 @@
   }
 
   private void removeExpired() {
-    long oldest = clock.millis() - EXPIRY_MS;
-    records.values().removeIf(record -> record.lastMs() < oldest);
+    records.values().removeIf(this::isExpired);
+  }
+
+  private boolean isExpired(RequestRecord record) {
+    return record.lastMs() < clock.millis() - EXPIRY_MS;
   }
 }
--- a/src/test/java/org/magnoliavale/internal/containment/CrashRegistryTest.java
+++ b/src/test/java/org/magnoliavale/internal/containment/CrashRegistryTest.java
@@ -53,6 +53,17 @@
     assertThat(peer.crashes(SEGMENT)).isOne();
   }
 
+  @Test
+  void countExpiresWithoutAFurtherCrash() {
+    registry.recordCrash(SEGMENT, "e@1");
+    nowMs += CrashRegistry.EXPIRY_MS;
+    assertThat(registry.crashes(SEGMENT)).isOne();
+    nowMs++;
+    assertThat(registry.crashes(SEGMENT)).isZero();
+    registry.recordCrash(SEGMENT, "e@2");
+    assertThat(registry.crashes(SEGMENT)).isOne();
+  }
+
   @Test
   void ofTooManyCountsTheHighestAreSent() {
     for (int i = 0; i < 2 * SENT_COUNTS; i++) {
