Say once which endpoints hold what a request needs

EndpointPool.hasAlternative had the rule of choose in its own words; one method serves both now. The endpoints of other services are left out before the departures are asked, which takes a lock for each. EndpointDirectory puts an entry in one place instead of two. No behaviour changes.

--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
@@ -69,8 +69,8 @@
     for (DirectoryEntry entry : listed) {
       if (entry.draining()) {
         departures.observeDraining(entry, nowNanos);
-        current.put(entry.identity().id(), entry);
-      } else if (!departures.includes(entry)) {
+      }
+      if (entry.draining() || !departures.includes(entry)) {
         current.put(entry.identity().id(), entry);
       }
     }
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -110,12 +110,9 @@
       return new EndpointChoice.Unavailable("no endpoint available");
     }
     List<EndpointState> eligible = new ArrayList<>(available);
-    if (criteria.generation().isPresent()) {
-      Artifact artifact = criteria.generation().get().artifact();
-      eligible.removeIf(state -> !state.holds(artifact, nowNanos));
-      if (eligible.isEmpty()) {
-        return new EndpointChoice.AwaitArtifact(artifact);
-      }
+    eligible.removeIf(state -> !holdsArtifact(state, criteria, nowNanos));
+    if (eligible.isEmpty()) {
+      return new EndpointChoice.AwaitArtifact(criteria.generation().orElseThrow().artifact());
     }
     int connectionShare = Math.max(1, connectionLimit / Math.max(1, instances.getAsInt()));
     eligible.removeIf(state -> state.inFlight() >= connectionShare);
@@ -140,19 +137,25 @@
     return availableEndpoints(criteria).stream()
         .filter(state -> !state.entry().identity().equals(current))
         .filter(state -> state.isHealthy(nowNanos))
-        .anyMatch(
-            state ->
-                criteria.generation().isEmpty()
-                    || state.holds(criteria.generation().get().artifact(), nowNanos));
+        .anyMatch(state -> holdsArtifact(state, criteria, nowNanos));
+  }
+
+  /** Returns whether an endpoint holds what a request needs; one for no model needs nothing. */
+  private static boolean holdsArtifact(
+      EndpointState state, SelectionCriteria criteria, long nowNanos) {
+    return criteria
+        .generation()
+        .map(generation -> state.holds(generation.artifact(), nowNanos))
+        .orElse(true);
   }
 
   private List<EndpointState> availableEndpoints(SelectionCriteria criteria) {
     List<EndpointState> available = new ArrayList<>();
     for (EndpointState state : endpoints.values()) {
       DirectoryEntry entry = state.entry();
-      if (accepts(state)
-          && entry.service().equals(criteria.service())
-          && !criteria.excluded().contains(entry.identity())) {
+      if (entry.service().equals(criteria.service())
+          && !criteria.excluded().contains(entry.identity())
+          && accepts(state)) {
         available.add(state);
       }
     }
@@ -316,7 +319,7 @@
   public synchronized int size(ServiceId service) {
     return (int)
         endpoints.values().stream()
-            .filter(state -> accepts(state) && state.entry().service().equals(service))
+            .filter(state -> state.entry().service().equals(service) && accepts(state))
             .count();
   }
 }
