--- a/src/test/java/org/magnoliavale/internal/call/CrashingSegmentFleetTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CrashingSegmentFleetTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.magnoliavale.internal.Seeds;
 import org.magnoliavale.internal.containment.CrashKeys;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.containment.Fingerprint;
@@ -44,19 +45,7 @@
 
   private record Probe(int instance, DirectoryEntry endpoint) {}
 
-  private static final class Running {
-    private final Request request;
-    private final int instance;
-    private final int beginsMs;
-    private final int endsMs;
-
-    Running(Request request, int instance, int beginsMs, int endsMs) {
-      this.request = request;
-      this.instance = instance;
-      this.beginsMs = beginsMs;
-      this.endsMs = endsMs;
-    }
-  }
+  private record Running(Request request, int instance, int beginsMs, int endsMs) {}
 
   private final CrashRegistry[] registries = new CrashRegistry[INSTANCES];
   private final CrashDetector[] detectors = new CrashDetector[INSTANCES];
@@ -80,11 +69,7 @@
   private int soundSentAfter;
 
   static List<Integer> seeds() {
-    List<Integer> seeds = new ArrayList<>();
-    for (int seed = 1; seed <= Integer.getInteger("seeds", 10); seed++) {
-      seeds.add(seed);
-    }
-    return seeds;
+    return Seeds.upTo(10);
   }
 
   @ParameterizedTest
@@ -203,13 +188,13 @@
 
   private void run(int e) {
     for (Running attempt : List.copyOf(running.get(e))) {
-      if (attempt.request.deadly() && nowMs >= attempt.beginsMs) {
+      if (attempt.request().deadly() && nowMs >= attempt.beginsMs()) {
         crash(e);
         return;
       }
-      if (nowMs >= attempt.endsMs) {
+      if (nowMs >= attempt.endsMs()) {
         running.get(e).remove(attempt);
-        detectors[attempt.instance].answered(attempt.request.keys(), nanos());
+        detectors[attempt.instance()].answered(attempt.request().keys(), nanos());
       }
     }
   }
@@ -223,15 +208,16 @@
     List<Running> lost = List.copyOf(running.get(e));
     running.get(e).clear();
     for (Running attempt : lost) {
-      if (nowMs >= attempt.beginsMs && !attempt.request.deadly()) {
+      if (nowMs >= attempt.beginsMs() && !attempt.request().deadly()) {
         continue;
       }
-      Request request = attempt.request;
-      CrashDetector detector = detectors[attempt.instance];
+      Request request = attempt.request();
+      CrashDetector detector = detectors[attempt.instance()];
       detector.connectionLost(request.keys(), incarnations[e], nanos());
       if (request.attempt() < MAXIMUM_ATTEMPTS && !detector.isBlocked(request.keys())) {
         send(
-            new Request(request.keys(), request.deadly(), request.attempt() + 1), attempt.instance);
+            new Request(request.keys(), request.deadly(), request.attempt() + 1),
+            attempt.instance());
       }
     }
   }
--- a/src/test/java/org/magnoliavale/internal/gateway/DepartureFleetTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/DepartureFleetTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.magnoliavale.internal.Seeds;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.dispatch.TestEntries;
 
@@ -101,11 +102,7 @@
   private int nowMs;
 
   static List<Integer> seeds() {
-    List<Integer> seeds = new ArrayList<>();
-    for (int seed = 1; seed <= Integer.getInteger("seeds", 50); seed++) {
-      seeds.add(seed);
-    }
-    return seeds;
+    return Seeds.upTo(50);
   }
 
   @ParameterizedTest
