Let the stand-in worker of WorkerControlTest read a request before it answers

Cause, in the test: its worker wrote the answer as soon as a connection was there, before it had read the request. Bytes that come before the client has a request on the connection are no answer to one, and the client closes the connection, as it should. Beside it, one limit of 300 ms stood for the silent worker and for the answering ones.

Ruled out: a fault of WorkerControl or JsonClient, which must not take such bytes as an answer. The other tests with plain sockets (RawEndpoint, ResetDetectionTest) read first.

Change: the worker reads the head of the request; only the test of the silent worker, which has to wait for the limit, keeps 300 ms. What is asserted is the same.

--- a/src/test/java/org/magnoliavale/platform/WorkerControlTest.java
+++ b/src/test/java/org/magnoliavale/platform/WorkerControlTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -22,10 +24,10 @@
 import org.magnoliavale.internal.identifier.ServiceId;
 
 class WorkerControlTest {
-  private static final Duration TIMEOUT = Duration.ofMillis(300);
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final Duration TIMEOUT_OF_SILENT_WORKER = Duration.ofMillis(300);
 
   private final HttpClient client = HttpClients.create("test", 4, TIMEOUT, TIMEOUT);
-  private final WorkerControl control = new WorkerControl(JsonClient.of(client), TIMEOUT);
   private ServerSocket worker;
 
   @BeforeEach
@@ -59,6 +61,7 @@
         .start(
             () -> {
               try (Socket socket = worker.accept()) {
+                readRequestHead(socket);
                 String head = "HTTP/1.1 " + statusLine + "\r\nContent-Length: 0\r\n\r\n";
                 socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
                 socket.getInputStream().readAllBytes();
@@ -69,26 +72,40 @@
             });
   }
 
+  private static void readRequestHead(Socket socket) throws IOException {
+    BufferedReader lines =
+        new BufferedReader(
+            new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    String line = lines.readLine();
+    while (line != null && !line.isEmpty()) {
+      line = lines.readLine();
+    }
+  }
+
+  private boolean isDown(Duration timeout) {
+    return new WorkerControl(JsonClient.of(client), timeout).isDown(entry());
+  }
+
   @Test
   void workerThatRefusesConnectionsIsDown() throws IOException {
     worker.close();
-    assertThat(control.isDown(entry())).isTrue();
+    assertThat(isDown(TIMEOUT)).isTrue();
   }
 
   @Test
   void workerWhoseAddressBelongsToAnotherIncarnationIsDown() {
     answer("421 Misdirected Request");
-    assertThat(control.isDown(entry())).isTrue();
+    assertThat(isDown(TIMEOUT)).isTrue();
   }
 
   @Test
   void workerThatAnswersIsNotDown() {
     answer("200 OK");
-    assertThat(control.isDown(entry())).isFalse();
+    assertThat(isDown(TIMEOUT)).isFalse();
   }
 
   @Test
   void workerThatIsSilentIsNotCertainlyDown() {
-    assertThat(control.isDown(entry())).isFalse();
+    assertThat(isDown(TIMEOUT_OF_SILENT_WORKER)).isFalse();
   }
 }
