Count the adapters of an unloaded model as gone

When a model is unloaded, its adapters go with it, but an adapter whose load the directory did not show yet stayed pending for up to 13 s, and one that a report had shown until later heartbeats. Meanwhile it took a place for adapters and counted as held, so that nobody loaded it for callers that waited for it.

Test: EndpointTrackerTest.adaptersOfAnUnloadedModelAreGone, red before (holds(n/a1) was true), green now. The other 11 and the planners' tests pass.

--- a/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
@@ -156,7 +156,7 @@
                 && !known.command().equals(command)
                 && known.command().expectedSequence() <= command.expectedSequence());
     if (command.operation() == EndpointCommand.Operation.UNLOAD) {
-      reportedArtifacts.remove(command.artifact());
+      removeUnloaded(command.artifact());
     }
     // This command supersedes earlier ones for the same artifact.
     pending.removeIf(
@@ -167,6 +167,17 @@
         known -> known.command().equals(command) ? known.confirm(entry.heartbeat()) : known);
   }
 
+  /** Removes an artifact and its adapters from what reports and loads have shown. */
+  private void removeUnloaded(Artifact unloaded) {
+    reportedArtifacts.removeIf(artifact -> isUnloadedWith(unloaded, artifact));
+    pending.removeIf(
+        known -> known.confirmed() && known.isLoad() && isUnloadedWith(unloaded, known.artifact()));
+  }
+
+  private static boolean isUnloadedWith(Artifact unloaded, Artifact artifact) {
+    return artifact.equals(unloaded) || artifact.baseModel().equals(unloaded);
+  }
+
   void markResent(EndpointCommand command, long nowNanos) {
     pending.replaceAll(known -> known.command().equals(command) ? known.resend(nowNanos) : known);
   }
--- a/src/test/java/org/magnoliavale/internal/residency/EndpointTrackerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/EndpointTrackerTest.java
@@ -130,6 +130,16 @@
     assertThat(view().adapters()).containsExactly(Artifact.parse("m/a1"));
   }
 
+  @Test
+  void adaptersOfAnUnloadedModelAreGone() {
+    tracker.update(entry(4, "m", "n"), now);
+    accept(Operation.LOAD, "n/a1");
+    accept(Operation.UNLOAD, "n");
+    tracker.update(entry(5, "m"), now);
+    assertThat(view().holds(Artifact.parse("n/a1"))).isFalse();
+    assertThat(view().fits(Artifact.parse("m/a2"))).isTrue();
+  }
+
   @Test
   void commandWithoutAResponseReservesMemoryAndIsResent() {
     EndpointCommand command = command(Operation.LOAD, "n");
