Keep what a report showed until an entry was certainly written after it

Cause, by reading and in a test: a new holder of the command lease knows what its predecessor had loaded from a report, and dropped that as soon as an entry came whose heartbeat was two higher than that of the entry known at the report. But the directory keeps the heartbeat of the last change: in a replay with the log an endpoint that had started at 31.9 s still showed heartbeat 1 at 35.9 s, and entries went from 25 to 28 at once. Such an entry may be older than the report. Adapters don't cause an entry to be written, so it can lack all of them, while the sequence of the report is the right one: the next load is accepted by an endpoint that has no place. Adapter commands were completed by the same rule.

Ruled out: late commands of the predecessor (they change the sequence, and the endpoint answers 409); an unload that waits for its requests (nine in the replay; eight times the next load was refused with 409 until it had ended, once it had ended before).

Change: an entry counts as written after a moment once it changed five seconds or more after it (endpoints whose entries are not renewed for three intervals of 1.2 s are removed). What is being unloaded is left out of a report, since it would stay there for long now.

--- a/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
@@ -40,10 +40,10 @@
   private static final long PENDING_MODEL_TIMEOUT_MS = 15_000;
 
   /**
-   * Heartbeats after a command of which the last was certainly written after it. The first one may
-   * have been in transit already.
+   * Maximum age of what an entry shows when it is read. An endpoint rewrites its entry within a
+   * heartbeat interval of a change; after three intervals of silence the entry is removed.
    */
-  private static final long HEARTBEATS_UNTIL_CERTAIN = 2;
+  private static final long MAXIMUM_ENTRY_AGE_MS = 5_000;
 
   /** Time for which an unreachable endpoint counts as unavailable and gets no commands. */
   private static final long UNREACHABLE_MS = 1_500;
@@ -54,6 +54,7 @@
   private final Map<Artifact, Long> modelLoadedNanos = new HashMap<>();
   private final List<PendingCommand> pending = new ArrayList<>();
   private DirectoryEntry entry;
+  private long entryChangedNanos;
   private OptionalLong sequence = OptionalLong.empty();
   private long acceptedNanos;
   private Optional<Artifact> pendingModel = Optional.empty();
@@ -63,12 +64,13 @@
   private boolean replaced;
 
   private final Set<Artifact> reportedArtifacts = new HashSet<>();
-  private long reportHeartbeat;
+  private long reportedNanos;
   private boolean reportNeeded;
   private long reportRequestedNanos;
 
-  private EndpointTracker(DirectoryEntry entry, long reportRequestedNanos) {
+  private EndpointTracker(DirectoryEntry entry, long nowNanos, long reportRequestedNanos) {
     this.entry = entry;
+    this.entryChangedNanos = nowNanos;
     this.reportRequestedNanos = reportRequestedNanos;
     this.reportNeeded = true;
   }
@@ -78,12 +80,13 @@
    * command.
    */
   static EndpointTracker ofNewEndpoint(DirectoryEntry entry, long nowNanos) {
-    return new EndpointTracker(entry, nowNanos - TimeUnit.MILLISECONDS.toNanos(REPORT_INTERVAL_MS));
+    return new EndpointTracker(
+        entry, nowNanos, nowNanos - TimeUnit.MILLISECONDS.toNanos(REPORT_INTERVAL_MS));
   }
 
   /** Returns the state of an endpoint to which a previous holder may just have sent a command. */
   static EndpointTracker ofKnownEndpoint(DirectoryEntry entry, long nowNanos) {
-    EndpointTracker tracker = new EndpointTracker(entry, nowNanos);
+    EndpointTracker tracker = new EndpointTracker(entry, nowNanos, nowNanos);
     tracker.requireReport(nowNanos);
     return tracker;
   }
@@ -113,6 +116,9 @@
 
   /** Applies a newer directory entry and removes pending commands whose effect it shows. */
   void update(DirectoryEntry newEntry, long nowNanos) {
+    if (newEntry.heartbeat() != entry.heartbeat()) {
+      entryChangedNanos = nowNanos;
+    }
     entry = newEntry;
     Set<Artifact> held = EndpointView.artifactsOf(newEntry.models());
     pending.removeIf(
@@ -124,7 +130,7 @@
           }
           return done || age(command.lastSentNanos(), nowNanos) > MAXIMUM_COMMAND_DELAY_MS;
         });
-    if (newEntry.heartbeat() >= reportHeartbeat + HEARTBEATS_UNTIL_CERTAIN) {
+    if (isEntryWrittenAfter(reportedNanos)) {
       reportedArtifacts.clear();
     }
     if (pendingModel.isPresent()
@@ -138,8 +144,15 @@
    * adapters only, which can be loaded and unloaded between two heartbeats.
    */
   private boolean isWrittenAfter(PendingCommand command) {
-    return command.isModel()
-        || entry.heartbeat() >= command.confirmedAtHeartbeat() + HEARTBEATS_UNTIL_CERTAIN;
+    return command.isModel() || isEntryWrittenAfter(command.confirmedNanos());
+  }
+
+  /**
+   * Returns whether the entry was certainly written after {@code nanos}. Its heartbeat can't tell:
+   * the directory keeps the number of the last change, so the next one may be any number higher.
+   */
+  private boolean isEntryWrittenAfter(long nanos) {
+    return age(nanos, entryChangedNanos) >= MAXIMUM_ENTRY_AGE_MS;
   }
 
   void addPending(EndpointCommand command, long nowNanos) {
@@ -163,8 +176,7 @@
         known ->
             known.artifact().equals(command.artifact())
                 && known.command().expectedSequence() < command.expectedSequence());
-    pending.replaceAll(
-        known -> known.command().equals(command) ? known.confirm(entry.heartbeat()) : known);
+    pending.replaceAll(known -> known.command().equals(command) ? known.confirm(nowNanos) : known);
   }
 
   /** Removes an artifact and its adapters from what reports and loads have shown. */
@@ -242,7 +254,8 @@
     reportedArtifacts.clear();
     reportedArtifacts.addAll(EndpointView.artifactsOf(report.models()));
     report.loading().forEach(adapter -> reportedArtifacts.add(Artifact.parse(adapter)));
-    reportHeartbeat = entry.heartbeat();
+    reportedArtifacts.removeIf(this::isUnloading);
+    reportedNanos = nowNanos;
     reportNeeded = report.busy();
     // No one else sends commands, so a sequence beyond a command's shows that it was accepted.
     for (PendingCommand known : List.copyOf(pending)) {
@@ -252,6 +265,12 @@
     }
   }
 
+  private boolean isUnloading(Artifact artifact) {
+    return pending.stream()
+        .filter(known -> known.confirmed() && !known.isLoad())
+        .anyMatch(known -> isUnloadedWith(known.artifact(), artifact));
+  }
+
   /** Sets the model that room is being made for. */
   void setPendingModel(Artifact model, long nowNanos) {
     pendingModel = Optional.of(model);
--- a/src/main/java/org/magnoliavale/internal/residency/PendingCommand.java
+++ b/src/main/java/org/magnoliavale/internal/residency/PendingCommand.java
@@ -9,14 +9,14 @@
  * @param lastSentNanos when it was last sent
  * @param confirmed whether the endpoint is known to have accepted it
  * @param resends how often it was sent again
- * @param confirmedAtHeartbeat the endpoint's last known heartbeat when it was accepted
+ * @param confirmedNanos when it was known to be accepted; 0 until then
  */
 record PendingCommand(
     EndpointCommand command,
     long lastSentNanos,
     boolean confirmed,
     int resends,
-    long confirmedAtHeartbeat) {
+    long confirmedNanos) {
   boolean isModel() {
     return command.artifact().adapter().isEmpty();
   }
@@ -29,11 +29,11 @@
     return command.artifact();
   }
 
-  PendingCommand confirm(long knownHeartbeat) {
-    return new PendingCommand(command, lastSentNanos, true, resends, knownHeartbeat);
+  PendingCommand confirm(long nowNanos) {
+    return new PendingCommand(command, lastSentNanos, true, resends, nowNanos);
   }
 
   PendingCommand resend(long nowNanos) {
-    return new PendingCommand(command, nowNanos, confirmed, resends + 1, confirmedAtHeartbeat);
+    return new PendingCommand(command, nowNanos, confirmed, resends + 1, confirmedNanos);
   }
 }
--- a/src/test/java/org/magnoliavale/internal/residency/EndpointTrackerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/EndpointTrackerTest.java
@@ -140,6 +140,45 @@
     assertThat(view().fits(Artifact.parse("m/a2"))).isTrue();
   }
 
+  @Test
+  void entryThatJumpsAheadDoesNotHideWhatALaterReportShowed() {
+    EndpointTracker known = EndpointTracker.ofKnownEndpoint(entry(1), now);
+    known.applyReport(report(9, false, "m", "m/a1", "m/a2"), now);
+    advance(200);
+    // Written when the model was loaded, before the adapters and before the report.
+    known.update(entry(8, "m"), now);
+    EndpointView view = known.view(ENGINE, 0, now);
+    assertThat(view.sequence()).isEqualTo(9);
+    assertThat(view.adapters()).hasSize(2);
+    assertThat(view.fits(Artifact.parse("m/a3"))).isFalse();
+  }
+
+  @Test
+  void entryThatWasKeptUnchangedDoesNotReplaceAReport() {
+    tracker.applyReport(report(9, false, "m", "m/a1"), now);
+    advance(30_000);
+    tracker.update(entry(3, "m"), now);
+    assertThat(view().adapters()).containsExactly(Artifact.parse("m/a1"));
+  }
+
+  @Test
+  void entryThatChangedLongAfterAReportReplacesIt() {
+    tracker.applyReport(report(9, false, "m", "m/a1"), now);
+    advance(30_000);
+    tracker.update(entry(4, "m", "m/a2"), now);
+    assertThat(view().adapters()).containsExactly(Artifact.parse("m/a2"));
+  }
+
+  @Test
+  void reportDoesNotBringBackAnAdapterThatIsBeingUnloaded() {
+    tracker.update(entry(4, "m", "m/a1"), now);
+    accept(Operation.UNLOAD, "m/a1");
+    tracker.applyReport(report(6, false, "m", "m/a1"), now);
+    advance(30_000);
+    tracker.update(entry(4, "m"), now);
+    assertThat(view().adapters()).isEmpty();
+  }
+
   @Test
   void commandWithoutAResponseReservesMemoryAndIsResent() {
     EndpointCommand command = command(Operation.LOAD, "n");
