--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -6,8 +6,6 @@
 import java.util.Collection;
 import java.util.Random;
 import java.util.UUID;
-import java.util.concurrent.Executor;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
@@ -34,6 +32,7 @@
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.metrics.InstanceMetrics;
 import org.magnoliavale.internal.platform.ListedInstance;
+import org.magnoliavale.internal.residency.DelayingExecutor;
 import org.magnoliavale.internal.residency.FleetDemand;
 import org.magnoliavale.internal.residency.ResidencyController;
 import org.magnoliavale.internal.route.RouteTable;
@@ -107,7 +106,7 @@
   private final TickLoop ticks =
       new TickLoop(
           "tick", TICK_INTERVAL_MS, IDLE_TICK_INTERVAL_MS, this::needsFrequentTicks, this::tick);
-  private final Executor commandExecutor = Executors.newVirtualThreadPerTaskExecutor();
+  private final DelayingExecutor commandExecutor = DelayingExecutor.onVirtualThreads();
   private volatile boolean stopping;
 
   private GatewayInstance(GatewaySettings settings, PlatformAdapters.Factory factory) {
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -8,8 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
@@ -49,7 +47,7 @@
   private final FleetDemand demand;
   private final Supplier<RouteTable> routes;
   private final String holder;
-  private final Executor executor;
+  private final DelayingExecutor executor;
   private final LongSupplier nanoClock;
   private final ResidencyChangeLog changeLog = new ResidencyChangeLog();
   private final Runnable onChange;
@@ -87,7 +85,7 @@
     private FleetDemand demand;
     private Supplier<RouteTable> routes;
     private String holder;
-    private Executor executor;
+    private DelayingExecutor executor;
     private LongSupplier nanoClock;
     private Runnable onChange = () -> {};
     private EndpointHealth health;
@@ -126,7 +124,7 @@
     }
 
     /** Sets the executor for blocking calls to endpoints. */
-    public Builder executor(Executor value) {
+    public Builder executor(DelayingExecutor value) {
       executor = value;
       return this;
     }
@@ -344,9 +342,10 @@
         command.operation() == EndpointCommand.Operation.LOAD
             && command.artifact().adapter().isPresent();
     if (result == EndpointCommandResult.ACCEPTED && adapterLoad) {
-      publishWhenLoaded(entry, command);
+      executor.executeLater(() -> publishLoaded(entry, command), EndpointTracker.ADAPTER_LOAD_MS);
+    } else {
+      onChange.run();
     }
-    onChange.run();
   }
 
   private void applyResult(
@@ -380,16 +379,11 @@
   }
 
   /** Publishes an adapter once it is loaded; until then requests for it would be rejected. */
-  private void publishWhenLoaded(DirectoryEntry entry, EndpointCommand command) {
-    try {
-      TimeUnit.MILLISECONDS.sleep(EndpointTracker.ADAPTER_LOAD_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return;
-    }
+  private void publishLoaded(DirectoryEntry entry, EndpointCommand command) {
     synchronized (this) {
       publish(entry.identity().id(), command.artifact(), true, nanoClock.getAsLong());
     }
+    onChange.run();
   }
 
   private void publish(String endpointId, Artifact artifact, boolean held, long now) {
