Believe peers that the store was available while this instance could not read it

Others tell of a departure for 10 s, and only those that saw it first; who comes back later, or while these are cut off, keeps the endpoint for 2.2 s after its first read.

Why the test missed it: DepartureFleetTest cut instances for 6 s at most. And it checked nothing after some 20 s: the requests that it lets an instance choose never ended, so all endpoints were at their connection limit.

Change: each heartbeat says for how long its sender has read the directory without a failure (ReadContinuity). An instance that could not read for four seconds or more keeps no missing endpoint once a peer has read for the 2.2 s that endpoints have to renew their entries. What was said before the return, or is older than a second, doesn't count; after an outage for all nobody has read that long, so nothing changes there.

Weighed: telling of departures for longer (with 3,100 workers the bytes of a rollout, and never long enough); asking peers (a round trip more).

--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDepartures.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDepartures.java
@@ -42,8 +42,14 @@
 
   private final BoundedMap<EndpointIdentity, Known> departures =
       BoundedMap.evictingLeastRecentlyUsed(MAXIMUM_REMEMBERED);
+  private final ReadContinuity continuity = new ReadContinuity();
   private boolean unannounced;
 
+  /** Returns for how long this instance and its peers have read the directory. */
+  public ReadContinuity continuity() {
+    return continuity;
+  }
+
   /** Records that this instance has seen an entry that says that its endpoint drains. */
   public void observeDraining(DirectoryEntry entry, long nowNanos) {
     record(new Departure(entry.identity(), DRAINING), true, nowNanos);
--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.directory;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,12 +16,19 @@
  * that disappears is removed at once, unless it may have expired while the list could not be read:
  * entries expire while the platform's store is unavailable, and endpoints rewrite them soon after
  * it has recovered. Such an entry is kept for a short time; one that has been seen since the
- * recovery, or that a peer has seen leaving, is not.
+ * recovery, or that a peer has seen leaving, is not. None is kept if a peer has read the list for
+ * that time already, because it was only this instance that could not.
  */
 public final class EndpointDirectory {
   /** Time that endpoints have to renew their entries after the store has recovered. */
   static final long RENEWAL_GRACE_MS = 2_200;
 
+  /**
+   * Time without a read from which on peers are believed; one that could not read either has
+   * noticed it by then.
+   */
+  private static final long MINIMUM_GAP_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   private final EndpointDepartures departures;
   private final Map<String, DirectoryEntry> entries = new HashMap<>();
 
@@ -28,6 +36,11 @@
   private final Set<String> awaited = new HashSet<>();
 
   private boolean storeUnavailable;
+  private long lastReadNanos;
+
+  /** Time between the last two reads with a failed one between them. */
+  private long gapNanos;
+
   private long graceEndMs;
 
   /** Returns an empty directory that records removed entries in {@code departures}. */
@@ -38,6 +51,7 @@
   /** Records that the list could not be read. */
   public void markUnavailable() {
     storeUnavailable = true;
+    departures.continuity().recordFailure();
   }
 
   /**
@@ -51,18 +65,51 @@
     if (storeUnavailable) {
       storeUnavailable = false;
       graceEndMs = nowMs + RENEWAL_GRACE_MS;
+      gapNanos = nowNanos - lastReadNanos;
+      departures.continuity().forgetPeers();
       awaited.addAll(entries.keySet());
     }
+    lastReadNanos = nowNanos;
+    departures.continuity().recordRead(nowNanos);
     Map<String, DirectoryEntry> current = currentEntries(listed, nowNanos);
     awaited.removeAll(current.keySet());
-    if (graceRemainingMs(nowNanos) == 0) {
+    if (graceRemainingMs(nowNanos) == 0 || isRenewalOver()) {
       awaited.clear();
     }
     entries.values().removeIf(entry -> isRemoved(entry, current, nowNanos));
     entries.putAll(current);
+    return entries();
+  }
+
+  /**
+   * Removes the entries that are kept if peers show by now that they are gone. For use between
+   * reads.
+   *
+   * @return whether the entries in effect have changed
+   */
+  public boolean removeKept(long nowNanos) {
+    if (awaited.isEmpty() || !isRenewalOver()) {
+      return false;
+    }
+    List<DirectoryEntry> kept = new ArrayList<>(entries.values());
+    kept.removeIf(entry -> !awaited.contains(entry.identity().id()));
+    kept.forEach(entry -> departures.observeRemoval(entry, nowNanos));
+    awaited.clear();
+    return entries.values().removeAll(kept);
+  }
+
+  /** Returns the entries in effect. */
+  public Collection<DirectoryEntry> entries() {
     return List.copyOf(entries.values());
   }
 
+  /** Returns whether peers say that the time to renew entries was over at the last read. */
+  private boolean isRenewalOver() {
+    long renewalNanos = TimeUnit.MILLISECONDS.toNanos(RENEWAL_GRACE_MS);
+    return gapNanos >= MINIMUM_GAP_NANOS
+        && departures.continuity().peerHasReadSince(lastReadNanos - renewalNanos);
+  }
+
   /** Maps the entries that are not out of date by endpoint id. */
   private Map<String, DirectoryEntry> currentEntries(List<DirectoryEntry> listed, long nowNanos) {
     Map<String, DirectoryEntry> current = new HashMap<>();
--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -27,6 +27,9 @@
   /** Interval of the lease holder while a command or an engine report is pending. */
   private static final long PENDING_INTERVAL_MS = 250;
 
+  /** Interval at which kept entries are compared with what peers say. */
+  private static final long KEPT_CHECK_MS = 100;
+
   private final DirectorySource source;
   private final BooleanSupplier leaseHeld;
   private final BooleanSupplier awaitingEndpoints;
@@ -74,13 +77,26 @@
     try {
       while (!stopped) {
         available = readOnce(available);
-        TimeUnit.MILLISECONDS.sleep(delayMs(System.nanoTime()));
+        waitForNextRead();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
+  /** Waits, and removes kept entries meanwhile if peers show that they are gone. */
+  private void waitForNextRead() throws InterruptedException {
+    long remainingMs = delayMs(System.nanoTime());
+    while (directory.graceRemainingMs(System.nanoTime()) > 0 && remainingMs > KEPT_CHECK_MS) {
+      TimeUnit.MILLISECONDS.sleep(KEPT_CHECK_MS);
+      remainingMs -= KEPT_CHECK_MS;
+      if (directory.removeKept(System.nanoTime())) {
+        listener.accept(directory.entries());
+      }
+    }
+    TimeUnit.MILLISECONDS.sleep(remainingMs);
+  }
+
   /** Reads the directory once; returns whether it was available. */
   private boolean readOnce(boolean wasAvailable) {
     try {
--- a/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
@@ -132,6 +132,7 @@
       heartbeat.addAllDrainingEndpoints(endpoints.draining());
     }
     heartbeat.setSurrenderedEpoch(lease.surrenderedEpoch());
+    heartbeat.setDirectoryReadMs(departures.continuity().continuousMs(nanoClock.getAsLong()));
     for (Departure departure : departures.announcements(nanoClock.getAsLong())) {
       heartbeat
           .addDepartedEndpointsBuilder()
@@ -204,6 +205,7 @@
   }
 
   private void applyDepartures(Heartbeat heartbeat, long now) {
+    departures.continuity().learn(heartbeat.getDirectoryReadMs(), now);
     for (String draining : heartbeat.getDrainingEndpointsList()) {
       departures.learn(
           new Departure(EndpointIdentity.parse(draining), EndpointDepartures.DRAINING), now);
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -15,6 +15,7 @@
  */
 final class HeartbeatExchange {
   private static final Logger LOG = Logs.of("link");
+  private static final long MAXIMUM_READ_STATE_AGE_MS = 1_000;
 
   private final String self;
   private final PeerState state;
@@ -96,7 +97,7 @@
     } else if (origin.equals(leaseHolder)) {
       leaseHolder = "";
     }
-    listener.heartbeatReceived(origin, heartbeat);
+    listener.heartbeatReceived(origin, withoutOutdated(heartbeat, ageMs));
     boolean urgent =
         HeartbeatRelay.mattersAtOnce(heartbeat)
             || isWaiting(heartbeat)
@@ -106,6 +107,13 @@
     }
   }
 
+  /** Removes what an instance said of its last reads if it may have failed to read since. */
+  private static Heartbeat withoutOutdated(Heartbeat heartbeat, long ageMs) {
+    return ageMs <= MAXIMUM_READ_STATE_AGE_MS
+        ? heartbeat
+        : heartbeat.toBuilder().clearDirectoryReadMs().build();
+  }
+
   private static boolean isWaiting(Heartbeat heartbeat) {
     return heartbeat.getUsesList().stream().anyMatch(use -> use.getWaiting() > 0);
   }
--- a/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
+++ b/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
@@ -10,7 +10,8 @@
 import org.magnoliavale.internal.dispatch.TestEntries;
 
 class EndpointDirectoryTest {
-  private final EndpointDirectory directory = new EndpointDirectory(new EndpointDepartures());
+  private final EndpointDepartures departures = new EndpointDepartures();
+  private final EndpointDirectory directory = new EndpointDirectory(departures);
   private long nowMs = 100_000;
 
   private Collection<DirectoryEntry> read(DirectoryEntry... listed) {
@@ -122,4 +123,55 @@
       assertThat(directory.graceRemainingMs(nowNanos())).isZero();
     }
   }
+
+  @Nested
+  class AfterALongTimeWithoutReads {
+    private void cutOff(long milliseconds) {
+      read(TestEntries.entry("a", 4));
+      nowMs += 1_200;
+      directory.markUnavailable();
+      nowMs += milliseconds;
+      assertAccepts(read());
+    }
+
+    private void peerSaysThatItHasReadFor(long milliseconds) {
+      departures.continuity().learn(milliseconds, nowNanos());
+    }
+
+    @Test
+    void endpointIsGoneOnceAPeerSaysThatItHasReadAllTheWhile() {
+      cutOff(8_000);
+      assertThat(directory.removeKept(nowNanos())).isFalse();
+      peerSaysThatItHasReadFor(60_000);
+      assertThat(directory.removeKept(nowNanos())).isTrue();
+      assertThat(directory.entries()).isEmpty();
+      assertThat(read()).isEmpty();
+    }
+
+    @Test
+    void endpointIsKeptIfPeersCouldNotReadEither() {
+      cutOff(8_000);
+      peerSaysThatItHasReadFor(300);
+      assertThat(directory.removeKept(nowNanos())).isFalse();
+      assertAccepts(read());
+    }
+
+    @Test
+    void endpointIsKeptThoughAPeerSaidBeforeThatItHadReadAllTheWhile() {
+      read(TestEntries.entry("a", 4));
+      directory.markUnavailable();
+      peerSaysThatItHasReadFor(60_000);
+      nowMs += 8_000;
+      assertAccepts(read());
+      assertThat(directory.removeKept(nowNanos())).isFalse();
+    }
+
+    @Test
+    void endpointIsKeptAfterATimeInWhichAPeerMayNotHaveNoticedAnOutage() {
+      cutOff(1_500);
+      peerSaysThatItHasReadFor(60_000);
+      assertThat(directory.removeKept(nowNanos())).isFalse();
+      assertAccepts(read());
+    }
+  }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/DepartureFleetTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/DepartureFleetTest.java
@@ -3,9 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.magnoliavale.internal.Seeds;
@@ -14,8 +17,10 @@
 
 /**
  * Eight instances on a virtual clock, of which some are cut from the store, or from their peers
- * too, again and again, while endpoints leave with and without a notice. An instance that has not
- * been cut for 3 s must not choose an endpoint that left more than 2 s ago.
+ * too, again and again, while endpoints leave with and without a notice; at times the store is down
+ * for all, and entries expire. An instance that has not been cut for 3 s must not choose an
+ * endpoint that left more than 2 s ago, and none may forget the endpoints whose entries have
+ * expired.
  *
  * <p>{@code -Dseeds=N} plays N seeds instead of the ones for CI.
  */
@@ -24,15 +29,21 @@
   private static final int ENDPOINTS = 10;
   private static final int START_MS = 100_000;
   private static final int STEP_MS = 20;
-  private static final int END_MS = 40_000;
+  private static final int END_MS = 60_000;
   private static final int READ_INTERVAL_MS = 1_200;
   private static final int READ_TIMEOUT_MS = 700;
   private static final int HEARTBEAT_INTERVAL_MS = 500;
   private static final int ENTRY_INTERVAL_MS = 1_200;
   private static final int RECONNECT_MS = 1_000;
-  private static final int LONGEST_CUT_MS = 6_000;
+  private static final int LONGEST_CUT_MS = 14_000;
   private static final int DRAIN_MS = 2_000;
+  private static final int CHECK_INTERVAL_MS = 200;
   private static final int STABLE_MS = 3_000;
+  private static final int SHORTEST_OUTAGE_MS = 1_000;
+  private static final int LONGEST_OUTAGE_MS = 9_000;
+  private static final int ENTRY_EXPIRY_MS = 3 * ENTRY_INTERVAL_MS;
+  private static final int LONGEST_RENEWAL_MS = 2_000;
+  private static final double OUTAGE_PER_STEP = 0.0005;
   private static final double CUT_PER_STEP = 0.004;
   private static final double LEAVE_PER_STEP = 0.008;
   private static final double UNANNOUNCED_SHARE = 0.3;
@@ -43,6 +54,7 @@
     private int nextReadMs;
     private int cutUntilMs = NEVER;
     private boolean cutFromPeers;
+    private final Set<String> seen = new HashSet<>();
 
     Instance(int number) {
       peer = new FleetPeer("i" + number, () -> TimeUnit.MILLISECONDS.toNanos(START_MS + nowMs));
@@ -59,14 +71,19 @@
 
     void read() {
       if (nowMs < nextReadMs) {
+        peer.awaitNextRead();
         return;
       }
-      if (isCut()) {
+      if (isCut() || isStoreDown()) {
         peer.failRead();
         nextReadMs = nowMs + READ_TIMEOUT_MS + READ_INTERVAL_MS;
         return;
       }
-      boolean news = peer.read(entries());
+      DirectoryEntry[] entries = entries();
+      for (DirectoryEntry entry : entries) {
+        seen.add(entry.identity().id());
+      }
+      boolean news = peer.read(entries);
       long graceMs = peer.graceRemainingMs();
       nextReadMs =
           nowMs + (int) (graceMs == 0 ? READ_INTERVAL_MS : Math.min(READ_INTERVAL_MS, graceMs));
@@ -75,6 +92,14 @@
       }
     }
 
+    Set<String> seenAndLive() {
+      return endpoints.stream()
+          .filter(endpoint -> nowMs < endpoint.leftMs)
+          .map(endpoint -> endpoint.id)
+          .filter(seen::contains)
+          .collect(Collectors.toSet());
+    }
+
     void tellAll() {
       for (Instance other : instances) {
         if (other != this && hears() && other.hears()) {
@@ -88,6 +113,7 @@
     private final int startedMs;
     private final String id;
     private int leftMs = Integer.MAX_VALUE;
+    private int renewedMs = NEVER;
     private boolean announced;
 
     Endpoint(int number, int startedMs) {
@@ -100,6 +126,7 @@
   private final List<Endpoint> endpoints = new ArrayList<>();
   private Random random;
   private int nowMs;
+  private int outageEndMs = NEVER;
 
   static List<Integer> seeds() {
     return Seeds.upTo(50);
@@ -117,6 +144,7 @@
     }
     for (nowMs = 0; nowMs < END_MS; nowMs += STEP_MS) {
       cutSomebody();
+      stopStore();
       letSomebodyLeave();
       instances.forEach(Instance::read);
       if (nowMs % HEARTBEAT_INTERVAL_MS == 0) {
@@ -134,8 +162,25 @@
     }
   }
 
+  private boolean isStoreDown() {
+    return nowMs < outageEndMs;
+  }
+
+  private void stopStore() {
+    if (isStoreDown() || random.nextDouble() >= OUTAGE_PER_STEP) {
+      return;
+    }
+    int durationMs = random.nextInt(SHORTEST_OUTAGE_MS, LONGEST_OUTAGE_MS);
+    outageEndMs = nowMs + durationMs;
+    if (durationMs >= ENTRY_EXPIRY_MS) {
+      endpoints.forEach(
+          endpoint -> endpoint.renewedMs = outageEndMs + random.nextInt(LONGEST_RENEWAL_MS));
+    }
+  }
+
   private void letSomebodyLeave() {
-    if (random.nextDouble() >= LEAVE_PER_STEP) {
+    boolean storeStable = nowMs >= outageEndMs + STABLE_MS;
+    if (!storeStable || random.nextDouble() >= LEAVE_PER_STEP) {
       return;
     }
     Endpoint endpoint = endpoints.get(endpoints.size() - 1 - random.nextInt(ENDPOINTS));
@@ -150,6 +195,9 @@
     List<DirectoryEntry> entries = new ArrayList<>();
     for (Endpoint endpoint : endpoints) {
       long heartbeat = 1 + (nowMs - endpoint.startedMs) / ENTRY_INTERVAL_MS;
+      if (nowMs < endpoint.renewedMs) {
+        continue;
+      }
       if (nowMs < endpoint.leftMs) {
         entries.add(TestEntries.entry(endpoint.id, heartbeat, "m"));
       } else if (endpoint.announced && nowMs < endpoint.leftMs + 2 * DRAIN_MS) {
@@ -162,12 +210,21 @@
   private void check() {
     List<String> left =
         endpoints.stream()
+            .filter(endpoint -> endpoint.leftMs >= outageEndMs)
             .filter(endpoint -> endpoint.leftMs < nowMs - DRAIN_MS)
             .map(endpoint -> endpoint.id)
             .toList();
+    if (nowMs % CHECK_INTERVAL_MS != 0) {
+      return;
+    }
     for (Instance instance : instances) {
-      if (nowMs >= instance.cutUntilMs + STABLE_MS && nowMs % 200 == 0) {
-        assertThat(instance.peer.endpointsInUse()).as("at %d ms", nowMs).noneMatch(left::contains);
+      Set<String> used = instance.peer.endpointsInUse();
+      Set<String> live = instance.seenAndLive();
+      if (!live.isEmpty()) {
+        assertThat(used).as("at %d ms", nowMs).anyMatch(live::contains);
+      }
+      if (nowMs >= Math.max(instance.cutUntilMs, outageEndMs) + STABLE_MS) {
+        assertThat(used).as("at %d ms", nowMs).noneMatch(left::contains);
       }
     }
   }
--- a/src/test/java/org/magnoliavale/internal/gateway/FleetPeer.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/FleetPeer.java
@@ -13,7 +13,9 @@
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointDirectory;
+import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.dispatch.AttemptOutcome;
 import org.magnoliavale.internal.dispatch.EndpointChoice;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
@@ -69,6 +71,14 @@
     return departures.takeNews();
   }
 
+  /** Does what happens between two reads. */
+  void awaitNextRead() {
+    long now = nanoClock.getAsLong();
+    if (directory.removeKept(now)) {
+      pool.update(directory.entries(), now);
+    }
+  }
+
   void failRead() {
     directory.markUnavailable();
   }
@@ -90,7 +100,9 @@
     for (int i = 0; i < CHOICES; i++) {
       if (pool.choose(criteria, LIMIT, nanoClock.getAsLong())
           instanceof EndpointChoice.Selected selected) {
-        chosen.add(selected.endpoint().identity().id());
+        EndpointIdentity endpoint = selected.endpoint().identity();
+        chosen.add(endpoint.id());
+        pool.attemptEnded(endpoint, AttemptOutcome.INCONCLUSIVE, nanoClock.getAsLong());
       }
     }
     return chosen;
