Test that relayed heartbeats say who reads the directory only while that is recent

HeartbeatExchangeTest: what a relayed heartbeat says of its sender's reads is dropped after a second, and with 95 instances each hears some that are as recent.

--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
@@ -55,6 +55,14 @@
       }
     }
 
+    @Test
+    void tellsEveryInstanceThatSomePeersReadTheDirectory() {
+      links.run(SETTLING_MS);
+      for (SimulatedLinks.Instance instance : links.all()) {
+        assertThat(instance.knownReaders()).isNotEmpty();
+      }
+    }
+
     @Test
     void bringsTheDemandOfAllInstancesToTheLeaseHolder() {
       SimulatedLinks.Instance holder = follower();
@@ -108,22 +116,61 @@
   }
 
   @Nested
-  class MalformedHeartbeats {
-    private final List<String> applied = new ArrayList<>();
+  class RelayedReadState {
+    private final List<Heartbeat> applied = new ArrayList<>();
     private final HeartbeatExchange exchange =
-        new HeartbeatExchange("self", new Silent(), new Failing(), () -> 1, 1, () -> {});
+        new HeartbeatExchange("self", new Silent(), new Recording(), () -> 1, 1, () -> {});
 
-    private static final class Silent implements PeerState {
+    private final class Recording implements PeerListener {
       @Override
-      public Heartbeat heartbeat() {
-        return Heartbeat.getDefaultInstance();
+      public void heartbeatReceived(String instance, Heartbeat heartbeat) {
+        applied.add(heartbeat);
       }
 
       @Override
-      public DocumentText document() {
-        return new DocumentText(0, List.of());
-      }
+      public void documentReceived(DocumentText document) {}
+    }
+
+    private void relay(int ageMs) {
+      RelayedHeartbeat relayed =
+          RelayedHeartbeat.newBuilder()
+              .setInstance("a")
+              .setAgeMs(ageMs)
+              .setHeartbeat(Heartbeat.newBuilder().setNumber(1).setDirectoryReadMs(9_000))
+              .build();
+      exchange.relayed("relay", List.of(relayed));
+    }
+
+    @Test
+    void isAppliedWhileItIsRecent() {
+      relay(1_000);
+      assertThat(applied).singleElement().returns(9_000L, Heartbeat::getDirectoryReadMs);
+    }
+
+    @Test
+    void isDroppedOnceTheSenderMayHaveFailedToReadSince() {
+      relay(1_001);
+      assertThat(applied).singleElement().returns(0L, Heartbeat::getDirectoryReadMs);
+    }
+  }
+
+  private static final class Silent implements PeerState {
+    @Override
+    public Heartbeat heartbeat() {
+      return Heartbeat.getDefaultInstance();
+    }
+
+    @Override
+    public DocumentText document() {
+      return new DocumentText(0, List.of());
     }
+  }
+
+  @Nested
+  class MalformedHeartbeats {
+    private final List<String> applied = new ArrayList<>();
+    private final HeartbeatExchange exchange =
+        new HeartbeatExchange("self", new Silent(), new Failing(), () -> 1, 1, () -> {});
 
     private final class Failing implements PeerListener {
       @Override
--- a/src/test/java/org/magnoliavale/internal/link/SimulatedLinks.java
+++ b/src/test/java/org/magnoliavale/internal/link/SimulatedLinks.java
@@ -44,7 +44,8 @@
 
     @Override
     public Heartbeat heartbeat() {
-      Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setGivesOrders(leaseHolder);
+      Heartbeat.Builder heartbeat =
+          Heartbeat.newBuilder().setGivesOrders(leaseHolder).setDirectoryReadMs(nowMs);
       heartbeat.addUsesBuilder().setArtifact("model-of-" + entry.id()).setRequestsPerSecond(1);
       return heartbeat.build();
     }
@@ -99,6 +100,18 @@
       return known;
     }
 
+    /** Returns the instances that this one knows to be reading the directory. */
+    Set<String> knownReaders() {
+      Set<String> readers = new HashSet<>();
+      heard.forEach(
+          (instance, heartbeat) -> {
+            if (heartbeat.getDirectoryReadMs() > 0) {
+              readers.add(instance);
+            }
+          });
+      return readers;
+    }
+
     long messages() {
       return messages;
     }
