Go on polling the directory when the removal of kept endpoints fails

Test: PollersTest.exceptionOnTheRemovalOfKeptEndpointsIsNotPassedOn, red without the guard, green with it. The poller takes its clock from outside for this.

--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.DirectoryReadResult;
@@ -43,6 +44,7 @@
   private final BooleanSupplier leaseHeld;
   private final BooleanSupplier awaitingEndpoints;
   private final Consumer<Collection<DirectoryEntry>> listener;
+  private final LongSupplier nanoClock;
   private final EndpointDirectory directory;
   private volatile boolean loaded;
   private volatile boolean stopped;
@@ -53,19 +55,21 @@
    * @param departures records the endpoints that leave the directory
    * @param leaseHeld whether this instance holds the command lease
    * @param awaitingEndpoints whether the holder waits for an effect of a command
-   * @param listener receives the entries after each successful read
+   * @param listener receives the entries after each successful read, and when kept ones are removed
    */
   DirectoryPoller(
       DirectorySource source,
       EndpointDepartures departures,
       BooleanSupplier leaseHeld,
       BooleanSupplier awaitingEndpoints,
-      Consumer<Collection<DirectoryEntry>> listener) {
+      Consumer<Collection<DirectoryEntry>> listener,
+      LongSupplier nanoClock) {
     this.source = source;
     this.directory = new EndpointDirectory(departures);
     this.leaseHeld = leaseHeld;
     this.awaitingEndpoints = awaitingEndpoints;
     this.listener = listener;
+    this.nanoClock = nanoClock;
   }
 
   void start() {
@@ -85,12 +89,12 @@
     boolean available = true;
     try {
       while (!stopped) {
-        long startNanos = System.nanoTime();
+        long startNanos = nanoClock.getAsLong();
         available = readOnce(available);
         if (available) {
           waitForNextRead();
         } else {
-          TimeUnit.MILLISECONDS.sleep(failureDelayMs(startNanos, System.nanoTime()));
+          TimeUnit.MILLISECONDS.sleep(failureDelayMs(startNanos, nanoClock.getAsLong()));
         }
       }
     } catch (InterruptedException e) {
@@ -106,19 +110,28 @@
 
   /** Waits, and removes kept entries meanwhile if peers show that they are gone. */
   private void waitForNextRead() throws InterruptedException {
-    long remainingMs = delayMs(System.nanoTime());
-    while (directory.graceRemainingMs(System.nanoTime()) > 0 && remainingMs > KEPT_CHECK_MS) {
+    long remainingMs = delayMs(nanoClock.getAsLong());
+    while (directory.graceRemainingMs(nanoClock.getAsLong()) > 0 && remainingMs > KEPT_CHECK_MS) {
       TimeUnit.MILLISECONDS.sleep(KEPT_CHECK_MS);
       remainingMs -= KEPT_CHECK_MS;
-      if (directory.removeKept(System.nanoTime())) {
+      removeKept();
+    }
+    TimeUnit.MILLISECONDS.sleep(remainingMs);
+  }
+
+  /** Removes the kept entries that peers show to be gone. */
+  void removeKept() {
+    try {
+      if (directory.removeKept(nanoClock.getAsLong())) {
         listener.accept(directory.entries());
       }
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "Kept endpoints could not be removed.");
     }
-    TimeUnit.MILLISECONDS.sleep(remainingMs);
   }
 
   /** Reads the directory once; returns whether it was available. */
-  private boolean readOnce(boolean wasAvailable) {
+  boolean readOnce(boolean wasAvailable) {
     try {
       return applyRead(wasAvailable);
     } catch (RuntimeException | Error e) {
@@ -130,7 +143,7 @@
   private boolean applyRead(boolean wasAvailable) {
     return switch (source.read()) {
       case DirectoryReadResult.Entries(List<DirectoryEntry> entries) -> {
-        listener.accept(directory.update(entries, System.nanoTime()));
+        listener.accept(directory.update(entries, nanoClock.getAsLong()));
         loaded = true;
         if (!wasAvailable) {
           LOG.infof("Endpoint directory available again. count=%d", entries.size());
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -147,7 +147,8 @@
             departures,
             lease::isHeld,
             residency::isAwaitingEndpoints,
-            this::directoryChanged);
+            this::directoryChanged,
+            System::nanoTime);
     links =
         new PeerLinks(
             settings.peers(),
--- a/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
@@ -1,15 +1,24 @@
 package org.magnoliavale.internal.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
+import static org.assertj.core.api.InstanceOfAssertFactories.COLLECTION;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.DirectoryReadResult;
 import org.magnoliavale.internal.directory.EndpointDepartures;
+import org.magnoliavale.internal.dispatch.TestEntries;
 import org.magnoliavale.internal.route.ConfigurationPollResult;
 
 /** An unexpected exception while reading must not end the polling, which nobody would notice. */
@@ -31,7 +40,8 @@
             new EndpointDepartures(),
             () -> true,
             () -> true,
-            entries -> read.countDown());
+            entries -> read.countDown(),
+            System::nanoTime);
     poller.start();
     try {
       assertThat(read.await(PATIENCE_S, TimeUnit.SECONDS)).isTrue();
@@ -40,6 +50,39 @@
     }
   }
 
+  @Test
+  void exceptionOnTheRemovalOfKeptEndpointsIsNotPassedOn() {
+    AtomicLong nowNanos = new AtomicLong(TimeUnit.SECONDS.toNanos(100));
+    Deque<DirectoryReadResult> results =
+        new ArrayDeque<>(
+            List.of(
+                new DirectoryReadResult.Entries(List.of(TestEntries.entry("a", 4))),
+                new DirectoryReadResult.Unavailable("expected by the test"),
+                new DirectoryReadResult.Entries(List.of())));
+    List<Collection<DirectoryEntry>> applied = new ArrayList<>();
+    EndpointDepartures departures = new EndpointDepartures();
+    DirectoryPoller poller =
+        new DirectoryPoller(
+            results::remove,
+            departures,
+            () -> true,
+            () -> true,
+            entries -> {
+              applied.add(entries);
+              if (entries.isEmpty()) {
+                throw new IllegalStateException("expected by the test");
+              }
+            },
+            nowNanos::get);
+    poller.readOnce(true);
+    poller.readOnce(true);
+    nowNanos.addAndGet(TimeUnit.SECONDS.toNanos(8));
+    poller.readOnce(false);
+    departures.continuity().learn(60_000, nowNanos.get());
+    assertThatCode(poller::removeKept).doesNotThrowAnyException();
+    assertThat(applied).hasSize(3).last().asInstanceOf(COLLECTION).isEmpty();
+  }
+
   @Test
   void directoryIsReadAgainSoonAfterAFailedReadHoweverLongThatTook() {
     assertThat(DirectoryPoller.failureDelayMs(0, 0)).isEqualTo(800);
