--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import org.magnoliavale.internal.logging.Logs;
 
 /**
  * Merges successive reads of the list of endpoints. Not thread-safe.
@@ -20,6 +22,8 @@
  * that time already, because it was only this instance that could not.
  */
 public final class EndpointDirectory {
+  private static final Logger LOG = Logs.of("directory");
+
   /** Time that endpoints have to renew their entries after the store has recovered. */
   static final long RENEWAL_GRACE_MS = 2_200;
 
@@ -74,7 +78,7 @@
     Map<String, DirectoryEntry> current = currentEntries(listed, nowNanos);
     awaited.removeAll(current.keySet());
     if (graceRemainingMs(nowNanos) == 0 || isRenewalOver()) {
-      awaited.clear();
+      stopWaiting();
     }
     entries.values().removeIf(entry -> isRemoved(entry, current, nowNanos));
     entries.putAll(current);
@@ -94,10 +98,19 @@
     List<DirectoryEntry> kept = new ArrayList<>(entries.values());
     kept.removeIf(entry -> !awaited.contains(entry.identity().id()));
     kept.forEach(entry -> departures.observeRemoval(entry, nowNanos));
-    awaited.clear();
+    stopWaiting();
     return entries.values().removeAll(kept);
   }
 
+  private void stopWaiting() {
+    if (!awaited.isEmpty()) {
+      LOG.infof(
+          "Missing endpoints count as gone. count=%d gap-ms=%d peer-has-read=%s",
+          awaited.size(), TimeUnit.NANOSECONDS.toMillis(gapNanos), isRenewalOver());
+      awaited.clear();
+    }
+  }
+
   /** Returns the entries in effect. */
   public Collection<DirectoryEntry> entries() {
     return List.copyOf(entries.values());
