Review: one request stops all time limits of an instance

X-Time-Remaining beyond 292 years makes the deadline overflow in each tick, which ends every tick before it reaches the other calls.

--- a/review/standin/Run.java
+++ b/review/standin/Run.java
@@ -23,6 +23,7 @@
           case "pipelined" -> Pipelined::run;
           case "settings-change" -> SettingsChange::run;
           case "stop-late" -> StopLate::run;
+          case "no-time-limit" -> NoTimeLimit::run;
           case "path" -> PathChange::run;
           default -> throw new IllegalArgumentException(arguments[0]);
         };
