--- a/review/standin/Run.java
+++ b/review/standin/Run.java
@@ -24,6 +24,7 @@
           case "settings-change" -> SettingsChange::run;
           case "stop-late" -> StopLate::run;
           case "no-time-limit" -> NoTimeLimit::run;
+          case "silence" -> SilentStreams::run;
           case "path" -> PathChange::run;
           default -> throw new IllegalArgumentException(arguments[0]);
         };
