--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -64,18 +64,6 @@
   private static final int MAXIMUM_PROBES = 3;
   private static final long PROBE_INTERVAL_MS = 100;
 
-  /** Minimum drain time, so that the load balancer notices that the instance is not ready. */
-  private static final Duration MINIMUM_DRAIN_TIME = Duration.ofMillis(3_500);
-
-  /** Part of the grace period that is reserved for process termination. */
-  private static final Duration TERMINATION_RESERVE = Duration.ofMillis(400);
-
-  /** Time after the stop signal at which new streams are rejected; they might not end in time. */
-  private static final Duration STREAM_ACCEPT_PERIOD = Duration.ofMillis(2_900);
-
-  /** Time after the stop signal at which all other new calls are rejected. */
-  private static final Duration CALL_ACCEPT_PERIOD = Duration.ofMillis(5_500);
-
   private static final Duration LEASE_CLOCK_DRIFT = Duration.ofMillis(200);
 
   /** Maximum time for which this instance acts as lease holder after it sends a renewal. */
@@ -337,13 +325,9 @@
     lease.release();
     links.sendHeartbeatsNow();
     Thread.ofVirtual().name("leave").start(registry::deregister);
-    awaitDrain(startNanos, STREAM_ACCEPT_PERIOD);
-    calls.rejectStreams();
-    awaitDrain(startNanos, CALL_ACCEPT_PERIOD);
-    // Once the port is closed, a refused connection tells callers that no request was read.
-    servers.stopAcceptingCallers();
-    calls.rejectAll();
-    awaitDrain(startNanos, settings.gracePeriod().minus(TERMINATION_RESERVE));
+    new GracefulDrain(
+            calls, servers::stopAcceptingCallers, System::nanoTime, GatewayInstance::sleep)
+        .run(startNanos, settings.gracePeriod());
     LOG.infof("Stopped. calls=%d", calls.size());
     stopPolling();
   }
@@ -355,13 +339,6 @@
     ticks.stop();
   }
 
-  /** Waits until the instance is drained, for at most {@code limit} after the stop began. */
-  private void awaitDrain(long startNanos, Duration limit) {
-    while (!isDrained(startNanos) && System.nanoTime() - startNanos < limit.toNanos()) {
-      sleep(TICK_INTERVAL_MS);
-    }
-  }
-
   /** Stops polling, the links, the servers and the clients at once, without draining calls. */
   public void halt() {
     stopPolling();
@@ -371,10 +348,6 @@
     HttpClients.stop(controlClient);
   }
 
-  private boolean isDrained(long startNanos) {
-    return System.nanoTime() - startNanos >= MINIMUM_DRAIN_TIME.toNanos() && calls.size() == 0;
-  }
-
   private static void sleep(long milliseconds) {
     try {
       TimeUnit.MILLISECONDS.sleep(milliseconds);
