Reload the settings on SIGHUP instead of ending the process

Cause: no code handles the signal, and the Java runtime takes SIGHUP, like SIGTERM, for a request to stop: it runs the shutdown hook, which stops the instance. The settings file was read at the start only.

Ruled out: a stop by the program itself; it names no signal. With a handler for this signal alone the process goes on.

Why it works: the signal is handled before anything else is done, so the runtime's own handler never runs. A missing or invalid file changes nothing.

Related paths: `serve` had the same fault. SIGINT and SIGTERM still stop; commands that end by themselves still end.

--- a/src/main/java/org/magnoliavale/internal/command/GatewayCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/GatewayCommand.java
@@ -2,7 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import java.util.concurrent.CountDownLatch;
+import java.util.Set;
 import org.magnoliavale.internal.gateway.GatewayInstance;
 import org.magnoliavale.internal.gateway.GatewaySettings;
 import org.magnoliavale.internal.gateway.GatewaySettingsReader;
@@ -17,19 +17,40 @@
       description = "Settings file; defaults to the one named by the environment variable")
   private String settingsFile = System.getenv(PlatformAdapterFactory.SETTINGS_VARIABLE);
 
+  /** Keys that a running instance takes over from a changed file. */
+  private static final Set<String> APPLICABLE_KEYS =
+      Set.of(
+          "callers.grace-period-s",
+          "repeats.ratio",
+          "repeats.reserve",
+          "repeats.window-s",
+          "log.level");
+
   @Override
   public int run() throws InterruptedException {
     if (settingsFile == null) {
       System.err.println("magnoliavale: no settings file; use --settings");
       return USAGE;
     }
-    GatewaySettings settings =
-        GatewaySettingsReader.read(settingsFile, InputFiles.read(settingsFile));
+    ReloadSignal reloadSignal = ReloadSignal.listen();
+    String text = InputFiles.read(settingsFile);
+    GatewaySettings settings = GatewaySettingsReader.read(settingsFile, text);
     Logs.install(settings.logLevel(), System.out);
     GatewayInstance instance = GatewayInstance.create(settings, PlatformAdapterFactory::create);
     instance.start();
     ShutdownHook.install(instance);
-    new CountDownLatch(1).await();
+    new SettingsReload(
+            settingsFile,
+            text,
+            GatewaySettingsReader.schema(),
+            APPLICABLE_KEYS,
+            newText -> apply(GatewaySettingsReader.read(settingsFile, newText), instance))
+        .runAtEach(reloadSignal);
     return SUCCESS;
   }
+
+  private static void apply(GatewaySettings settings, GatewayInstance instance) {
+    Logs.setLevel(settings.logLevel());
+    instance.reload(settings);
+  }
 }
--- a/src/main/java/org/magnoliavale/internal/command/ServeCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/ServeCommand.java
@@ -2,7 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import java.util.concurrent.CountDownLatch;
+import java.util.Set;
 import org.magnoliavale.Magnoliavale;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.settings.Settings;
@@ -19,8 +19,12 @@
       description = "earliest-finish, round-robin, least-reported or least-in-flight")
   private String routingPolicy = "earliest-finish";
 
+  /** Keys that a running instance takes over from a changed file. */
+  private static final Set<String> APPLICABLE_KEYS = Set.of("log.level");
+
   @Override
   public int run() throws InterruptedException {
+    ReloadSignal reloadSignal = ReloadSignal.listen();
     String text = InputFiles.read(settingsFile);
     Settings settings = SettingsReader.read(settingsFile, text);
     Logs.install(settings.logLevel());
@@ -28,7 +32,13 @@
         Magnoliavale.builder().settings(settingsFile, text).routingPolicy(routingPolicy).build();
     instance.start();
     ShutdownHook.install(instance);
-    new CountDownLatch(1).await();
+    new SettingsReload(
+            settingsFile,
+            text,
+            SettingsReader.schema(),
+            APPLICABLE_KEYS,
+            newText -> Logs.setLevel(SettingsReader.read(settingsFile, newText).logLevel()))
+        .runAtEach(reloadSignal);
     return SUCCESS;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/dispatch/FleetRetryBudget.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/FleetRetryBudget.java
@@ -30,9 +30,9 @@
     private final Deque<Long> retries = new ArrayDeque<>();
   }
 
-  private final double ratio;
-  private final double reserve;
-  private final long windowNanos;
+  private double ratio;
+  private double reserve;
+  private long windowNanos;
   private final IntSupplier instances;
   private final Map<ServiceId, Window> windows = new HashMap<>();
 
@@ -54,6 +54,13 @@
     this.startNanos = startNanos;
   }
 
+  /** Changes the limits; requests and retries that were recorded still count. */
+  public synchronized void updateLimits(double newRatio, double newReserve, long newWindowNanos) {
+    ratio = newRatio;
+    reserve = newReserve;
+    windowNanos = newWindowNanos;
+  }
+
   /** Records a request to a service. */
   public synchronized void recordRequest(ServiceId service, long nowNanos) {
     window(service, nowNanos).requests.addLast(nowNanos);
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -73,6 +73,7 @@
   private static final Duration PEER_EXPIRY = Duration.ofSeconds(5);
 
   private final GatewaySettings settings;
+  private final FleetRetryBudget retryBudget;
   private final PlatformAdapters adapters;
   private final HttpClient controlClient;
   private final HttpClient endpointClient;
@@ -95,10 +96,13 @@
       new TickLoop(
           "tick", TICK_INTERVAL_MS, IDLE_TICK_INTERVAL_MS, this::needsFrequentTicks, this::tick);
   private final DelayingExecutor commandExecutor = DelayingExecutor.onVirtualThreads();
+  private volatile Duration gracePeriod;
   private volatile boolean stopping;
 
   private GatewayInstance(GatewaySettings settings, PlatformAdapters.Factory factory) {
     this.settings = settings;
+    gracePeriod = settings.gracePeriod();
+    retryBudget = createRetryBudget();
     String incarnation = settings.instanceId() + "/" + UUID.randomUUID().toString().substring(0, 8);
     controlClient =
         transport.createClient(
@@ -147,14 +151,7 @@
             metrics.counter("link_frames_rejected"));
     peerState.initialize(
         lease, residency.changeLog(), calls::endpointsChanged, this::onDemandChanged);
-    servers =
-        new GatewayServers(
-            settings,
-            transport,
-            new GatewayHandler(
-                calls, adapters.protocol(), this::maximumBodyBytes, () -> stopping, ticks::wake),
-            new ReadinessHandler(this::isReady),
-            metrics);
+    servers = createServers();
     registerMetrics();
   }
 
@@ -163,12 +160,22 @@
     return new GatewayInstance(settings, factory);
   }
 
+  private GatewayServers createServers() {
+    return new GatewayServers(
+        settings,
+        transport,
+        new GatewayHandler(
+            calls, adapters.protocol(), this::maximumBodyBytes, () -> stopping, ticks::wake),
+        new ReadinessHandler(this::isReady),
+        metrics);
+  }
+
   private CallContext createCallContext(ArtifactDemand demand) {
     return new CallContext(
         adapters.protocol(),
         new JettyEndpointConnector(endpointClient),
         endpoints,
-        createRetryBudget(),
+        retryBudget,
         demand,
         crashDetector,
         configuration::routes,
@@ -303,6 +310,13 @@
     calls.endpointsChanged();
   }
 
+  /** Takes over the grace period and the limits of the retry budget from changed settings. */
+  public void reload(GatewaySettings changed) {
+    gracePeriod = changed.gracePeriod();
+    retryBudget.updateLimits(
+        changed.retryRatio(), changed.retryReserve(), changed.retryWindow().toNanos());
+  }
+
   private boolean needsFrequentTicks() {
     return calls.size() > 0 || lease.isHeld();
   }
@@ -327,7 +341,7 @@
     Thread.ofVirtual().name("leave").start(registry::deregister);
     new GracefulDrain(
             calls, servers::stopAcceptingCallers, System::nanoTime, GatewayInstance::sleep)
-        .run(startNanos, settings.gracePeriod());
+        .run(startNanos, gracePeriod);
     LOG.infof("Stopped. calls=%d", calls.size());
     stopPolling();
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GracefulDrain.java
@@ -7,8 +7,8 @@
 
 /**
  * Drains an instance after its stop signal: the load balancer is given time to notice, calls in
- * progress finish, and new calls are rejected in phases. It ends when nothing is in progress, at the
- * latest shortly before the process is killed.
+ * progress finish, and new calls are rejected in phases. It ends when nothing is in progress, at
+ * the latest shortly before the process is killed.
  */
 final class GracefulDrain {
   /** Minimum drain time, so that the load balancer notices that the instance is not ready. */
--- a/src/main/java/org/magnoliavale/internal/ini/Schema.java
+++ b/src/main/java/org/magnoliavale/internal/ini/Schema.java
@@ -70,6 +70,25 @@
     return byKind;
   }
 
+  /**
+   * Returns the keys whose values or defaults differ between two texts as {@link #read} takes them,
+   * each as {@code section.key}, in the order of the schema. The list may be changed.
+   */
+  public List<String> changedKeys(String file, String before, String after) {
+    Map<String, CheckedSection> old = read(file, before, new ArrayList<>());
+    Map<String, CheckedSection> current = read(file, after, new ArrayList<>());
+    List<String> changed = new ArrayList<>();
+    for (SectionDefinition section : sections) {
+      for (KeyDefinition key : section.keys()) {
+        String oldValue = old.get(section.kind()).text(key.name());
+        if (!oldValue.equals(current.get(section.kind()).text(key.name()))) {
+          changed.add(section.kind() + "." + key.name());
+        }
+      }
+    }
+    return changed;
+  }
+
   private static void checkSection(
       SectionDefinition definition, IniSection section, SectionFindings sectionFindings) {
     if (definition.named() && !IdentifierRules.isValid(section.name())) {
--- a/src/main/java/org/magnoliavale/internal/logging/Logs.java
+++ b/src/main/java/org/magnoliavale/internal/logging/Logs.java
@@ -50,6 +50,15 @@
     handler.setLevel(Level.ALL);
     root.addHandler(handler);
     root.setLevel(Level.WARNING);
+    setLevel(level);
+  }
+
+  /**
+   * Changes the least severe level that the program's loggers write.
+   *
+   * @param level {@code error}, {@code warn}, {@code info} or {@code debug}
+   */
+  public static void setLevel(String level) {
     PROGRAM_LOGGER.setLevel(LEVELS.get(level));
   }
 
--- a/src/main/java/org/magnoliavale/internal/settings/SettingsReader.java
+++ b/src/main/java/org/magnoliavale/internal/settings/SettingsReader.java
@@ -9,11 +9,17 @@
 import org.magnoliavale.internal.identifier.DataCentreId;
 import org.magnoliavale.internal.identifier.InstanceId;
 import org.magnoliavale.internal.ini.CheckedSection;
+import org.magnoliavale.internal.ini.Schema;
 
 /** Parses and validates a settings file. All findings are reported together. */
 public final class SettingsReader {
   private SettingsReader() {}
 
+  /** Returns the schema of all sections and keys. */
+  public static Schema schema() {
+    return SettingsSchema.SCHEMA;
+  }
+
   /** Returns all findings about a settings text; empty if it is valid. */
   public static List<Finding> check(String file, String text) {
     List<Finding> findings = new ArrayList<>();
