Send a call to the same endpoint again on a connection of its own

Cause: all sendings of a call bear the caller's attempt id. When all endpoints were full, or an adapter was missing (421), the call went to the same endpoint again on the same kept connection, where the second copy of the first answer carried the right id.

Ruled out: a missing comparison of ids; it is there and tested.

Why it works: a copy of an earlier answer can come only on the connection of that answer. A second sending has a connection that has carried nothing, and closes it. On the kept connection a copy meets another id or no request.

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -2,9 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
@@ -49,7 +47,7 @@
   private final CallerResponse caller;
   private final Runnable onEnd;
   private final CallLog log;
-  private final Set<EndpointIdentity> excludedEndpoints = new HashSet<>();
+  private final TriedEndpoints endpoints = new TriedEndpoints();
   private State state = State.NEW;
   private Optional<Artifact> awaitedArtifact = Optional.empty();
   private Attempt attempt;
@@ -156,7 +154,7 @@
 
   private SelectionCriteria selectionCriteria() {
     return new SelectionCriteria(
-        plan.service(), plan.metadata().generation(), Set.copyOf(excludedEndpoints));
+        plan.service(), plan.metadata().generation(), endpoints.excluded());
   }
 
   /** Returns whether an endpoint other than {@code current} can take the call now. */
@@ -196,7 +194,8 @@
             plan.request().method(),
             plan.request().pathQuery(),
             headers,
-            plan.request().body()));
+            plan.request().body(),
+            endpoints.recordAttempt(choice.endpoint().identity())));
   }
 
   private void awaitArtifact(Artifact artifact) {
@@ -211,10 +210,10 @@
 
   private void handleUnavailable(String reason, long nowNanos) {
     stopWaiting();
-    if (!excludedEndpoints.isEmpty() && refusals < MAXIMUM_REFUSALS && possibleExecutions == 0) {
+    boolean mayTryAgain = refusals < MAXIMUM_REFUSALS && possibleExecutions == 0;
+    if (mayTryAgain && endpoints.clearExcluded()) {
       // Every endpoint has been tried once; a later attempt may find a free slot.
       refusals++;
-      excludedEndpoints.clear();
       state = State.WAITING;
       return;
     }
@@ -233,7 +232,7 @@
    */
   void attemptNotExecuted(Attempt source, String reason, boolean excludeEndpoint, long nowNanos) {
     if (excludeEndpoint) {
-      excludedEndpoints.add(source.endpoint().identity());
+      endpoints.exclude(source.endpoint().identity());
     }
     retryOrGiveUp(
         source, reason, context.retryBudget().trySpend(plan.service(), nowNanos), nowNanos);
@@ -241,7 +240,7 @@
 
   /** Handles an attempt that failed before any byte was sent. */
   void attemptNotSent(Attempt source, String reason, long nowNanos) {
-    excludedEndpoints.add(source.endpoint().identity());
+    endpoints.exclude(source.endpoint().identity());
     retryOrGiveUp(source, reason, true, nowNanos);
   }
 
@@ -261,7 +260,7 @@
   boolean retryIfAllowed(Attempt source, String reason, long nowNanos) {
     possibleExecutions++;
     lastFailure = reason;
-    excludedEndpoints.add(source.endpoint().identity());
+    endpoints.exclude(source.endpoint().identity());
     boolean retry =
         plan.route().isRetryable()
             && possibleExecutions < plan.route().maximumAttempts()
--- a/src/main/java/org/magnoliavale/internal/call/OutgoingRequest.java
+++ b/src/main/java/org/magnoliavale/internal/call/OutgoingRequest.java
@@ -11,6 +11,12 @@
  * @param pathQuery path and query, unchanged from the caller's request
  * @param headers all headers
  * @param body the whole body
+ * @param connection the connection that it is sent on
  */
 public record OutgoingRequest(
-    DirectoryEntry endpoint, String method, String pathQuery, HttpFields headers, byte[] body) {}
+    DirectoryEntry endpoint,
+    String method,
+    String pathQuery,
+    HttpFields headers,
+    byte[] body,
+    ConnectionUse connection) {}
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
@@ -13,12 +13,16 @@
 import org.eclipse.jetty.io.Content;
 import org.magnoliavale.internal.call.AttemptFailure;
 import org.magnoliavale.internal.call.AttemptListener;
+import org.magnoliavale.internal.call.ConnectionUse;
 import org.magnoliavale.internal.call.EndpointConnector;
 import org.magnoliavale.internal.call.OutgoingRequest;
+import org.magnoliavale.internal.directory.EndpointIdentity;
 
 /**
  * Sends attempts with Jetty's client. Connections are pooled by endpoint incarnation, so a pooled
- * connection is never used for another endpoint that was given the same address.
+ * connection is never used for another endpoint that was given the same address. An attempt that
+ * asks for a connection of its own gets one from a second pool, whose connections carry one attempt
+ * each and are then closed.
  */
 final class JettyEndpointConnector implements EndpointConnector {
   private static final class Cancelled extends Exception {
@@ -29,6 +33,9 @@
     }
   }
 
+  /** The key of a connection pool, in addition to the address. */
+  private record PoolKey(EndpointIdentity endpoint, ConnectionUse use) {}
+
   /** Translates the HTTP client's events for one attempt into calls of its listener. */
   private static final class Exchange implements Response.CompleteListener {
     private final AttemptListener listener;
@@ -95,9 +102,12 @@
                 outgoing.endpoint().address().getPort())
             .method(outgoing.method())
             .path(outgoing.pathQuery())
-            .tag(outgoing.endpoint().identity())
+            .tag(new PoolKey(outgoing.endpoint().identity(), outgoing.connection()))
             .idleTimeout(IDLE_TIMEOUT_S, TimeUnit.SECONDS)
             .headers(fields -> fields.add(outgoing.headers()));
+    if (outgoing.connection() == ConnectionUse.OWN) {
+      request.headers(fields -> fields.put(HttpHeader.CONNECTION, "close"));
+    }
     if (outgoing.body().length > 0) {
       String type = outgoing.headers().get(HttpHeader.CONTENT_TYPE);
       request.body(
--- a/src/test/java/org/magnoliavale/internal/call/CallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallTest.java
@@ -119,6 +119,31 @@
     }
   }
 
+  @Nested
+  class SecondSendingToTheSameEndpoint {
+    @Test
+    void usesAConnectionOfItsOwnAfterAllEndpointsWereFull() {
+      call("/unsafe/x");
+      connector.last().respondNotExecuted(503);
+      connector.last().respondNotExecuted(503);
+      advance(150);
+      assertThat(endpoints()).hasSize(3);
+      assertThat(connector.sent().get(0).request().connection()).isEqualTo(ConnectionUse.POOLED);
+      assertThat(connector.sent().get(1).request().connection()).isEqualTo(ConnectionUse.POOLED);
+      assertThat(connector.sent().get(2).request().connection()).isEqualTo(ConnectionUse.OWN);
+    }
+
+    @Test
+    void usesAConnectionOfItsOwnAfterAMissingAdapterWasLoaded() {
+      updateEndpoints(TestEntries.entry("a", 1, "m", "m/a1"));
+      call("/stream/x", "X-Model", "m/a1");
+      connector.last().respondNotExecuted(421);
+      advance(100);
+      assertThat(endpoints()).containsExactly("a", "a");
+      assertThat(connector.last().request().connection()).isEqualTo(ConnectionUse.OWN);
+    }
+  }
+
   @Nested
   class CallerDisconnect {
     @Test
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -0,0 +1,185 @@
+package org.magnoliavale.internal.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.magnoliavale.internal.directory.DirectoryEntry;
+import org.magnoliavale.internal.directory.DirectoryReadResult;
+import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.residency.EndpointCommand;
+import org.magnoliavale.internal.residency.EndpointCommandResult;
+import org.magnoliavale.internal.residency.EndpointControl;
+import org.magnoliavale.internal.residency.EndpointReport;
+import org.magnoliavale.internal.route.CallKind;
+import org.magnoliavale.internal.route.ConfigurationPollResult;
+import org.magnoliavale.internal.route.Route;
+import org.magnoliavale.internal.route.RouteTable;
+import org.magnoliavale.internal.route.ServiceSpecification;
+import org.magnoliavale.internal.route.WeightedService;
+import org.magnoliavale.internal.settings.PeerSettings;
+import org.magnoliavale.platform.TestProtocol;
+
+/** A complete instance between plain caller sockets and a raw endpoint. */
+abstract class GatewayFixture {
+  private static final ServiceId SERVICE = new ServiceId("assistant");
+  static final int SOCKET_TIMEOUT_MS = 20_000;
+  static final long POLL_INTERVAL_MS = 10;
+  static final String EVENT = "id: 1\ndata: a\n\n";
+
+  RawEndpoint endpoint;
+  GatewayInstance instance;
+
+  private static final class RejectingEndpointControl implements EndpointControl {
+    @Override
+    public EndpointCommandResult send(DirectoryEntry entry, EndpointCommand command) {
+      return EndpointCommandResult.INVALID;
+    }
+
+    @Override
+    public boolean isDown(DirectoryEntry entry) {
+      return false;
+    }
+
+    @Override
+    public Optional<EndpointReport> fetchReport(DirectoryEntry entry) {
+      return Optional.empty();
+    }
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    endpoint = new RawEndpoint();
+    instance =
+        GatewayInstance.create(
+            settings(),
+            (client, settings) ->
+                new PlatformAdapters(
+                    new FakeTable(),
+                    GatewayFixture::configuration,
+                    () -> new DirectoryReadResult.Entries(List.of(entry())),
+                    TestProtocol.create(),
+                    new RejectingEndpointControl()));
+    instance.start();
+    awaitReady();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    instance.halt();
+    endpoint.close();
+  }
+
+  private static GatewaySettings settings() {
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    Duration second = Duration.ofSeconds(1);
+    return new GatewaySettings(
+        "front-1",
+        "east",
+        any,
+        any,
+        any,
+        new PeerSettings(any, "key", second, second.multipliedBy(4)),
+        any,
+        second.multipliedBy(3),
+        second.multipliedBy(8),
+        0.2,
+        50,
+        second.multipliedBy(10),
+        second.multipliedBy(5),
+        "warn");
+  }
+
+  private static ConfigurationPollResult configuration() {
+    try {
+      TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return new ConfigurationPollResult.Found(
+        RouteTable.of(
+            1,
+            List.of(
+                route("/stream/", CallKind.STREAM, true),
+                route("/safe/", CallKind.IDEMPOTENT, false),
+                route("/unsafe/", CallKind.NON_IDEMPOTENT, false)),
+            List.of(new ServiceSpecification(SERVICE, 100, Optional.empty())),
+            10_000));
+  }
+
+  private static Route route(String prefix, CallKind kind, boolean resumable) {
+    Duration timeout = Duration.ofSeconds(30);
+    return new Route(
+        prefix,
+        "menus.example",
+        prefix,
+        kind,
+        resumable,
+        0,
+        1,
+        timeout,
+        timeout,
+        List.of(new WeightedService(SERVICE, 1)));
+  }
+
+  private DirectoryEntry entry() {
+    return new DirectoryEntry(
+        new EndpointIdentity("i-1", 1),
+        SERVICE,
+        endpoint.address(),
+        "east",
+        false,
+        8,
+        1,
+        Map.of(),
+        Set.of(),
+        Set.of());
+  }
+
+  Socket connect() throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), instance.callerPort());
+    socket.setSoTimeout(SOCKET_TIMEOUT_MS);
+    return socket;
+  }
+
+  static void send(Socket socket, String path, String id) throws IOException {
+    String head =
+        "GET " + path + " HTTP/1.1\r\nHost: menus.example\r\nX-Request-Attempt-Id: " + id + "\r\n";
+    socket.getOutputStream().write((head + "\r\n").getBytes(StandardCharsets.US_ASCII));
+  }
+
+  /** Reads until the text has been received or the connection is closed. */
+  static String readUntil(Socket socket, String text) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    while (!bytes.toString(StandardCharsets.UTF_8).contains(text)) {
+      int next = socket.getInputStream().read();
+      if (next < 0) {
+        break;
+      }
+      bytes.write(next);
+    }
+    return bytes.toString(StandardCharsets.UTF_8);
+  }
+
+  private void awaitReady() throws Exception {
+    while (true) {
+      try (Socket socket = connect()) {
+        send(socket, "/nowhere/", "id-0");
+        if (readUntil(socket, "\r\n").contains(" 404 ")) {
+          return;
+        }
+      }
+    }
+  }
+}
--- a/src/test/java/org/magnoliavale/internal/gateway/RawEndpoint.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/RawEndpoint.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.gateway;
 
 import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -9,12 +10,14 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /**
- * An endpoint on a plain socket, so that a test can observe every byte and every close. Serves one
- * request per connection.
+ * An endpoint on a plain socket, so that a test can observe every byte and every close. Reads the
+ * requests of each connection one after the other, whether they have been answered or not.
  */
 final class RawEndpoint implements AutoCloseable {
   private static final long TIMEOUT_S = 20;
@@ -24,10 +27,12 @@
   static final class ReceivedRequest {
     private final Socket socket;
     private final String head;
+    private final CompletableFuture<Void> closed;
 
-    private ReceivedRequest(Socket socket, String head) {
+    private ReceivedRequest(Socket socket, String head, CompletableFuture<Void> closed) {
       this.socket = socket;
       this.head = head;
+      this.closed = closed;
     }
 
     String head() {
@@ -84,22 +89,34 @@
       send("0\r\n\r\n");
     }
 
+    /** Responds and announces that the connection ends. */
     void respond(int status, String body) throws IOException {
-      send(
-          "HTTP/1.1 "
-              + status
-              + " Status\r\nX-Request-Attempt-Id: "
-              + header("X-Request-Attempt-Id")
-              + "\r\nX-Response-Signature: s\r\nConnection: close\r\nContent-Length: "
-              + body.length()
-              + "\r\n\r\n"
-              + body);
+      send(response(status, body, "X-Response-Signature: s", "Connection: close"));
+    }
+
+    /** Returns a response to this request with a body and further header lines. */
+    String response(int status, String body, String... headers) {
+      StringBuilder text = new StringBuilder("HTTP/1.1 " + status + " Status\r\n");
+      text.append("X-Request-Attempt-Id: ").append(header("X-Request-Attempt-Id")).append("\r\n");
+      for (String header : headers) {
+        text.append(header).append("\r\n");
+      }
+      return text.append("Content-Length: " + body.length() + "\r\n\r\n").append(body).toString();
+    }
+
+    /** Returns whether another request came on the same connection. */
+    boolean sharesConnectionWith(ReceivedRequest other) {
+      return socket == other.socket;
     }
 
-    /** Waits until the peer has closed the connection. */
-    boolean awaitClose() throws IOException {
-      socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
-      return socket.getInputStream().read() < 0;
+    /** Waits until the peer has closed the connection; returns false after the timeout. */
+    boolean awaitClose() throws Exception {
+      try {
+        closed.get(TIMEOUT_S, TimeUnit.SECONDS);
+        return true;
+      } catch (TimeoutException e) {
+        return false;
+      }
     }
   }
 
@@ -133,21 +150,32 @@
   }
 
   private void read(Socket socket) {
+    CompletableFuture<Void> closed = new CompletableFuture<>();
     try {
       InputStream input = socket.getInputStream();
-      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-      while (!bytes.toString(StandardCharsets.UTF_8).endsWith(HEAD_END)) {
-        int next = input.read();
-        if (next < 0) {
-          return;
-        }
-        bytes.write(next);
+      while (true) {
+        ReceivedRequest request = new ReceivedRequest(socket, readHead(input), closed);
+        String length = request.header("Content-Length");
+        input.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+        receivedRequests.add(request);
       }
-      receivedRequests.add(new ReceivedRequest(socket, bytes.toString(StandardCharsets.UTF_8)));
+    } catch (EOFException e) {
+      closed.complete(null);
     } catch (IOException e) {
-      // The connection failed before a complete request head arrived.
-      return;
+      closed.completeExceptionally(e);
+    }
+  }
+
+  private static String readHead(InputStream input) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    while (!bytes.toString(StandardCharsets.UTF_8).endsWith(HEAD_END)) {
+      int next = input.read();
+      if (next < 0) {
+        throw new EOFException();
+      }
+      bytes.write(next);
     }
+    return bytes.toString(StandardCharsets.UTF_8);
   }
 
   @Override
--- a/src/test/java/org/magnoliavale/internal/gateway/ResetDetectionTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/ResetDetectionTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.call.AttemptFailure;
 import org.magnoliavale.internal.call.AttemptListener;
+import org.magnoliavale.internal.call.ConnectionUse;
 import org.magnoliavale.internal.call.OutgoingRequest;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
@@ -86,7 +87,8 @@
             Set.of(),
             Set.of());
     OutgoingRequest attempt =
-        new OutgoingRequest(endpoint, "GET", "/x", HttpFields.EMPTY, new byte[0]);
+        new OutgoingRequest(
+            endpoint, "GET", "/x", HttpFields.EMPTY, new byte[0], ConnectionUse.POOLED);
     new JettyEndpointConnector(client)
         .send(
             attempt,
