Give each order and report to an endpoint a connection of its own

Cause: the same as with callers' requests, on a related path: nothing in the answer to an order or report says which request it belongs to, and the connections were kept.

Evidence: WorkerControlTest.lateCopyOfAnAnswerIsNoAnswerToTheNextOrder failed before (a conflict was taken for an acceptance) and passes.

Why it works: no earlier answer exists on a connection that has carried nothing.

--- a/src/main/java/org/magnoliavale/platform/WorkerControl.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerControl.java
@@ -19,7 +19,11 @@
 import org.magnoliavale.internal.residency.EndpointControl;
 import org.magnoliavale.internal.residency.EndpointReport;
 
-/** Sends commands to the platform's workers and reads their reports. */
+/**
+ * Sends commands to the platform's workers and reads their reports. Nothing in an answer tells
+ * which request it belongs to, so each request has a connection of its own: a late second copy of
+ * an earlier answer cannot come there.
+ */
 final class WorkerControl implements EndpointControl {
   private static final String EXPECTED_INSTANCE = "X-Expected-Instance";
   private static final int MISDIRECTED_REQUEST = 421;
@@ -45,12 +49,7 @@
     body.put("fencing-token", command.fencingToken());
     JsonCallResult result =
         client.send(
-            "POST",
-            endpoint.address(),
-            "/-/order",
-            expectedInstanceHeader(endpoint),
-            Json.bytes(body),
-            timeout);
+            "POST", endpoint.address(), "/-/order", headers(endpoint), Json.bytes(body), timeout);
     return switch (result) {
       case JsonCallResult.NotSent ignored -> EndpointCommandResult.NOT_SENT;
       case JsonCallResult.OutcomeUnknown ignored -> EndpointCommandResult.UNKNOWN;
@@ -70,8 +69,8 @@
     };
   }
 
-  private static Map<String, String> expectedInstanceHeader(DirectoryEntry endpoint) {
-    return Map.of(EXPECTED_INSTANCE, endpoint.identity().id());
+  private static Map<String, String> headers(DirectoryEntry endpoint) {
+    return Map.of(EXPECTED_INSTANCE, endpoint.identity().id(), "Connection", "close");
   }
 
   @Override
@@ -85,8 +84,7 @@
 
   private JsonCallResult requestReport(DirectoryEntry endpoint) {
     InetSocketAddress address = endpoint.address();
-    return client.send(
-        "GET", address, "/-/report", expectedInstanceHeader(endpoint), new byte[0], timeout);
+    return client.send("GET", address, "/-/report", headers(endpoint), new byte[0], timeout);
   }
 
   @Override
--- a/src/test/java/org/magnoliavale/platform/WorkerControlTest.java
+++ b/src/test/java/org/magnoliavale/platform/WorkerControlTest.java
@@ -19,9 +19,12 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.http.HttpClients;
 import org.magnoliavale.internal.http.JsonClient;
 import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.residency.EndpointCommand;
+import org.magnoliavale.internal.residency.EndpointCommandResult;
 
 class WorkerControlTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
@@ -56,6 +59,39 @@
         Set.of());
   }
 
+  /**
+   * Serves connections until the test ends: writes the first answer of each connection as the only
+   * one to all requests on it, as a faulty worker whose answers come once more and late.
+   */
+  private void repeatFirstAnswerOfEachConnection(String... statusLines) {
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try {
+                for (String statusLine : statusLines) {
+                  Socket socket = worker.accept();
+                  Thread.ofVirtual().start(() -> repeatAnswer(socket, statusLine));
+                }
+              } catch (IOException e) {
+                // The test is over.
+                return;
+              }
+            });
+  }
+
+  private static void repeatAnswer(Socket socket, String statusLine) {
+    try (socket) {
+      String answer = "HTTP/1.1 " + statusLine + "\r\nContent-Length: 0\r\n\r\n";
+      byte[] buffer = new byte[4_096];
+      while (socket.getInputStream().read(buffer) >= 0) {
+        socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+      }
+    } catch (IOException e) {
+      // The test is over.
+      return;
+    }
+  }
+
   private void answer(String statusLine) {
     Thread.ofVirtual()
         .start(
@@ -108,4 +144,21 @@
   void workerThatIsSilentIsNotCertainlyDown() {
     assertThat(isDown(TIMEOUT_OF_SILENT_WORKER)).isFalse();
   }
+
+  /** Guards against a late second copy of an answer that counts as that to the next order. */
+  @Test
+  void lateCopyOfAnAnswerIsNoAnswerToTheNextOrder() {
+    repeatFirstAnswerOfEachConnection("202 Accepted", "409 Conflict");
+    WorkerControl control = new WorkerControl(JsonClient.of(client), TIMEOUT);
+    EndpointCommand load =
+        new EndpointCommand(
+            new EndpointIdentity("w", 1),
+            EndpointCommand.Operation.LOAD,
+            Artifact.parse("m"),
+            1,
+            "front-1",
+            1);
+    assertThat(control.send(entry(), load)).isEqualTo(EndpointCommandResult.ACCEPTED);
+    assertThat(control.send(entry(), load)).isEqualTo(EndpointCommandResult.CONFLICT);
+  }
 }
