Take a call while stopping only if it can end before the process

Cause: whether a call was taken depended on its kind and on fixed times since the signal, which fit timeouts of 2.1 s at most.

Ruled out: a drain that ends too early; the log says `Stopped. calls=3` at the last moment before the kill.

Why it works: after the time that the load balancer needs, a call is taken, and sent again after a refusal, only if its deadline lies before the end of the process; each call ends at its deadline at the latest. Others are rejected at once and can go to another instance. The phases follow the grace period of the settings.

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -3,6 +3,8 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
@@ -29,12 +31,6 @@
  * its deadline. Once the response has started, a failure closes the caller's connection.
  */
 final class Call {
-  /** Maximum number of retries after attempts that were certainly not executed. */
-  private static final int MAXIMUM_REFUSALS = 4;
-
-  /** Minimum time until the deadline for a further attempt. */
-  private static final Duration MINIMUM_ATTEMPT_TIME = Duration.ofMillis(15);
-
   private enum State {
     NEW,
     WAITING,
@@ -45,14 +41,13 @@
   private final CallContext context;
   private final CallPlan plan;
   private final CallerResponse caller;
-  private final Runnable onEnd;
+  private final Consumer<Call> onEnd;
   private final CallLog log;
   private final TriedEndpoints endpoints = new TriedEndpoints();
+  private final RetryAllowance retries;
   private State state = State.NEW;
   private Optional<Artifact> awaitedArtifact = Optional.empty();
   private Attempt attempt;
-  private int possibleExecutions;
-  private int refusals;
   private boolean responseStarted;
   private RetryAfterDelay retryAfterDelay = RetryAfterDelay.FULL;
   private Optional<Long> lastEvent;
@@ -64,10 +59,16 @@
    */
   private long waitStartNanos;
 
-  Call(CallContext context, CallPlan plan, CallerResponse caller, Runnable onEnd) {
+  Call(
+      CallContext context,
+      CallPlan plan,
+      CallerResponse caller,
+      BooleanSupplier maySend,
+      Consumer<Call> onEnd) {
     this.context = context;
     this.plan = plan;
     this.caller = caller;
+    this.retries = new RetryAllowance(context, plan, maySend);
     this.onEnd = onEnd;
     this.log = new CallLog(plan);
     this.lastEvent = plan.metadata().lastEventId();
@@ -145,7 +146,7 @@
     if (state == State.ENDED) {
       return;
     }
-    log.callerDisconnected(possibleExecutions, responseStarted);
+    log.callerDisconnected(retries.possibleExecutions(), responseStarted);
     context.metrics().abandoned().inc();
     cancelAttempt(AttemptOutcome.INCONCLUSIVE, nowNanos);
     end();
@@ -180,7 +181,7 @@
     Duration timeRemaining = plan.timeRemaining(nowNanos);
     state = State.SENT;
     attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
-    log.sent(choice, possibleExecutions + refusals + 1, timeRemaining);
+    log.sent(choice, retries.possibleExecutions() + retries.refusals() + 1, timeRemaining);
     HttpFields headers =
         context
             .protocol()
@@ -210,10 +211,9 @@
 
   private void handleUnavailable(String reason, long nowNanos) {
     stopWaiting();
-    boolean mayTryAgain = refusals < MAXIMUM_REFUSALS && possibleExecutions == 0;
-    if (mayTryAgain && endpoints.clearExcluded()) {
+    if (retries.allowsSecondRound() && endpoints.clearExcluded()) {
       // Every endpoint has been tried once; a later attempt may find a free slot.
-      refusals++;
+      retries.recordRefusal();
       state = State.WAITING;
       return;
     }
@@ -245,10 +245,10 @@
   }
 
   private void retryOrGiveUp(Attempt source, String reason, boolean withinBudget, long nowNanos) {
-    refusals++;
+    retries.recordRefusal();
     lastFailure = reason;
     state = State.WAITING;
-    if (withinBudget && refusals <= MAXIMUM_REFUSALS && hasTime(nowNanos)) {
+    if (withinBudget && retries.allowsRetryAfterRefusal(responseStarted, nowNanos)) {
       logRetry(source, reason);
       dispatch(nowNanos);
     } else {
@@ -258,16 +258,10 @@
 
   /** Handles a failed attempt that may have been executed; returns whether it is retried. */
   boolean retryIfAllowed(Attempt source, String reason, long nowNanos) {
-    possibleExecutions++;
+    retries.recordPossibleExecution();
     lastFailure = reason;
     endpoints.exclude(source.endpoint().identity());
-    boolean retry =
-        plan.route().isRetryable()
-            && possibleExecutions < plan.route().maximumAttempts()
-            && hasTime(nowNanos)
-            && !context.crashDetector().isBlocked(plan.crashKeys())
-            && context.retryBudget().trySpend(plan.service(), nowNanos);
-    if (!retry) {
+    if (!retries.spendRetryAfterExecution(responseStarted, nowNanos)) {
       return false;
     }
     logRetry(source, reason);
@@ -279,11 +273,12 @@
 
   private void logRetry(Attempt source, String reason) {
     context.metrics().retried().inc();
-    log.retrying(source.endpoint().identity(), reason, possibleExecutions, refusals, lastEvent);
-  }
-
-  private boolean hasTime(long nowNanos) {
-    return plan.deadlineNanos() - nowNanos > MINIMUM_ATTEMPT_TIME.toNanos();
+    log.retrying(
+        source.endpoint().identity(),
+        reason,
+        retries.possibleExecutions(),
+        retries.refusals(),
+        lastEvent);
   }
 
   /** Marks the response as started; returns whether it had not been started before. */
@@ -328,7 +323,7 @@
     cancelAttempt(AttemptOutcome.INCONCLUSIVE, nowNanos);
     if (responseStarted) {
       abortResponse("timeout");
-    } else if (sent || possibleExecutions > 0) {
+    } else if (sent || retries.mayHaveBeenExecuted()) {
       fail(ErrorCode.DEADLINE_EXCEEDED, "no response before the deadline");
     } else {
       reject(ErrorCode.MODEL_UNAVAILABLE, "no endpoint available before the deadline", nowNanos);
@@ -342,7 +337,7 @@
   private void giveUp(ErrorCode code, String reason, long nowNanos) {
     if (responseStarted) {
       abortResponse(reason);
-    } else if (possibleExecutions > 0) {
+    } else if (retries.mayHaveBeenExecuted()) {
       fail(ErrorCode.UPSTREAM_FAILED, reason);
     } else {
       reject(code, reason, nowNanos);
@@ -352,7 +347,7 @@
   /** Ends a call that has not been executed. */
   private void reject(ErrorCode code, String reason, long nowNanos) {
     context.metrics().rejected().inc();
-    log.rejected(reason, refusals, nowNanos);
+    log.rejected(reason, retries.refusals(), nowNanos);
     respondWithProblem(
         ErrorCode.MODEL_UNAVAILABLE,
         MagnoliavaleException.of(code, reason)
@@ -362,7 +357,7 @@
   /** Ends a call that may have been executed. */
   void fail(ErrorCode code, String reason) {
     context.metrics().failed().inc();
-    log.failed(reason, possibleExecutions, lastFailure);
+    log.failed(reason, retries.possibleExecutions(), lastFailure);
     respondWithProblem(code, MagnoliavaleException.of(code, reason));
   }
 
@@ -389,7 +384,7 @@
   private void end() {
     stopWaiting();
     state = State.ENDED;
-    onEnd.run();
+    onEnd.accept(this);
   }
 
   long now() {
--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -11,7 +11,6 @@
 import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
-import org.magnoliavale.internal.route.CallKind;
 import org.magnoliavale.internal.route.Route;
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.route.ServiceSpecification;
@@ -21,8 +20,8 @@
  *
  * <p>A call stays registered from {@link #begin} until it has been answered, aborted or abandoned
  * by its caller. Time limits are checked only in {@link #tick}, which must be called regularly.
- * When the instance stops, {@link #rejectStreams} and then {@link #rejectAll} reject new calls and
- * calls that wait for an endpoint; calls that have been sent to an endpoint may finish.
+ * When the instance stops, {@link #rejectCallsAfter} and then {@link #rejectAll} reject new calls
+ * and calls that wait for an endpoint; calls that have been sent to an endpoint may finish.
  */
 public final class CallRegistry {
   private static final Logger LOG = Logs.of("call");
@@ -30,8 +29,7 @@
   private final CallContext context;
   private final RandomGenerator random;
   private final Set<Call> calls = ConcurrentHashMap.newKeySet();
-  private volatile boolean streamsRejected;
-  private volatile boolean allRejected;
+  private volatile Admission admission = Admission.ofAll();
 
   /** Creates an empty registry; {@code random} selects among a route's weighted services. */
   public CallRegistry(CallContext context, RandomGenerator random) {
@@ -59,12 +57,15 @@
       reject(metadata, caller, ErrorCode.NOT_FOUND, "no such route");
       return () -> {};
     }
-    if (allRejected || streamsRejected && route.get().kind() == CallKind.STREAM) {
+    Call call = newCall(request, metadata, route.get(), routes, caller);
+    // Registered first: a drain that sees no call in progress has rejected all that come later.
+    calls.add(call);
+    if (!admission.takes(call.plan())) {
+      calls.remove(call);
       LOG.infof("Rejected, instance is stopping. request=%s", metadata.attemptId());
       reject(metadata, caller, ErrorCode.STOPPING, "the instance is stopping");
       return () -> {};
     }
-    Call call = newCall(request, metadata, route.get(), routes, caller);
     call.start(context.nanoClock().getAsLong());
     return () -> call.callerDisconnected(context.nanoClock().getAsLong());
   }
@@ -90,11 +91,7 @@
             limit,
             routes.version(),
             crashKeys(request, metadata));
-    Call[] self = new Call[1];
-    Call call = new Call(context, plan, caller, () -> calls.remove(self[0]));
-    self[0] = call;
-    calls.add(call);
-    return call;
+    return new Call(context, plan, caller, () -> admission.maySend(plan), calls::remove);
   }
 
   private static CrashKeys crashKeys(CallRequest request, CallMetadata metadata) {
@@ -126,17 +123,17 @@
   }
 
   /**
-   * Rejects new streams, because the instance is stopping, and waiting calls, so that their callers
-   * retry at another instance.
+   * Rejects new calls whose deadline lies after a time, because the instance ends then, and waiting
+   * calls, so that their callers retry at another instance.
    */
-  public void rejectStreams() {
-    streamsRejected = true;
+  public void rejectCallsAfter(long nanos) {
+    admission = Admission.ofCallsBefore(nanos);
     rejectWaiting();
   }
 
   /** Rejects new calls and waiting calls. */
   public void rejectAll() {
-    allRejected = true;
+    admission = admission.withoutNewCalls();
     rejectWaiting();
   }
 
--- a/src/main/java/org/magnoliavale/internal/gateway/GracefulDrain.java
+++ b/src/main/java/org/magnoliavale/internal/call/GracefulDrain.java
@@ -1,32 +1,39 @@
-package org.magnoliavale.internal.gateway;
+package org.magnoliavale.internal.call;
 
 import java.time.Duration;
+import java.util.function.IntSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
-import org.magnoliavale.internal.call.CallRegistry;
 
 /**
- * Drains an instance after its stop signal: the load balancer is given time to notice, calls in
- * progress finish, and new calls are rejected in phases. It ends when nothing is in progress, at
- * the latest shortly before the process is killed.
+ * Drains an instance after its stop signal.
+ *
+ * <p>At first all calls are taken, since the load balancer has not noticed the stop yet. Then only
+ * those are taken whose deadline lies before the end of the process, so that none is cut off after
+ * it was passed on. At last the port is closed and all new calls are rejected. The drain ends when
+ * nothing is in progress, at the latest shortly before the process is killed.
  */
-final class GracefulDrain {
+public final class GracefulDrain {
   /** Minimum drain time, so that the load balancer notices that the instance is not ready. */
   private static final Duration MINIMUM_DRAIN_TIME = Duration.ofMillis(3_500);
 
+  /** Time after the stop signal for which all calls are taken. */
+  private static final Duration ACCEPT_PERIOD = Duration.ofMillis(2_900);
+
+  /** Time before the process is killed at which all new calls are rejected. */
+  private static final Duration REJECT_ALL_BEFORE_KILL = Duration.ofMillis(2_500);
+
   /** Part of the grace period that is reserved for process termination. */
   private static final Duration TERMINATION_RESERVE = Duration.ofMillis(400);
 
-  /** Time after the stop signal at which new streams are rejected; they might not end in time. */
-  private static final Duration STREAM_ACCEPT_PERIOD = Duration.ofMillis(2_900);
-
-  /** Time after the stop signal at which all other new calls are rejected. */
-  private static final Duration CALL_ACCEPT_PERIOD = Duration.ofMillis(5_500);
+  /** Time before the end of the drain in which the last responses are written. */
+  private static final Duration RESPONSE_RESERVE = Duration.ofMillis(100);
 
   /** Interval at which the drain checks for calls in progress. */
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
 
   private final CallRegistry calls;
+  private final IntSupplier requestsInProgress;
   private final Runnable closePort;
   private final LongSupplier nanoClock;
   private final LongConsumer sleepMilliseconds;
@@ -35,16 +42,19 @@
    * Returns a drain.
    *
    * @param calls the calls of the instance
+   * @param requestsInProgress number of requests whose responses are not written completely
    * @param closePort closes the listening socket for callers
    * @param nanoClock monotonic time in nanoseconds
    * @param sleepMilliseconds waits for so many milliseconds
    */
-  GracefulDrain(
+  public GracefulDrain(
       CallRegistry calls,
+      IntSupplier requestsInProgress,
       Runnable closePort,
       LongSupplier nanoClock,
       LongConsumer sleepMilliseconds) {
     this.calls = calls;
+    this.requestsInProgress = requestsInProgress;
     this.closePort = closePort;
     this.nanoClock = nanoClock;
     this.sleepMilliseconds = sleepMilliseconds;
@@ -56,14 +66,19 @@
    * @param startNanos time of the stop signal
    * @param gracePeriod time from the stop signal until the process is killed
    */
-  void run(long startNanos, Duration gracePeriod) {
-    await(startNanos, STREAM_ACCEPT_PERIOD);
-    calls.rejectStreams();
-    await(startNanos, CALL_ACCEPT_PERIOD);
+  public void run(long startNanos, Duration gracePeriod) {
+    Duration end = gracePeriod.minus(TERMINATION_RESERVE);
+    await(startNanos, shorter(ACCEPT_PERIOD, gracePeriod.minus(REJECT_ALL_BEFORE_KILL)));
+    calls.rejectCallsAfter(startNanos + end.minus(RESPONSE_RESERVE).toNanos());
+    await(startNanos, gracePeriod.minus(REJECT_ALL_BEFORE_KILL));
     // Once the port is closed, a refused connection tells callers that no request was read.
     closePort.run();
     calls.rejectAll();
-    await(startNanos, gracePeriod.minus(TERMINATION_RESERVE));
+    await(startNanos, end);
+  }
+
+  private static Duration shorter(Duration first, Duration second) {
+    return first.compareTo(second) < 0 ? first : second;
   }
 
   /** Waits until the instance is drained, for at most {@code limit} after the stop signal. */
@@ -74,7 +89,9 @@
   }
 
   private boolean isDrained(long startNanos) {
-    return elapsed(startNanos) >= MINIMUM_DRAIN_TIME.toNanos() && calls.size() == 0;
+    return elapsed(startNanos) >= MINIMUM_DRAIN_TIME.toNanos()
+        && calls.size() == 0
+        && requestsInProgress.getAsInt() == 0;
   }
 
   private long elapsed(long startNanos) {
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -16,6 +16,7 @@
 import org.magnoliavale.internal.call.CallMetrics;
 import org.magnoliavale.internal.call.CallRegistry;
 import org.magnoliavale.internal.call.CrashDetector;
+import org.magnoliavale.internal.call.GracefulDrain;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
@@ -340,7 +341,7 @@
     links.sendHeartbeatsNow();
     Thread.ofVirtual().name("leave").start(registry::deregister);
     new GracefulDrain(
-            calls, servers::stopAcceptingCallers, System::nanoTime, GatewayInstance::sleep)
+            calls, () -> 0, servers::stopAcceptingCallers, System::nanoTime, GatewayInstance::sleep)
         .run(startNanos, gracePeriod);
     LOG.infof("Stopped. calls=%d", calls.size());
     stopPolling();
--- a/src/test/java/org/magnoliavale/internal/call/CallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallTest.java
@@ -177,9 +177,9 @@
   @Nested
   class Stopping {
     @Test
-    void rejectsWaitingCallsAndNewStreams() {
+    void rejectsWaitingCallsAndNewStreamsThatItMightCutOff() {
       call("/stream/x", "X-Model", "n");
-      calls.rejectStreams();
+      calls.rejectCallsAfter(now + TimeUnit.SECONDS.toNanos(5));
       assertThat(caller.status()).isEqualTo(503);
       RecordingCaller second = new RecordingCaller();
       HttpFields fields = HttpFields.build().put("X-Request-Attempt-Id", "id-2");
@@ -202,7 +202,7 @@
     @Test
     void letsCallsInProgressFinish() {
       call("/stream/x");
-      calls.rejectStreams();
+      calls.rejectCallsAfter(now);
       connector.last().respond(200, EVENT_ONE);
       assertThat(caller.ending()).isEqualTo("finished");
     }
