Wait with the end of a stop until all responses are written

Cause: a call leaves the registry before its response is written, and the drain of a stop looked at the registry alone. With a caller that reads slowly the process could end with a part of the response written.

Evidence: with a response of 15 MiB and a caller that doesn't read, calls_in_progress is 0 and requests_in_progress 1.

Why it works: requests are counted from their head to the last byte of their response, and the drain waits for them.

--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayHandler.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayHandler.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.gateway;
 
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import org.eclipse.jetty.http.HttpHeader;
@@ -16,7 +17,10 @@
 import org.magnoliavale.internal.call.CallRequest;
 import org.magnoliavale.internal.logging.Logs;
 
-/** Handles caller requests: reads the whole request body and starts a call. Never blocks. */
+/**
+ * Handles caller requests: reads the whole request body and starts a call. Never blocks. Counts the
+ * requests in progress, from their head to the last byte of their response.
+ */
 final class GatewayHandler extends Handler.Abstract.NonBlocking {
   private static final Logger LOG = Logs.of("caller");
   private static final byte[] NO_BODY = {};
@@ -26,6 +30,7 @@
   private final IntSupplier maximumBodyBytes;
   private final BooleanSupplier closeConnection;
   private final Runnable callStarted;
+  private final AtomicInteger requestsInProgress = new AtomicInteger();
 
   GatewayHandler(
       CallRegistry calls,
@@ -43,8 +48,10 @@
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     long arrivalNanos = System.nanoTime();
+    requestsInProgress.incrementAndGet();
+    Callback counted = Callback.from(callback, requestsInProgress::decrementAndGet);
     JettyResponseWriter writer =
-        new JettyResponseWriter(request, response, callback, closeConnection);
+        new JettyResponseWriter(request, response, counted, closeConnection);
     if (request.getLength() == 0 || !hasBody(request)) {
       startCall(request, NO_BODY, writer, arrivalNanos);
       return true;
@@ -61,6 +68,11 @@
     return true;
   }
 
+  /** Returns the number of requests whose responses are not written completely. */
+  int requestsInProgress() {
+    return requestsInProgress.get();
+  }
+
   private static boolean hasBody(Request request) {
     return request.getLength() > 0 || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -91,6 +91,7 @@
   private final CommandLeaseManager lease;
   private final ResidencyController residency;
   private final CrashDetector crashDetector;
+  private final GatewayHandler callerHandler;
   private final GatewayServers servers;
   private final ConfigurationPoller configuration;
   private final TickLoop ticks =
@@ -152,7 +153,12 @@
             metrics.counter("link_frames_rejected"));
     peerState.initialize(
         lease, residency.changeLog(), calls::endpointsChanged, this::onDemandChanged);
-    servers = createServers();
+    callerHandler =
+        new GatewayHandler(
+            calls, adapters.protocol(), this::maximumBodyBytes, () -> stopping, ticks::wake);
+    servers =
+        new GatewayServers(
+            settings, transport, callerHandler, new ReadinessHandler(this::isReady), metrics);
     registerMetrics();
   }
 
@@ -161,16 +167,6 @@
     return new GatewayInstance(settings, factory);
   }
 
-  private GatewayServers createServers() {
-    return new GatewayServers(
-        settings,
-        transport,
-        new GatewayHandler(
-            calls, adapters.protocol(), this::maximumBodyBytes, () -> stopping, ticks::wake),
-        new ReadinessHandler(this::isReady),
-        metrics);
-  }
-
   private CallContext createCallContext(ArtifactDemand demand) {
     return new CallContext(
         adapters.protocol(),
@@ -228,6 +224,9 @@
 
   private void registerMetrics() {
     metrics.registry().register("calls_in_progress", (Gauge<Integer>) calls::size);
+    metrics
+        .registry()
+        .register("requests_in_progress", (Gauge<Integer>) callerHandler::requestsInProgress);
     metrics.registry().register("instances", (Gauge<Integer>) this::liveInstanceCount);
     metrics.registry().register("link_bytes_sent", (Gauge<Long>) links::bytesSent);
     metrics.registry().register("configuration_version", (Gauge<Long>) this::configurationVersion);
@@ -341,7 +340,11 @@
     links.sendHeartbeatsNow();
     Thread.ofVirtual().name("leave").start(registry::deregister);
     new GracefulDrain(
-            calls, () -> 0, servers::stopAcceptingCallers, System::nanoTime, GatewayInstance::sleep)
+            calls,
+            callerHandler::requestsInProgress,
+            servers::stopAcceptingCallers,
+            System::nanoTime,
+            GatewayInstance::sleep)
         .run(startNanos, gracePeriod);
     LOG.infof("Stopped. calls=%d", calls.size());
     stopPolling();
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -14,7 +15,10 @@
 
 /** Runs a complete instance between plain caller sockets and a raw endpoint. */
 class GatewayInstanceTest extends GatewayFixture {
-  private static final int MAXIMUM_CONNECTION_CHECKS = 1_000;
+  private static final int MAXIMUM_CHECKS = 1_000;
+
+  /** More than the buffers of a connection hold. */
+  private static final int LARGE_RESPONSE_BYTES = 15 << 20;
 
   @Nested
   class CallerDisconnect {
@@ -90,10 +94,42 @@
       endpoint.nextRequest().respond(200, "first");
       readUntil(caller, "first");
     }
-    try (Socket reader = new Socket(InetAddress.getLoopbackAddress(), instance.metricsPort())) {
-      reader.setSoTimeout(SOCKET_TIMEOUT_MS);
-      send(reader, "/metrics", "none");
-      assertThat(readUntil(reader, "calls_answered 1.0")).contains("calls_answered 1.0");
+    assertThat(awaitMetric("calls_answered 1.0")).contains("calls_answered 1.0");
+  }
+
+  /** Reads the metrics until they contain a line; returns the last ones that were read. */
+  private String awaitMetric(String line) throws Exception {
+    String metrics = "";
+    for (int i = 0; i < MAXIMUM_CHECKS && !metrics.contains(line); i++) {
+      TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
+      try (Socket reader = new Socket(InetAddress.getLoopbackAddress(), instance.metricsPort())) {
+        reader.setSoTimeout(SOCKET_TIMEOUT_MS);
+        reader
+            .getOutputStream()
+            .write(
+                "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+        metrics = new String(reader.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      }
+    }
+    return metrics;
+  }
+
+  /**
+   * Guards against a drain that ends while a response is still being written to a slow caller,
+   * which would get only a part of it.
+   */
+  @Test
+  void requestIsInProgressUntilItsResponseIsWritten() throws Exception {
+    try (Socket caller = connect()) {
+      send(caller, "/safe/x", "id-1");
+      endpoint.nextRequest().respond(200, "a".repeat(LARGE_RESPONSE_BYTES));
+      String metrics = awaitMetric("calls_answered 1.0");
+      assertThat(metrics).contains("calls_in_progress 0.0").contains("requests_in_progress 1.0");
+      readUntil(caller, "\r\n\r\n");
+      assertThat(caller.getInputStream().readNBytes(LARGE_RESPONSE_BYTES))
+          .hasSize(LARGE_RESPONSE_BYTES);
+      assertThat(awaitMetric("requests_in_progress 0.0")).contains("requests_in_progress 0.0");
     }
   }
 
@@ -176,7 +212,7 @@
 
   /** Returns when connections to the port are refused; fails if it keeps accepting them. */
   private void awaitClosedPort() throws Exception {
-    for (int attempt = 0; attempt < MAXIMUM_CONNECTION_CHECKS; attempt++) {
+    for (int attempt = 0; attempt < MAXIMUM_CHECKS; attempt++) {
       try (Socket socket = connect()) {
         assertThat(socket.isConnected()).isTrue();
         TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
