Give up a silent attempt only for another that can take its place

Cause: a silent attempt was cancelled if the route allows two attempts at all. Whether one was left, and whether the budget, the time and another endpoint with a free connection allowed it, was asked only afterwards; if not, the stream was closed.

Why it works: the other endpoint is chosen, and the retry taken from the budget, before the attempt in progress is cancelled. If either fails, the attempt goes on to the call's deadline.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -88,9 +88,10 @@
   }
 
   /**
-   * Gives up the attempt if the call may be retried, the endpoint is silent and another one can
-   * take the call now, or if an idempotent call gets no response head in time. Silence alone is no
-   * reason: with few attempts at an endpoint, a slow one looks like one that has failed.
+   * Moves the call to another endpoint if this one is silent, or if an idempotent call gets no
+   * response head in time. Silence alone is no reason: with few attempts at an endpoint, a slow one
+   * looks like one that has failed. And it never ends the attempt of a call that cannot be moved,
+   * since a sound endpoint may pause and go on.
    */
   void tick(long nowNanos) {
     long limit = call.plan().silenceTimeoutNanos();
@@ -103,21 +104,13 @@
         streaming && silence > TimeUnit.MILLISECONDS.toNanos(EVENT_SILENCE_TIMEOUT_MS);
     boolean endpointSilent =
         pool().isUnresponsive(identity(), nowNanos) || !pool().isAvailable(identity());
-    if ((noHead || noEvent) && endpointSilent && call.hasAlternative(identity(), nowNanos)) {
-      abandon("silent", nowNanos);
+    if ((noHead || noEvent) && endpointSilent) {
+      call.moveToOtherEndpoint(this, "silent", nowNanos);
     } else if (noHead && call.plan().route().kind() == CallKind.IDEMPOTENT) {
-      abandon("slow", nowNanos);
+      call.moveToOtherEndpoint(this, "slow", nowNanos);
     }
   }
 
-  private void abandon(String reason, long nowNanos) {
-    if (call.plan().route().maximumAttempts() < 2) {
-      return;
-    }
-    cancel(AttemptOutcome.FAILED, nowNanos);
-    retryOrFail(reason, nowNanos);
-  }
-
   @Override
   public void onResponseHead(int status, HttpFields headers) {
     synchronized (call) {
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.ErrorCode;
-import org.magnoliavale.MagnoliavaleException;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
@@ -43,6 +42,7 @@
   private final CallerResponse caller;
   private final Consumer<Call> onEnd;
   private final CallLog log;
+  private final CallCompletion completion;
   private final TriedEndpoints endpoints = new TriedEndpoints();
   private final RetryAllowance retries;
   private State state = State.NEW;
@@ -71,6 +71,7 @@
     this.retries = new RetryAllowance(context, plan, maySend);
     this.onEnd = onEnd;
     this.log = new CallLog(plan);
+    this.completion = new CallCompletion(context, plan, caller, this::end);
     this.lastEvent = plan.metadata().lastEventId();
     this.waitStartNanos = plan.request().arrivedNanos();
   }
@@ -146,11 +147,8 @@
     if (state == State.ENDED) {
       return;
     }
-    log.callerDisconnected(retries.possibleExecutions(), responseStarted);
-    context.metrics().abandoned().inc();
     cancelAttempt(AttemptOutcome.INCONCLUSIVE, nowNanos);
-    end();
-    caller.abort();
+    completion.abandon(retries.possibleExecutions(), responseStarted);
   }
 
   private SelectionCriteria selectionCriteria() {
@@ -158,9 +156,29 @@
         plan.service(), plan.metadata().generation(), endpoints.excluded());
   }
 
-  /** Returns whether an endpoint other than {@code current} can take the call now. */
-  boolean hasAlternative(EndpointIdentity current, long nowNanos) {
-    return context.endpoints().hasAlternative(selectionCriteria(), current, nowNanos);
+  /**
+   * Gives up an attempt in progress for one at another endpoint, if there is one that can take the
+   * call now and a retry is allowed; otherwise the attempt goes on.
+   */
+  void moveToOtherEndpoint(Attempt source, String reason, long nowNanos) {
+    if (!retries.allowsRetryInPlaceOfAttempt(responseStarted, nowNanos)) {
+      return;
+    }
+    SelectionCriteria others = selectionCriteria().excluding(source.endpoint().identity());
+    Optional<EndpointChoice.Selected> choice =
+        context.endpoints().chooseHealthy(others, plan.connectionLimit(), nowNanos);
+    if (choice.isEmpty()) {
+      return;
+    }
+    if (!retries.spendRetry(nowNanos)) {
+      EndpointIdentity released = choice.get().endpoint().identity();
+      context.endpoints().attemptEnded(released, AttemptOutcome.INCONCLUSIVE, nowNanos);
+      return;
+    }
+    source.cancel(AttemptOutcome.FAILED, nowNanos);
+    recordPossibleExecution(source, reason);
+    logRetry(source, reason);
+    send(choice.get(), nowNanos);
   }
 
   private void dispatch(long nowNanos) {
@@ -258,10 +276,9 @@
 
   /** Handles a failed attempt that may have been executed; returns whether it is retried. */
   boolean retryIfAllowed(Attempt source, String reason, long nowNanos) {
-    retries.recordPossibleExecution();
-    lastFailure = reason;
-    endpoints.exclude(source.endpoint().identity());
-    if (!retries.spendRetryAfterExecution(responseStarted, nowNanos)) {
+    recordPossibleExecution(source, reason);
+    if (!retries.allowsRetryAfterExecution(responseStarted, nowNanos)
+        || !retries.spendRetry(nowNanos)) {
       return false;
     }
     logRetry(source, reason);
@@ -271,6 +288,12 @@
     return true;
   }
 
+  private void recordPossibleExecution(Attempt source, String reason) {
+    retries.recordPossibleExecution();
+    lastFailure = reason;
+    endpoints.exclude(source.endpoint().identity());
+  }
+
   private void logRetry(Attempt source, String reason) {
     context.metrics().retried().inc();
     log.retrying(
@@ -304,18 +327,12 @@
 
   /** Ends the call with the endpoint's complete response. */
   void respond(int status, HttpFields headers, ByteBuffer body) {
-    context.metrics().answered().inc();
-    log.answered(status, body.remaining());
-    end();
-    caller.respond(status, headers, body);
+    completion.respond(status, headers, body);
   }
 
   /** Ends the call after the last event of a stream. */
   void completeStream() {
-    context.metrics().answered().inc();
-    log.streamEnded(lastEvent);
-    end();
-    caller.finish();
+    completion.completeStream(lastEvent);
   }
 
   private void expire(long nowNanos) {
@@ -346,33 +363,18 @@
 
   /** Ends a call that has not been executed. */
   private void reject(ErrorCode code, String reason, long nowNanos) {
-    context.metrics().rejected().inc();
-    log.rejected(reason, retries.refusals(), nowNanos);
-    respondWithProblem(
-        ErrorCode.MODEL_UNAVAILABLE,
-        MagnoliavaleException.of(code, reason)
-            .withRetryAfter(retryAfterDelay.of(plan.attemptId(), plan.timeRemaining(nowNanos))));
+    Duration delay = retryAfterDelay.of(plan.attemptId(), plan.timeRemaining(nowNanos));
+    completion.reject(code, reason, retries.refusals(), delay, nowNanos);
   }
 
   /** Ends a call that may have been executed. */
   void fail(ErrorCode code, String reason) {
-    context.metrics().failed().inc();
-    log.failed(reason, retries.possibleExecutions(), lastFailure);
-    respondWithProblem(code, MagnoliavaleException.of(code, reason));
+    completion.fail(code, reason, retries.possibleExecutions(), lastFailure);
   }
 
   /** Aborts a response that has started but cannot be completed. */
   void abortResponse(String reason) {
-    context.metrics().failed().inc();
-    log.responseAborted(reason, lastEvent);
-    end();
-    caller.abort();
-  }
-
-  private void respondWithProblem(ErrorCode status, MagnoliavaleException problem) {
-    end();
-    LocalResponses.sendProblem(
-        context.protocol(), plan.attemptId(), caller, status.httpStatus(), problem);
+    completion.abort(reason, lastEvent);
   }
 
   private void cancelAttempt(AttemptOutcome result, long nowNanos) {
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
@@ -0,0 +1,82 @@
+package org.magnoliavale.internal.call;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
+import org.magnoliavale.ErrorCode;
+import org.magnoliavale.MagnoliavaleException;
+
+/**
+ * The ways in which a call ends: each counts the outcome, logs it, ends the call and completes the
+ * caller's response. Guarded by its call.
+ */
+final class CallCompletion {
+  private final CallContext context;
+  private final CallPlan plan;
+  private final CallerResponse caller;
+  private final CallLog log;
+  private final Runnable end;
+
+  /** Returns the completion of a call; {@code end} removes the call from those in progress. */
+  CallCompletion(CallContext context, CallPlan plan, CallerResponse caller, Runnable end) {
+    this.context = context;
+    this.plan = plan;
+    this.caller = caller;
+    this.log = new CallLog(plan);
+    this.end = end;
+  }
+
+  /** Ends the call with the endpoint's complete response. */
+  void respond(int status, HttpFields headers, ByteBuffer body) {
+    context.metrics().answered().inc();
+    log.answered(status, body.remaining());
+    end.run();
+    caller.respond(status, headers, body);
+  }
+
+  /** Ends the call after the last event of a stream. */
+  void completeStream(Optional<Long> lastEvent) {
+    context.metrics().answered().inc();
+    log.streamEnded(lastEvent);
+    end.run();
+    caller.finish();
+  }
+
+  /** Ends a call that has not been executed; its caller may retry after {@code delay}. */
+  void reject(ErrorCode code, String reason, int refusals, Duration delay, long nowNanos) {
+    context.metrics().rejected().inc();
+    log.rejected(reason, refusals, nowNanos);
+    respondWithProblem(
+        ErrorCode.MODEL_UNAVAILABLE, MagnoliavaleException.of(code, reason).withRetryAfter(delay));
+  }
+
+  /** Ends a call that may have been executed. */
+  void fail(ErrorCode code, String reason, int possibleExecutions, String lastFailure) {
+    context.metrics().failed().inc();
+    log.failed(reason, possibleExecutions, lastFailure);
+    respondWithProblem(code, MagnoliavaleException.of(code, reason));
+  }
+
+  /** Aborts a response that has started but cannot be completed. */
+  void abort(String reason, Optional<Long> lastEvent) {
+    context.metrics().failed().inc();
+    log.responseAborted(reason, lastEvent);
+    end.run();
+    caller.abort();
+  }
+
+  /** Ends a call whose caller has disconnected. */
+  void abandon(int possibleExecutions, boolean responseStarted) {
+    log.callerDisconnected(possibleExecutions, responseStarted);
+    context.metrics().abandoned().inc();
+    end.run();
+    caller.abort();
+  }
+
+  private void respondWithProblem(ErrorCode status, MagnoliavaleException problem) {
+    end.run();
+    LocalResponses.sendProblem(
+        context.protocol(), plan.attemptId(), caller, status.httpStatus(), problem);
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/call/RetryAllowance.java
+++ b/src/main/java/org/magnoliavale/internal/call/RetryAllowance.java
@@ -63,16 +63,28 @@
     possibleExecutions++;
   }
 
-  /**
-   * Returns whether the call may be sent again after a possible execution that has been recorded;
-   * takes the retry from the budget if so.
-   */
-  boolean spendRetryAfterExecution(boolean responseStarted, long nowNanos) {
+  /** Returns whether the call may be sent again after a possible execution that was recorded. */
+  boolean allowsRetryAfterExecution(boolean responseStarted, long nowNanos) {
+    return allowsRetry(possibleExecutions, responseStarted, nowNanos);
+  }
+
+  /** Returns whether the call may be sent again instead of its attempt in progress. */
+  boolean allowsRetryInPlaceOfAttempt(boolean responseStarted, long nowNanos) {
+    // The attempt in progress may have been executed, too.
+    return allowsRetry(possibleExecutions + 1, responseStarted, nowNanos);
+  }
+
+  private boolean allowsRetry(int executions, boolean responseStarted, long nowNanos) {
     return plan.route().isRetryable()
-        && possibleExecutions < plan.route().maximumAttempts()
+        && executions < plan.route().maximumAttempts()
         && hasTime(responseStarted, nowNanos)
         && !context.crashDetector().isBlocked(plan.crashKeys())
-        && context.retryBudget().trySpend(plan.service(), nowNanos);
+        && context.retryBudget().hasRetryLeft(plan.service(), nowNanos);
+  }
+
+  /** Takes a retry from the budget; returns whether there was one left. */
+  boolean spendRetry(long nowNanos) {
+    return context.retryBudget().trySpend(plan.service(), nowNanos);
   }
 
   /** Returns whether another attempt may end in time, also before a stopping instance ends. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -114,14 +115,39 @@
     if (eligible.isEmpty()) {
       return new EndpointChoice.AwaitArtifact(criteria.generation().orElseThrow().artifact());
     }
-    int connectionShare = Math.max(1, connectionLimit / Math.max(1, instances.getAsInt()));
-    eligible.removeIf(state -> state.inFlight() >= connectionShare);
+    removeFullyUsed(eligible, connectionLimit);
     if (eligible.isEmpty()) {
       return new EndpointChoice.Unavailable("connection limit reached at all endpoints");
     }
     List<EndpointState> healthy = new ArrayList<>(eligible);
     healthy.removeIf(state -> !state.isHealthy(nowNanos));
-    EndpointState best = leastDelayed(healthy.isEmpty() ? eligible : healthy, criteria, nowNanos);
+    return select(healthy.isEmpty() ? eligible : healthy, criteria, nowNanos);
+  }
+
+  /**
+   * Selects an endpoint that is healthy and can take a request now, and counts the request as in
+   * flight there; empty if there is none.
+   *
+   * @param connectionLimit connections that an endpoint accepts from the whole fleet
+   */
+  public synchronized Optional<EndpointChoice.Selected> chooseHealthy(
+      SelectionCriteria criteria, int connectionLimit, long nowNanos) {
+    List<EndpointState> healthy = availableEndpoints(criteria);
+    healthy.removeIf(state -> !state.isHealthy(nowNanos));
+    healthy.removeIf(state -> !holdsArtifact(state, criteria, nowNanos));
+    removeFullyUsed(healthy, connectionLimit);
+    return healthy.isEmpty() ? Optional.empty() : Optional.of(select(healthy, criteria, nowNanos));
+  }
+
+  /** Removes the endpoints at which this instance uses all its connections. */
+  private void removeFullyUsed(List<EndpointState> states, int connectionLimit) {
+    int connectionShare = Math.max(1, connectionLimit / Math.max(1, instances.getAsInt()));
+    states.removeIf(state -> state.inFlight() >= connectionShare);
+  }
+
+  private EndpointChoice.Selected select(
+      List<EndpointState> candidates, SelectionCriteria criteria, long nowNanos) {
+    EndpointState best = leastDelayed(candidates, criteria, nowNanos);
     double load = best.load(instances.getAsInt(), nowNanos);
     best.attemptStarted(criteria.generation(), nowNanos);
     return new EndpointChoice.Selected(
@@ -131,15 +157,6 @@
         TimeUnit.NANOSECONDS.toMillis(nowNanos - updatedNanos));
   }
 
-  /** Returns whether an endpoint other than {@code current} is healthy and can take a request. */
-  public synchronized boolean hasAlternative(
-      SelectionCriteria criteria, EndpointIdentity current, long nowNanos) {
-    return availableEndpoints(criteria).stream()
-        .filter(state -> !state.entry().identity().equals(current))
-        .filter(state -> state.isHealthy(nowNanos))
-        .anyMatch(state -> holdsArtifact(state, criteria, nowNanos));
-  }
-
   /** Returns whether an endpoint holds what a request needs; one for no model needs nothing. */
   private static boolean holdsArtifact(
       EndpointState state, SelectionCriteria criteria, long nowNanos) {
--- a/src/main/java/org/magnoliavale/internal/dispatch/FleetRetryBudget.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/FleetRetryBudget.java
@@ -68,16 +68,21 @@
 
   /** Takes one retry from the budget; returns whether there was one left. */
   public synchronized boolean trySpend(ServiceId service, long nowNanos) {
+    if (!hasRetryLeft(service, nowNanos)) {
+      return false;
+    }
+    window(service, nowNanos).retries.addLast(nowNanos);
+    return true;
+  }
+
+  /** Returns whether there is a retry left, without taking it. */
+  public synchronized boolean hasRetryLeft(ServiceId service, long nowNanos) {
     Window window = window(service, nowNanos);
     double reserveShare = reserve / Math.max(1, instances.getAsInt());
     boolean recentlyStarted = nowNanos - startNanos < windowNanos;
     double allowance =
         ratio * window.requests.size() + (recentlyStarted ? reserveShare / 2 : reserveShare);
-    if (window.retries.size() + 1 > allowance * USED_SHARE) {
-      return false;
-    }
-    window.retries.addLast(nowNanos);
-    return true;
+    return window.retries.size() + 1 <= allowance * USED_SHARE;
   }
 
   private Window window(ServiceId service, long nowNanos) {
--- a/src/main/java/org/magnoliavale/internal/dispatch/SelectionCriteria.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/SelectionCriteria.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.dispatch;
 
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.magnoliavale.internal.directory.EndpointIdentity;
@@ -18,4 +19,11 @@
   public SelectionCriteria {
     excluded = Set.copyOf(excluded);
   }
+
+  /** Returns criteria that exclude one more endpoint. */
+  public SelectionCriteria excluding(EndpointIdentity endpoint) {
+    Set<EndpointIdentity> more = new HashSet<>(excluded);
+    more.add(endpoint);
+    return new SelectionCriteria(service, generation, more);
+  }
 }
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -31,6 +31,9 @@
 
   long now = TimeUnit.SECONDS.toNanos(100);
   private final double retryReserve = 1_000;
+  final FleetRetryBudget retryBudget =
+      new FleetRetryBudget(
+          0, retryReserve, TimeUnit.SECONDS.toNanos(10), () -> 1, now - (long) 1e12);
   final ScriptedConnector connector = new ScriptedConnector();
   RecordingCaller caller = new RecordingCaller();
   final EndpointPool pool =
@@ -42,38 +45,43 @@
   /** Runs once, at the next reading of the clock. */
   Runnable onNextClockReading = () -> {};
 
+  /** Connections that an endpoint accepts from all instances. */
+  int connectionLimit = 100;
+
   CallRegistry calls;
   RouteTable table;
 
   @BeforeEach
   void start() {
     updateEndpoints(TestEntries.entry("a", 1, "m"), TestEntries.entry("b", 1, "m"));
-    table =
-        RouteTable.of(
-            1,
-            List.of(
-                route("/safe/", CallKind.IDEMPOTENT, false, 2),
-                route("/unsafe/", CallKind.NON_IDEMPOTENT, false, 1),
-                route("/stream/", CallKind.STREAM, true, 2),
-                route("/once/", CallKind.STREAM, false, 1)),
-            List.of(new ServiceSpecification(TestEntries.SERVICE, 100, Optional.empty())),
-            1_000);
+    table = createTable();
     calls =
         new CallRegistry(
             new CallContext(
                 TestProtocol.create(),
                 connector,
                 pool,
-                new FleetRetryBudget(
-                    0, retryReserve, TimeUnit.SECONDS.toNanos(10), () -> 1, now - (long) 1e12),
+                retryBudget,
                 new ArtifactDemand(() -> {}),
                 crashDetector,
-                () -> table,
+                () -> table == null ? null : createTable(),
                 new CallMetrics(new InstanceMetrics()),
                 this::readClock),
             new Random(1));
   }
 
+  private RouteTable createTable() {
+    return RouteTable.of(
+        1,
+        List.of(
+            route("/safe/", CallKind.IDEMPOTENT, false, 2),
+            route("/unsafe/", CallKind.NON_IDEMPOTENT, false, 1),
+            route("/stream/", CallKind.STREAM, true, 2),
+            route("/once/", CallKind.STREAM, false, 1)),
+        List.of(new ServiceSpecification(TestEntries.SERVICE, connectionLimit, Optional.empty())),
+        1_000);
+  }
+
   private long readClock() {
     Runnable hook = onNextClockReading;
     onNextClockReading = () -> {};
--- a/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
@@ -102,6 +102,70 @@
       assertThat(endpoints()).containsExactly("a", "b");
     }
 
+    /** Guards against a stream of sound endpoints that pause and is broken off before its end. */
+    @Test
+    void ofTheLastEndpointThatTheRouteAllowsDoesNotCutASoundStream() {
+      updateEndpoints(
+          TestEntries.entry("a", 1, "m"),
+          TestEntries.entry("b", 1, "m"),
+          TestEntries.entry("c", 1, "m"));
+      call("/stream/x");
+      connector.last().begin(200);
+      connector.last().content(EVENT_ONE);
+      advance(1_500);
+      assertThat(connector.sent()).hasSize(2);
+      advance(1_300);
+      assertThat(caller.ending()).isEqualTo("open");
+      connector.last().respond(200, EVENT_TWO);
+      assertThat(caller.body()).isEqualTo(EVENT_ONE + EVENT_TWO);
+      assertThat(caller.ending()).isEqualTo("finished");
+    }
+
+    @Test
+    void doesNotCutASoundStreamIfTheRetryBudgetIsEmpty() {
+      call("/stream/x");
+      connector.last().begin(200);
+      connector.last().content(EVENT_ONE);
+      while (retryBudget.trySpend(TestEntries.SERVICE, now)) {
+        // The budget is emptied.
+      }
+      advance(1_500);
+      assertThat(connector.sent()).hasSize(1);
+      connector.last().content(EVENT_TWO);
+      connector.last().listener().onCompleted();
+      assertThat(caller.ending()).isEqualTo("finished");
+    }
+
+    @Test
+    void doesNotCutASoundStreamIfNoOtherEndpointHasAFreeConnection() {
+      connectionLimit = 1;
+      call("/stream/x");
+      RecordingCaller first = caller;
+      ScriptedConnector.Sent paused = connector.last();
+      paused.begin(200);
+      paused.content(EVENT_ONE);
+      caller = new RecordingCaller();
+      call("/unsafe/x");
+      advance(1_000);
+      connector.last().begin(200);
+      advance(500);
+      assertThat(paused.isCancelled()).isFalse();
+      paused.content(EVENT_TWO);
+      paused.listener().onCompleted();
+      assertThat(first.ending()).isEqualTo("finished");
+    }
+
+    @Test
+    void ofTheLastEndpointDoesNotEndAnIdempotentCallBeforeItsDeadline() {
+      call("/safe/x");
+      advance(450);
+      assertThat(connector.sent()).hasSize(2);
+      advance(900);
+      assertThat(caller.ending()).isEqualTo("open");
+      connector.last().respond(200, "done");
+      assertThat(caller.body()).isEqualTo("done");
+    }
+
     @Test
     void neverCausesARetryOfANonIdempotentCall() {
       call("/unsafe/x");
