Take no odd directory entry for an endpoint

What was reported: one odd entry of another writer ended the machines that read the list, or stopped them following it.

What shows here: neither, but 15 of 39 odd entries were taken for endpoints (StoreDirectorySourceTest on the code before): `10.1.0.999:80`, as a name without an address; port 0; slots, sequence and start time of another type or beyond their range, which a conversion made another number of.

Cause: the decoder checked that fields are there, and some of their types, not their ranges; addresses were matched by a pattern and then looked up as names.

Ruled out: deep nesting (20,000) and long numbers (4,000 digits), which the JSON library bounds.

Evidence: StoreDirectorySourceTest 15 of 39 red before, green; MalformedInputTest's new property red before, green.

Why it works: each field is checked for type and range before an entry is made of it; an address is a literal or none.

--- a/src/main/java/org/magnoliavale/internal/ini/Values.java
+++ b/src/main/java/org/magnoliavale/internal/ini/Values.java
@@ -1,8 +1,10 @@
 package org.magnoliavale.internal.ini;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /** Validation and conversion of lists and addresses. */
@@ -26,13 +28,22 @@
   public static boolean isAddress(String value) {
     boolean numeric =
         IPV4_ADDRESS.matcher(value).matches() || IPV6_ADDRESS.matcher(value).matches();
-    return numeric && portOf(value) <= MAXIMUM_PORT;
+    return numeric && portOf(value) <= MAXIMUM_PORT && hostOf(value).isPresent();
   }
 
   /** Parses {@code address:port}; the text must be valid. */
   public static InetSocketAddress address(String value) {
-    int colon = value.lastIndexOf(':');
-    return new InetSocketAddress(value.substring(0, colon), portOf(value));
+    return new InetSocketAddress(hostOf(value).orElseThrow(), portOf(value));
+  }
+
+  /** Parses the numeric address without looking up a name; empty if it is none. */
+  private static Optional<InetAddress> hostOf(String value) {
+    String host = value.substring(0, value.lastIndexOf(':'));
+    try {
+      return Optional.of(InetAddress.ofLiteral(host));
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
   }
 
   private static int portOf(String value) {
--- a/src/main/java/org/magnoliavale/platform/StoreDirectorySource.java
+++ b/src/main/java/org/magnoliavale/platform/StoreDirectorySource.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
+import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.DirectoryReadResult;
 import org.magnoliavale.internal.directory.DirectorySource;
@@ -17,13 +19,20 @@
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.ini.Values;
 import org.magnoliavale.internal.json.Json;
+import org.magnoliavale.internal.logging.Logs;
 
-/** Reads the endpoint directory from the rows that the platform's workers write in the store. */
+/**
+ * Reads the endpoint directory from the rows that the platform's workers write in the store. Rows
+ * that are not a worker's entry are ignored; other programs may write there. Used by one thread.
+ */
 final class StoreDirectorySource implements DirectorySource {
+  private static final Logger LOG = Logs.of("directory");
   private static final String TABLE = "servers";
+  private static final int MAXIMUM_LOGGED_KEYS = 10;
   private static final Set<String> STATES = Set.of("ready", "draining");
 
   private final StoreClient store;
+  private Set<String> malformedKeys = Set.of();
 
   StoreDirectorySource(StoreClient store) {
     this.store = store;
@@ -45,47 +54,74 @@
     };
   }
 
-  private static List<DirectoryEntry> decodeEntries(List<StoreClient.StoredRow> rows) {
+  private List<DirectoryEntry> decodeEntries(List<StoreClient.StoredRow> rows) {
     List<DirectoryEntry> entries = new ArrayList<>();
-    rows.forEach(row -> decodeEntry(row.key(), row.value()).ifPresent(entries::add));
+    Set<String> malformed = new TreeSet<>();
+    for (StoreClient.StoredRow row : rows) {
+      decodeEntry(row.key(), row.value())
+          .ifPresentOrElse(entries::add, () -> malformed.add(row.key()));
+    }
+    logChange(malformed);
     return entries;
   }
 
+  /** Logs the malformed entries whenever they change; they stay in the store for long. */
+  private void logChange(Set<String> malformed) {
+    if (malformed.equals(malformedKeys)) {
+      return;
+    }
+    malformedKeys = malformed;
+    LOG.warnf(
+        "Malformed entries are ignored. count=%d keys=%s",
+        malformed.size(), malformed.stream().limit(MAXIMUM_LOGGED_KEYS).toList());
+  }
+
   /** Decodes a row; empty if it is malformed or not a worker's entry. */
   static Optional<DirectoryEntry> decodeEntry(String id, byte[] value) {
     try {
       JsonNode tree = Json.tree(value);
-      String service = text(tree, "service");
-      String address = text(tree, "address");
-      String state = text(tree, "state");
-      JsonNode sequence = tree.path("sequence");
-      boolean valid =
-          IdentifierRules.isValid(id)
-              && IdentifierRules.isValid(service)
-              && Values.isAddress(address)
-              && STATES.contains(state)
-              && (sequence.isMissingNode() || sequence.isIntegralNumber());
-      if (!valid) {
-        return Optional.empty();
-      }
-      return Optional.of(
-          new DirectoryEntry(
-              new EndpointIdentity(id, tree.path("born").asLong()),
-              new ServiceId(service),
-              Values.address(address),
-              text(tree, "zone"),
-              state.equals("draining"),
-              tree.path("slots").asInt(1),
-              // In a directory entry "sequence" counts heartbeats; in a report it counts commands.
-              sequence.asLong(),
-              decodeModels(tree.path("models")),
-              decodeNames(tree.path("at-hand").path("in-memory")),
-              decodeNames(tree.path("at-hand").path("on-disk"))));
-    } catch (IOException e) {
+      return isValid(id, tree) ? Optional.of(toEntry(id, tree)) : Optional.empty();
+    } catch (IOException | RuntimeException e) {
+      // Another program may have written the row; whatever it is, the other rows count.
       return Optional.empty();
     }
   }
 
+  private static boolean isValid(String id, JsonNode tree) {
+    String address = text(tree, "address");
+    return IdentifierRules.isValid(id)
+        && IdentifierRules.isValid(text(tree, "service"))
+        && Values.isAddress(address)
+        && Values.address(address).getPort() > 0
+        && STATES.contains(text(tree, "state"))
+        && isNumber(tree.path("slots"), 1, Integer.MAX_VALUE)
+        && isNumber(tree.path("sequence"), 0, Long.MAX_VALUE)
+        && (tree.path("born").isMissingNode() || isNumber(tree.path("born"), 0, Long.MAX_VALUE))
+        && (tree.path("models").isMissingNode() || tree.path("models").isArray());
+  }
+
+  private static boolean isNumber(JsonNode node, long minimum, long maximum) {
+    return node.isIntegralNumber()
+        && node.canConvertToLong()
+        && node.asLong() >= minimum
+        && node.asLong() <= maximum;
+  }
+
+  private static DirectoryEntry toEntry(String id, JsonNode tree) {
+    return new DirectoryEntry(
+        new EndpointIdentity(id, tree.path("born").asLong()),
+        new ServiceId(text(tree, "service")),
+        Values.address(text(tree, "address")),
+        text(tree, "zone"),
+        text(tree, "state").equals("draining"),
+        tree.path("slots").asInt(),
+        // In a directory entry "sequence" counts heartbeats; in a report it counts commands.
+        tree.path("sequence").asLong(),
+        decodeModels(tree.path("models")),
+        decodeNames(tree.path("at-hand").path("in-memory")),
+        decodeNames(tree.path("at-hand").path("on-disk")));
+  }
+
   private static String text(JsonNode tree, String key) {
     JsonNode node = tree.path(key);
     return node.isTextual() ? node.asText() : "";
--- a/src/test/java/org/magnoliavale/platform/MalformedInputTest.java
+++ b/src/test/java/org/magnoliavale/platform/MalformedInputTest.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.platform;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -20,6 +21,13 @@
  * for malformed input, whatever it is; other exceptions would end the loop that reads it.
  */
 class MalformedInputTest {
+  /** Stand for what cannot be written from a tree, and are replaced in the text. */
+  private static final String HUGE_NUMBER = "huge-number";
+
+  private static final String DEEPLY_NESTED = "deeply-nested";
+  private static final int MAXIMUM_DIGITS = 5_000;
+  private static final int MAXIMUM_NESTING = 20_000;
+
   private static final String ENTRY =
       """
       {"service":"assistant","address":"10.1.0.1:80","zone":"a","version":"v1","slots":8,
@@ -46,6 +54,23 @@
         .doesNotThrowAnyException();
   }
 
+  /**
+   * Guards against an odd entry that is taken for an endpoint, and then ends or stops whatever
+   * works with the entries.
+   */
+  @Property(tries = 2_000, seed = "20261205")
+  void directoryEntriesThatAreDecodedCanBeUsed(@ForAll long seed) {
+    StoreDirectorySource.decodeEntry("i-1", mutate(ENTRY, seed))
+        .ifPresent(
+            entry -> {
+              assertThat(entry.address().isUnresolved()).isFalse();
+              assertThat(entry.address().getPort()).isPositive();
+              assertThat(entry.slots()).isPositive();
+              assertThat(entry.heartbeat()).isNotNegative();
+              assertThat(entry.identity().startedAtMs()).isNotNegative();
+            });
+  }
+
   @Property(tries = 2_000, seed = "20261204")
   void configurationsThrowOnlyTheDeclaredException(@ForAll long seed) {
     byte[] malformed = mutate(CONFIGURATION, seed);
@@ -68,7 +93,12 @@
       for (int change = 0; change <= random.nextInt(3); change++) {
         mutateOne(tree, random);
       }
-      byte[] bytes = Json.bytes(tree);
+      int depth = random.nextInt(MAXIMUM_NESTING);
+      byte[] bytes =
+          Json.text(tree)
+              .replace('"' + HUGE_NUMBER + '"', "9".repeat(1 + random.nextInt(MAXIMUM_DIGITS)))
+              .replace('"' + DEEPLY_NESTED + '"', "[".repeat(depth) + "]".repeat(depth))
+              .getBytes(StandardCharsets.UTF_8);
       boolean cut = random.nextInt(10) == 0;
       return cut ? java.util.Arrays.copyOf(bytes, random.nextInt(bytes.length)) : bytes;
     } catch (IOException e) {
@@ -106,7 +136,7 @@
 
   private static JsonNode randomValue(Random random) {
     JsonNodeFactory factory = JsonNodeFactory.instance;
-    return switch (random.nextInt(10)) {
+    return switch (random.nextInt(16)) {
       case 0 -> factory.nullNode();
       case 1 -> factory.numberNode(Long.MAX_VALUE);
       case 2 -> factory.numberNode(-1);
@@ -116,6 +146,12 @@
       case 6 -> factory.booleanNode(true);
       case 7 -> factory.arrayNode();
       case 8 -> factory.arrayNode().add(factory.nullNode()).add("x");
+      case 9 -> factory.textNode("10.1.0.1:99999");
+      case 10 -> factory.textNode("10.1.0.999:80");
+      case 11 -> factory.textNode("[::::]:80");
+      case 12 -> factory.textNode(HUGE_NUMBER);
+      case 13 -> factory.numberNode(-Double.MAX_VALUE);
+      case 14 -> factory.textNode(DEEPLY_NESTED);
       default -> factory.objectNode().put("name", 3);
     };
   }
