Forward no error of an endpoint as events of a stream

What was reported: a stream had begun and broke off, the next worker answered with an error, and clients found its text in the middle of their stream.

A 400 before the first event was read as a broken stream too, tried at four endpoints, and ended with 502.

Cause: the events of an attempt were forwarded without looking at its status.

Why it works: a response other than 200 has no events. After the first event it counts as a failed attempt, and the stream goes on at another endpoint or ends with an error event; before it, the endpoint's error is the response.

With it: Forwarder.complete reads a whole response in one place for both kinds of request.

--- a/src/main/java/org/magnoliavale/internal/traffic/EventStreamForwarder.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/EventStreamForwarder.java
@@ -59,8 +59,14 @@
     return lastEventId == NO_EVENT ? Optional.empty() : Optional.of(Long.toString(lastEventId));
   }
 
-  /** Forwards an attempt's events until the stream ends or either side fails. */
+  /**
+   * Forwards an attempt's events until the stream ends or either side fails. An error response has
+   * no events, whatever its content looks like.
+   */
   Outcome forward(EndpointResponse endpointResponse) {
+    if (endpointResponse.status() != HttpStatus.OK_200) {
+      return new Outcome.EndpointFailed("status " + endpointResponse.status(), false);
+    }
     EventReader reader = new EventReader(endpointResponse.content());
     while (true) {
       Optional<EventReader.Event> event;
--- a/src/main/java/org/magnoliavale/internal/traffic/Forwarder.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/Forwarder.java
@@ -35,19 +35,29 @@
     RetrySequence attempts = newSequence(context, target, template);
     while (true) {
       ActiveAttempt attempt = attempts.nextAttempt(Optional.empty());
-      try {
-        BufferedResponse response = readResponse(attempt, target);
-        attempts.succeeded(attempt);
-        return response;
-      } catch (IOException e) {
-        attempts.failed(
-            attempt,
-            "incomplete response: " + e.getMessage(),
-            ConnectionFailures.isConnectionLost(e));
+      Optional<BufferedResponse> response = complete(attempts, attempt, target);
+      if (response.isPresent()) {
+        return response.get();
       }
     }
   }
 
+  /** Reads the whole response of an attempt and ends it; empty if the response is incomplete. */
+  Optional<BufferedResponse> complete(
+      RetrySequence attempts, ActiveAttempt attempt, Target target) {
+    try {
+      BufferedResponse response = readResponse(attempt, target);
+      attempts.succeeded(attempt);
+      return Optional.of(response);
+    } catch (IOException e) {
+      attempts.failed(
+          attempt,
+          "incomplete response: " + e.getMessage(),
+          ConnectionFailures.isConnectionLost(e));
+      return Optional.empty();
+    }
+  }
+
   private BufferedResponse readResponse(ActiveAttempt attempt, Target target) throws IOException {
     byte[] body = attempt.response().readFully(settings.maximumResponseBytes());
     if (target instanceof Target.OfModel) {
--- a/src/main/java/org/magnoliavale/internal/traffic/ModelRequestHandler.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/ModelRequestHandler.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.magnoliavale.ErrorCode;
@@ -56,13 +57,7 @@
       streamCompletion(context, target, template, response, callback);
       return;
     }
-    BufferedResponse endpointResponse = forwarder.forward(context, target, template);
-    HttpResponses.write(
-        response,
-        callback,
-        endpointResponse.status(),
-        endpointResponse.contentType(),
-        endpointResponse.body());
+    write(forwarder.forward(context, target, template), response, callback);
   }
 
   private void streamCompletion(
@@ -77,6 +72,15 @@
     try {
       while (true) {
         ActiveAttempt attempt = attempts.nextAttempt(events.lastEventId());
+        boolean error = attempt.response().status() != HttpStatus.OK_200;
+        if (error && !events.hasForwardedEvents()) {
+          Optional<BufferedResponse> complete = forwarder.complete(attempts, attempt, target);
+          if (complete.isPresent()) {
+            write(complete.get(), response, callback);
+            return;
+          }
+          continue;
+        }
         switch (events.forward(attempt.response())) {
           case EventStreamForwarder.Outcome.Completed() -> {
             attempts.succeeded(attempt);
@@ -107,6 +111,11 @@
     }
   }
 
+  private static void write(BufferedResponse complete, Response response, Callback callback) {
+    HttpResponses.write(
+        response, callback, complete.status(), complete.contentType(), complete.body());
+  }
+
   private static void checkResumable(
       EventStreamForwarder events, ActiveAttempt attempt, String reason) {
     boolean resumes = attempt.decision().candidate().endpoint().contract().resumesStreams();
