Let an attempt end only when none of its events is being written

Cause: an attempt that failed while one of its events was being written to a slow caller went on at the next endpoint at once. Its first event would have been written while the other write was under way, which the server rejects, and the rejection counted as written: an event would be lost (ORDER). A regular end waited already.

With Jetty's client no order of events is known that leads to the overlap.

Evidence: StreamCallTest.SlowCaller failed before ("a write began before the last one was complete") and passes.

Why it works: both ends of an attempt wait for the write in progress.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -48,7 +48,10 @@
   private boolean streaming;
   private boolean closed;
   private boolean writing;
-  private boolean completedWhileWriting;
+
+  /** The end of the attempt, if it came while an event was being written to the caller. */
+  private Runnable deferredEnd;
+
   private long lastActivityNanos;
   private long lastEventNanos;
 
@@ -203,8 +206,8 @@
       if (closed) {
         return;
       }
-      if (completedWhileWriting) {
-        finish(lastActivityNanos);
+      if (deferredEnd != null) {
+        deferredEnd.run();
         return;
       }
     }
@@ -217,11 +220,16 @@
       if (closed) {
         return;
       }
-      if (writing) {
-        completedWhileWriting = true;
-        return;
-      }
-      finish(call.now());
+      end(() -> finish(call.now()));
+    }
+  }
+
+  /** Ends the attempt as soon as no event is being written, since writes must not overlap. */
+  private void end(Runnable action) {
+    if (writing) {
+      deferredEnd = action;
+    } else {
+      action.run();
     }
   }
 
@@ -321,16 +329,19 @@
       if (closed) {
         return;
       }
-      long now = call.now();
-      if (responseHead != null && responseHead.notExecuted()) {
-        handleNotExecuted(now);
-      } else if (failure == AttemptFailure.NOT_SENT) {
-        close(AttemptOutcome.UNREACHABLE, now);
-        call.context().crashDetector().endpointDown(identity(), now);
-        call.attemptNotSent(this, reason, now);
-      } else {
-        failAfterSend(reason, now);
-      }
+      end(() -> fail(failure, reason, call.now()));
+    }
+  }
+
+  private void fail(AttemptFailure failure, String reason, long now) {
+    if (responseHead != null && responseHead.notExecuted()) {
+      handleNotExecuted(now);
+    } else if (failure == AttemptFailure.NOT_SENT) {
+      close(AttemptOutcome.UNREACHABLE, now);
+      call.context().crashDetector().endpointDown(identity(), now);
+      call.attemptNotSent(this, reason, now);
+    } else {
+      failAfterSend(reason, now);
     }
   }
 
--- a/src/test/java/org/magnoliavale/internal/call/RecordingCaller.java
+++ b/src/test/java/org/magnoliavale/internal/call/RecordingCaller.java
@@ -11,6 +11,8 @@
   private int status;
   private HttpFields headers = HttpFields.EMPTY;
   private String ending = "open";
+  private boolean writesHeld;
+  private Runnable pendingWrite;
 
   int status() {
     return status;
@@ -42,10 +44,29 @@
     headers = responseHeaders;
   }
 
+  /** From now on writes complete only with {@link #completeWrite}. */
+  void holdWrites() {
+    writesHeld = true;
+  }
+
+  /** Completes the write in progress. */
+  void completeWrite() {
+    Runnable written = pendingWrite;
+    pendingWrite = null;
+    written.run();
+  }
+
   @Override
   public void write(ByteBuffer bytes, Runnable written) {
+    if (pendingWrite != null) {
+      throw new AssertionError("a write began before the last one was complete");
+    }
     append(bytes);
-    written.run();
+    if (writesHeld) {
+      pendingWrite = written;
+    } else {
+      written.run();
+    }
   }
 
   @Override
--- a/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
@@ -2,8 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliavale.internal.dispatch.TestEntries;
 
 class StreamCallTest extends CallFixture {
@@ -64,6 +67,66 @@
     }
   }
 
+  /**
+   * Guards against an error of the next endpoint, after a stream has broken off, that reaches the
+   * caller in the middle of its stream or makes it look complete.
+   */
+  @Nested
+  class ErrorAfterAnInterruptedStream {
+    @BeforeEach
+    void interrupt() {
+      call("/stream/x");
+      connector.last().begin(200);
+      connector.last().content(EVENT_ONE);
+      connector.last().failAfterSend();
+      assertThat(connector.sent()).hasSize(2);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {204, 302, 400, 403, 404, 408, 409, 413, 429, 500, 502, 503, 504})
+    void neverReachesTheCaller(int status) {
+      connector.last().respond(status, status == 204 ? "" : "error text\n\n");
+      assertThat(caller.body()).isEqualTo(EVENT_ONE);
+      assertThat(caller.status()).isEqualTo(200);
+      assertThat(caller.ending()).isNotEqualTo("finished").isNotEqualTo("whole");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {421, 429, 503})
+    void thatPromisesNoExecutionLeadsToAnotherEndpoint(int status) {
+      updateEndpoints(TestEntries.entry("a", 2, "m"), TestEntries.entry("b", 2, "m"));
+      connector.last().respondNotExecuted(status);
+      advance(150);
+      assertThat(caller.body()).isEqualTo(EVENT_ONE);
+      assertThat(caller.ending()).isNotEqualTo("finished").isNotEqualTo("whole");
+    }
+  }
+
+  @Nested
+  class SlowCaller {
+    /** Guards against events that are lost because two writes overlap. */
+    @Test
+    void getsNoEventOfTheNextEndpointWhileOneIsBeingWritten() {
+      call("/stream/x");
+      connector.last().begin(200);
+      caller.holdWrites();
+      connector.last().content(EVENT_ONE);
+      connector.last().failAfterSend();
+      if (connector.sent().size() == 2) {
+        connector.last().begin(200);
+        connector.last().content(EVENT_TWO);
+      }
+      caller.completeWrite();
+      assertThat(connector.sent()).hasSize(2);
+      connector.last().begin(200);
+      connector.last().content(EVENT_TWO);
+      caller.completeWrite();
+      connector.last().listener().onCompleted();
+      assertThat(caller.body()).isEqualTo(EVENT_ONE + EVENT_TWO);
+      assertThat(caller.ending()).isEqualTo("finished");
+    }
+  }
+
   @Nested
   class Silence {
     @Test
