Start the wait for an endpoint anew when a silent attempt is moved

A call that had been moved and was then told 421 counted its wait for the model from its arrival, so a stream older than the longest wait was aborted at once.

Evidence: StreamCallTest.Silence.ofAnEndpointStartsTheWaitForTheNextOneAnew failed before and passes.

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -178,6 +178,7 @@
     source.cancel(AttemptOutcome.FAILED, nowNanos);
     recordPossibleExecution(source, reason);
     logRetry(source, reason);
+    waitStartNanos = nowNanos;
     send(choice.get(), nowNanos);
   }
 
--- a/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.TestEntries;
 
 class StreamCallTest extends CallFixture {
@@ -229,6 +230,21 @@
       assertThat(caller.body()).isEqualTo("done");
     }
 
+    @Test
+    void ofAnEndpointStartsTheWaitForTheNextOneAnew() {
+      updateEndpoints(TestEntries.entry("a", 1, "n"), TestEntries.entry("b", 1, "m", "n"));
+      pool.recordUnloading("b", Artifact.parse("n"), now);
+      call("/stream/x", "X-Model", "n");
+      connector.last().begin(200);
+      connector.last().content(EVENT_ONE);
+      updateEndpoints(TestEntries.entry("a", 2, "n"), TestEntries.entry("b", 2, "m", "n"));
+      advance(1_500);
+      assertThat(endpoints()).containsExactly("a", "b");
+      connector.last().respondNotExecuted(421);
+      advance(100);
+      assertThat(caller.ending()).isEqualTo("open");
+    }
+
     @Test
     void neverCausesARetryOfANonIdempotentCall() {
       call("/unsafe/x");
