Read the metrics of a request in progress in their order

The test asserted that a call has left the registry in the same reading that first showed it as answered; the counter comes a moment before. It failed once in a full run for that reason (551 tests, 1 failure), traced by its own output: the reading had calls_answered 1.0 beside calls_in_progress 1.0. It now waits for each in turn; the assertions are the same.

--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
@@ -124,7 +124,8 @@
     try (Socket caller = connect()) {
       send(caller, "/safe/x", "id-1");
       endpoint.nextRequest().respond(200, "a".repeat(LARGE_RESPONSE_BYTES));
-      String metrics = awaitMetric("calls_answered 1.0");
+      awaitMetric("calls_answered 1.0");
+      String metrics = awaitMetric("calls_in_progress 0.0");
       assertThat(metrics).contains("calls_in_progress 0.0").contains("requests_in_progress 1.0");
       readUntil(caller, "\r\n\r\n");
       assertThat(caller.getInputStream().readNBytes(LARGE_RESPONSE_BYTES))
