--- a/src/test/java/org/magnoliavale/platform/StoreClientTest.java
+++ b/src/test/java/org/magnoliavale/platform/StoreClientTest.java
@@ -2,44 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import org.eclipse.jetty.client.HttpClient;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.magnoliavale.internal.http.HttpClients;
-import org.magnoliavale.internal.http.JsonClient;
 import org.magnoliavale.internal.platform.Transaction;
-import org.magnoliavale.platform.standin.StoreStandIn;
 
 /** Runs the client of the platform's store against its stand-in. */
-class StoreClientTest {
+class StoreClientTest extends StoreFixture {
   private static final String TABLE = "fleet";
-  private static final Duration PATIENCE = Duration.ofSeconds(20);
-
-  private final StoreStandIn store =
-      new StoreStandIn(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-  private final HttpClient http = HttpClients.create("test", 4, PATIENCE, PATIENCE);
-  private StoreClient client;
-
-  @BeforeEach
-  void start() {
-    store.start();
-    HttpClients.start(http);
-    InetSocketAddress address =
-        new InetSocketAddress(InetAddress.getLoopbackAddress(), store.port());
-    client = new StoreClient(JsonClient.of(http), address, PATIENCE);
-  }
-
-  @AfterEach
-  void stop() {
-    HttpClients.stop(http);
-    store.stop();
-  }
 
   private long write(String key, String value) {
     StoreClient.Result result =
@@ -117,8 +88,7 @@
     void endAnOpenPoll() {
       long version = write("a", "1");
       Thread writer = Thread.ofVirtual().start(() -> write("b", "2"));
-      var rows =
-          ((StoreClient.Result.Success) client.awaitChanges(TABLE, version, PATIENCE)).rows();
+      var rows = ((StoreClient.Result.Success) client.awaitChanges(TABLE, version, TIMEOUT)).rows();
       assertThat(rows).extracting(StoreClient.StoredRow::key).containsExactly("b");
       assertThat(writer).isNotNull();
     }
--- a/src/test/java/org/magnoliavale/platform/StoreDirectorySourceTest.java
+++ b/src/test/java/org/magnoliavale/platform/StoreDirectorySourceTest.java
@@ -2,13 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
-import org.eclipse.jetty.client.HttpClient;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -16,35 +11,17 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.DirectoryReadResult;
-import org.magnoliavale.internal.http.HttpClients;
-import org.magnoliavale.internal.http.JsonClient;
-import org.magnoliavale.platform.standin.StoreStandIn;
 
 /**
  * Reads the directory from a store into which another program has written. Guards against one odd
  * entry that ends the process, or because of which the list is no longer followed.
  */
-class StoreDirectorySourceTest {
-  private static final Duration TIMEOUT = Duration.ofSeconds(20);
-
-  private final StoreStandIn store =
-      new StoreStandIn(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-  private final HttpClient http = HttpClients.create("test", 4, TIMEOUT, TIMEOUT);
+class StoreDirectorySourceTest extends StoreFixture {
   private StoreDirectorySource directory;
 
   @BeforeEach
-  void start() {
-    store.start();
-    HttpClients.start(http);
-    InetSocketAddress address =
-        new InetSocketAddress(InetAddress.getLoopbackAddress(), store.port());
-    directory = new StoreDirectorySource(new StoreClient(JsonClient.of(http), address, TIMEOUT));
-  }
-
-  @AfterEach
-  void stop() {
-    HttpClients.stop(http);
-    store.stop();
+  void createDirectory() {
+    directory = new StoreDirectorySource(client);
   }
 
   private void write(String id, String text) {
