--- a/src/test/java/org/magnoliavale/internal/command/ReloadSignalTest.java
+++ b/src/test/java/org/magnoliavale/internal/command/ReloadSignalTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -124,6 +125,16 @@
       assertThat(stop()).isZero();
     }
 
+    /** Guards against a log that ends with the stop signal, so that a stop cannot be explained. */
+    @Test
+    @Tag("known-red")
+    void logsItsStop() throws Exception {
+      start("gateway", settings("info", 8, 3_000));
+      awaitLine("Started.");
+      signal("TERM");
+      assertThat(awaitLine("Stopped.")).contains("Stopped.");
+    }
+
     @Test
     void keepsItsSettingsIfTheNewOnesAreInvalid() throws Exception {
       start("gateway", settings("info", 8, 3_000));
