Let the tests of SIGHUP run where the signal is ignored

The child's signal is reset to its default now, and a test that waits for two minutes fails. Checked under nohup and without: 4 of 4 pass.

--- a/src/test/java/org/magnoliavale/internal/command/ReloadSignalTest.java
+++ b/src/test/java/org/magnoliavale/internal/command/ReloadSignalTest.java
@@ -15,12 +15,14 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
  * Runs the program as a process of its own. Guards against a SIGHUP that ends the process and cuts
  * off its streams: the runtime takes that signal for a request to stop unless it is handled.
  */
+@Timeout(value = 2, unit = TimeUnit.MINUTES, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class ReloadSignalTest {
   private static final long TIMEOUT_S = 30;
 
@@ -37,7 +39,8 @@
   private void start(String command, String settings) throws IOException {
     Path file = folder.resolve("settings.ini");
     Files.writeString(file, settings);
-    List<String> line = new ArrayList<>();
+    // The signal may be ignored where the tests run (nohup), and a child would inherit that.
+    List<String> line = new ArrayList<>(List.of("env", "--default-signal=HUP"));
     line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     line.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName()));
     line.addAll(List.of(command, "--settings", file.toString()));
