--- a/src/main/java/org/magnoliavale/internal/command/TrainingRunCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/TrainingRunCommand.java
@@ -1,6 +1,5 @@
 package org.magnoliavale.internal.command;
 
-import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -21,27 +20,21 @@
  */
 @Parameters(commandDescription = "Serve sample calls with two instances, to record their classes")
 final class TrainingRunCommand implements Command {
-  private static final int PORTS_PER_INSTANCE = 4;
   private static final int ROUNDS = 12;
   private static final long ROUND_INTERVAL_MS = 250;
   private static final long READY_TIMEOUT_MS = 15_000;
   private static final long READY_CHECK_INTERVAL_MS = 100;
   private static final int CALL_TIMEOUT_MS = 5_000;
 
-  @Parameter(names = "--port", description = "First of a range of free ports on loopback")
-  private int firstPort = 18_140;
-
   private int attempts;
 
   @Override
   public int run() throws InterruptedException {
-    DeploymentStandIn deployment = new DeploymentStandIn(firstPort);
+    DeploymentStandIn deployment = new DeploymentStandIn(0);
     deployment.start();
-    int firstInstancePort = firstPort + deployment.ports();
     List<GatewayInstance> instances =
         List.of(
-            createInstance(1, firstInstancePort),
-            createInstance(2, firstInstancePort + PORTS_PER_INSTANCE));
+            createInstance(1, deployment.storePort()), createInstance(2, deployment.storePort()));
     instances.forEach(GatewayInstance::start);
     boolean served = true;
     for (GatewayInstance instance : instances) {
@@ -60,7 +53,7 @@
     return served ? SUCCESS : FAILURE;
   }
 
-  private GatewayInstance createInstance(int number, int port) {
+  private GatewayInstance createInstance(int number, int storePort) {
     // The text is parsed rather than built, since reading settings belongs to a start.
     String settings =
         """
@@ -68,25 +61,18 @@
         id = training-%d
         data-centre = %s
         [callers]
-        address = 127.0.0.1:%d
-        readiness-address = 127.0.0.1:%d
+        address = 127.0.0.1:0
+        readiness-address = 127.0.0.1:0
         grace-period-s = 1
         [peers]
         host = 127.0.0.1
-        port = %d
-        metrics-port = %d
+        port = 0
+        metrics-port = 0
         shared-key = training
         [store]
         address = 127.0.0.1:%d
         """
-            .formatted(
-                number,
-                DeploymentStandIn.DATA_CENTRE,
-                port,
-                port + 1,
-                port + 2,
-                port + 3,
-                firstPort);
+            .formatted(number, DeploymentStandIn.DATA_CENTRE, storePort);
     var parsed = GatewaySettingsReader.read("training", settings);
     Logs.install(parsed.logLevel(), System.out);
     return GatewayInstance.create(parsed, PlatformAdapterFactory::create);
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.gateway;
 
 import com.codahale.metrics.Gauge;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
@@ -197,13 +198,15 @@
 
   private InstanceRegistry createRegistry() {
     return new InstanceRegistry(
-        adapters.table(),
-        new ListedInstance(
-            settings.instanceId(),
-            HttpAddresses.format(settings.peers().address()),
-            "live",
-            settings.dataCentre()),
-        System::nanoTime);
+        adapters.table(), settings.instanceId(), this::listedInstance, System::nanoTime);
+  }
+
+  private ListedInstance listedInstance() {
+    return new ListedInstance(
+        settings.instanceId(),
+        HttpAddresses.format(links.address()),
+        "live",
+        settings.dataCentre());
   }
 
   private FleetRetryBudget createRetryBudget() {
@@ -293,12 +296,17 @@
     LOG.infof(
         "Started. instance=%s callers=%s readiness=%s metrics=%s store=%s",
         settings.instanceId(),
-        settings.callerAddress(),
+        withPort(settings.callerAddress(), callerPort()),
         settings.readinessAddress(),
-        settings.metricsAddress(),
+        withPort(settings.metricsAddress(), metricsPort()),
         settings.storeAddress());
   }
 
+  /** Returns an address with the port that the system chose where the settings leave it open. */
+  private static String withPort(InetSocketAddress address, int port) {
+    return HttpAddresses.format(new InetSocketAddress(address.getAddress(), port));
+  }
+
   private void directoryChanged(Collection<DirectoryEntry> entries) {
     long now = System.nanoTime();
     endpoints.update(entries, now);
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
@@ -22,7 +22,7 @@
   private static final ValueType ADDRESS = new ValueType.Address();
   private static final ValueType SECONDS = new ValueType.WholeNumber(1, 3_600);
   private static final ValueType MILLISECONDS = new ValueType.WholeNumber(1, 3_600_000);
-  private static final ValueType PORT = new ValueType.WholeNumber(1, 65_535);
+  private static final ValueType PORT = new ValueType.WholeNumber(0, 65_535);
 
   private static final Schema SCHEMA =
       new Schema(
@@ -62,8 +62,10 @@
                           new ValueType.Text("an address", Pattern.compile("[0-9a-fA-F.:]+")),
                           "",
                           "Numeric address of this instance."),
-                      required("port", PORT, "", "Port for other instances."),
-                      required("metrics-port", PORT, "", "Port for metrics."),
+                      required(
+                          "port", PORT, "", "Port for other instances; 0 lets the system choose."),
+                      required(
+                          "metrics-port", PORT, "", "Port for metrics; 0 lets the system choose."),
                       required(
                           "shared-key",
                           new ValueType.Text("text", Pattern.compile(".+")),
--- a/src/main/java/org/magnoliavale/internal/gateway/InstanceRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/InstanceRegistry.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.json.Json;
 import org.magnoliavale.internal.logging.Logs;
@@ -55,7 +56,8 @@
   private record VersionObservation(long version, long firstSeenNanos) {}
 
   private final Table table;
-  private final ListedInstance ownEntry;
+  private final String ownRowKey;
+  private final Supplier<ListedInstance> ownEntry;
   private final LongSupplier nanoClock;
   private final long startNanos;
   private final Map<String, VersionObservation> observations = new HashMap<>();
@@ -65,8 +67,15 @@
   private boolean rowWritten;
   private boolean rowsRead;
 
-  InstanceRegistry(Table table, ListedInstance ownEntry, LongSupplier nanoClock) {
+  /**
+   * Returns a registry.
+   *
+   * @param ownEntry the entry of this instance, asked for at each write of its row
+   */
+  InstanceRegistry(
+      Table table, String ownId, Supplier<ListedInstance> ownEntry, LongSupplier nanoClock) {
     this.table = table;
+    this.ownRowKey = ROW_KEY_PREFIX + ownId;
     this.ownEntry = ownEntry;
     this.nanoClock = nanoClock;
     this.startNanos = nanoClock.getAsLong();
@@ -94,12 +103,12 @@
 
   /** Deletes this instance's row. */
   void deregister() {
-    table.commit(Transaction.builder().delete(ROW_KEY_PREFIX + ownEntry.id()).build());
+    table.commit(Transaction.builder().delete(ownRowKey).build());
   }
 
   private void writeOwnRow(long now) {
     Transaction transaction =
-        Transaction.builder().write(ROW_KEY_PREFIX + ownEntry.id(), Json.text(ownEntry)).build();
+        Transaction.builder().write(ownRowKey, Json.text(ownEntry.get())).build();
     if (table.commit(transaction) instanceof TableResult.Success) {
       rowWritten = true;
       lastWriteNanos = now;
--- a/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
+++ b/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
@@ -125,6 +125,11 @@
     eventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
+  /** Returns the address that other instances connect to, after the start. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) serverChannel.localAddress();
+  }
+
   /** Returns the number of bytes that all links have sent since the start. */
   public long bytesSent() {
     return trafficHandler.trafficCounter().cumulativeWrittenBytes();
--- a/src/main/java/org/magnoliavale/platform/standin/DeploymentStandIn.java
+++ b/src/main/java/org/magnoliavale/platform/standin/DeploymentStandIn.java
@@ -7,17 +7,22 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import org.jboss.logging.Logger;
 import org.magnoliavale.Service;
+import org.magnoliavale.internal.http.HttpAddresses;
 import org.magnoliavale.internal.json.Json;
+import org.magnoliavale.internal.logging.Logs;
 
 /**
- * A small deployment on loopback: a store on one port and its workers on the ports after it, with a
- * configuration of a plain service and an engine service.
+ * A small deployment on loopback: a store and its workers, with a configuration of a plain service
+ * and an engine service. The system chooses the workers' ports.
  *
  * <p>Routes of host {@link #HOST}: {@code /read/} is idempotent, {@code /write/} is not, and {@code
  * /draft/} streams the answer of a model.
  */
 public final class DeploymentStandIn implements Service {
+  private static final Logger LOG = Logs.of("stand-in");
+
   /** Host name of all routes. */
   public static final String HOST = "menus.example";
 
@@ -36,14 +41,16 @@
   private final StoreStandIn store;
   private final List<WorkerStandIn> workers = new ArrayList<>();
 
-  /** Returns a deployment that is not started yet. */
+  /**
+   * Returns a deployment that is not started yet.
+   *
+   * @param storePort the port of the store; 0 if the system is to choose it
+   */
   public DeploymentStandIn(int storePort) {
     store = new StoreStandIn(loopback(storePort));
     for (int index = 1; index <= PLAIN_WORKERS + ENGINE_WORKERS; index++) {
       String service = index <= PLAIN_WORKERS ? PLAIN_SERVICE : ENGINE_SERVICE;
-      workers.add(
-          new WorkerStandIn(
-              "worker-" + index, service, DATA_CENTRE, loopback(storePort + index), store));
+      workers.add(new WorkerStandIn("worker-" + index, service, DATA_CENTRE, store));
     }
   }
 
@@ -51,9 +58,9 @@
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
   }
 
-  /** Returns the number of ports that the deployment uses, beginning with the store's. */
-  public int ports() {
-    return 1 + workers.size();
+  /** Returns the port of the store, after the start. */
+  public int storePort() {
+    return store.port();
   }
 
   /** Returns the number of calls that the store has received. */
@@ -66,6 +73,7 @@
     store.start();
     store.write("op", "config", Json.bytes(configuration()));
     workers.forEach(WorkerStandIn::start);
+    LOG.infof("Started. store=%s", HttpAddresses.format(loopback(store.port())));
   }
 
   @Override
--- a/src/main/java/org/magnoliavale/platform/standin/WorkerStandIn.java
+++ b/src/main/java/org/magnoliavale/platform/standin/WorkerStandIn.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -66,7 +67,6 @@
   private final String id;
   private final String service;
   private final String zone;
-  private final InetSocketAddress address;
   private final StoreStandIn store;
   private final Server server;
   private final AtomicInteger running = new AtomicInteger();
@@ -74,25 +74,28 @@
   private long commandCount;
   private long heartbeatCount;
   private volatile boolean stopped;
+  private volatile InetSocketAddress address;
 
-  WorkerStandIn(
-      String id, String service, String zone, InetSocketAddress address, StoreStandIn store) {
+  WorkerStandIn(String id, String service, String zone, StoreStandIn store) {
     this.id = id;
     this.service = service;
     this.zone = zone;
-    this.address = address;
     this.store = store;
     this.server =
-        HttpServers.create(id, address, MAXIMUM_HEADER_BYTES, IDLE_TIMEOUT, new Handler());
+        HttpServers.create(id, loopback(0), MAXIMUM_HEADER_BYTES, IDLE_TIMEOUT, new Handler());
   }
 
   @Override
   public void start() {
-    HttpServers.start(server);
+    address = loopback(HttpServers.start(server));
     writeEntry();
     Thread.ofVirtual().name(id).start(this::heartbeatLoop);
   }
 
+  private static InetSocketAddress loopback(int port) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+  }
+
   @Override
   public void stop() {
     stopped = true;
