Keep an attempt at a silent endpoint until another endpoint answers

What callers saw: a stream that was broken off midway with most of its time left, after its sound endpoint had paused for a little over a second.

Cause: after 1.2 s without an event the attempt was cancelled as soon as another endpoint had been chosen, before that one had taken the call. If it refused (full, model or adapter gone, an order in progress), failed or could not be reached, or the retry budget had been used up by the streams that moved at the same moment, the stream was aborted. Choosing first had narrowed this, not ended it: what an instance knows of an endpoint's load is up to seconds old. Class of fault: giving up something that works for something that has only been asked for.

The attempts of a call are a pair now while one endpoint is silent (AttemptsInProgress): the first that begins or goes on is kept, the other is cancelled at once, so no two run the call for longer than that. If the new one refuses or fails, the silent one stays, as before the try. An endpoint that is left because the silent one woke up isn't counted as failed, and one pair is all that a call has. An idempotent call at an endpoint that is slow, not silent, is moved as before: keeping both would double the load of endpoints that are slow because of their load.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -35,6 +34,7 @@
    */
   private static final long EVENT_SILENCE_TIMEOUT_MS = 1_200;
 
+  private static final int NO_CONTENT = 204;
   private static final int MISDIRECTED = 421;
 
   private final Call call;
@@ -55,7 +55,7 @@
   private long lastActivityNanos;
   private long lastEventNanos;
 
-  Attempt(Call call, DirectoryEntry endpoint, long sentNanos, Optional<Long> resumedAfter) {
+  Attempt(Call call, DirectoryEntry endpoint, long sentNanos) {
     this.call = call;
     this.endpoint = endpoint;
     this.sentNanos = sentNanos;
@@ -66,7 +66,7 @@
     return endpoint;
   }
 
-  private EndpointIdentity identity() {
+  EndpointIdentity identity() {
     return endpoint.identity();
   }
 
@@ -91,10 +91,10 @@
   }
 
   /**
-   * Moves the call to another endpoint if this one is silent, or if an idempotent call gets no
-   * response head in time. Silence alone is no reason: with few attempts at an endpoint, a slow one
-   * looks like one that has failed. And it never ends the attempt of a call that cannot be moved,
-   * since a sound endpoint may pause and go on.
+   * Sends the call to another endpoint as well if this one is silent, and instead if an idempotent
+   * call gets no response head in time. Silence alone is no reason: with few attempts at an
+   * endpoint, a slow one looks like one that has failed. And it never ends an attempt, since a
+   * sound endpoint may pause and go on.
    */
   void tick(long nowNanos) {
     long limit = call.plan().silenceTimeoutNanos();
@@ -108,9 +108,9 @@
     boolean endpointSilent =
         pool().isUnresponsive(identity(), nowNanos) || !pool().isAvailable(identity());
     if ((noHead || noEvent) && endpointSilent) {
-      call.moveToOtherEndpoint(this, "silent", nowNanos);
+      call.tryBesideSilentAttempt(this, nowNanos);
     } else if (noHead && call.plan().route().kind() == CallKind.IDEMPOTENT) {
-      call.moveToOtherEndpoint(this, "slow", nowNanos);
+      call.replaceSlowAttempt(this, nowNanos);
     }
   }
 
@@ -142,6 +142,9 @@
         call.context().metrics().firstByte().update(Duration.ofNanos(now - sentNanos));
       }
       streaming = responseHead.isSuccess() && call.plan().route().kind() == CallKind.STREAM;
+      if (responseHead.isSuccess() && status != NO_CONTENT) {
+        call.attemptMadeProgress(this, now);
+      }
     }
   }
 
@@ -154,6 +157,9 @@
       lastActivityNanos = call.now();
       pool().recordActivity(identity(), lastActivityNanos);
       if (streaming) {
+        if (bytes.hasRemaining()) {
+          call.attemptMadeProgress(this, lastActivityNanos);
+        }
         forwardEvents(bytes, demand);
         return;
       }
@@ -277,7 +283,7 @@
       return;
     }
     if (call.hasResponseStarted()) {
-      call.abortResponse("endpoint answered with status " + responseHead.status());
+      retryOrFail("status " + responseHead.status(), now);
       return;
     }
     if (responseHead.status() == ErrorCode.OVERLOADED.httpStatus()
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/call/AttemptsInProgress.java
@@ -0,0 +1,68 @@
+package org.magnoliavale.internal.call;
+
+import java.util.Optional;
+import org.magnoliavale.internal.dispatch.AttemptOutcome;
+
+/**
+ * The attempts of a call that have not ended: one, or two while an attempt at a silent endpoint is
+ * kept beside one at another endpoint. The first of the two that makes progress is kept, and an
+ * endpoint that only paused loses nothing if the other one does not take the call. Guarded by its
+ * call.
+ */
+final class AttemptsInProgress {
+  private Optional<Attempt> latest = Optional.empty();
+  private Optional<Attempt> silent = Optional.empty();
+
+  /** Adds the only attempt in progress. */
+  void add(Attempt attempt) {
+    latest = Optional.of(attempt);
+    silent = Optional.empty();
+  }
+
+  /** Adds an attempt beside the one in progress, whose endpoint is silent. */
+  void addBesideSilent(Attempt attempt) {
+    silent = latest;
+    latest = Optional.of(attempt);
+  }
+
+  /** Returns the attempt that was added last of those in progress. */
+  Optional<Attempt> latest() {
+    return latest;
+  }
+
+  /** Returns whether a silent attempt is kept beside another one. */
+  boolean isPair() {
+    return silent.isPresent();
+  }
+
+  /** Removes an attempt that has ended; returns whether another one goes on. */
+  boolean removeEnded(Attempt ended) {
+    Optional<Attempt> other = other(ended);
+    latest = other;
+    silent = Optional.empty();
+    return other.isPresent();
+  }
+
+  /** Cancels the other one of a pair, and returns it. */
+  Optional<Attempt> keepOnly(Attempt kept, long nowNanos) {
+    Optional<Attempt> other = other(kept);
+    // An endpoint that was left because the silent one woke up has not failed.
+    AttemptOutcome outcome =
+        other.equals(silent) ? AttemptOutcome.FAILED : AttemptOutcome.INCONCLUSIVE;
+    other.ifPresent(attempt -> attempt.cancel(outcome, nowNanos));
+    add(kept);
+    return other;
+  }
+
+  private Optional<Attempt> other(Attempt attempt) {
+    return silent.isEmpty() || silent.get() != attempt ? silent : latest;
+  }
+
+  /** Cancels all attempts in progress. */
+  void cancel(AttemptOutcome outcome, long nowNanos) {
+    latest.ifPresent(attempt -> attempt.cancel(outcome, nowNanos));
+    silent.ifPresent(attempt -> attempt.cancel(outcome, nowNanos));
+    latest = Optional.empty();
+    silent = Optional.empty();
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -7,12 +7,10 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.ErrorCode;
-import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
 import org.magnoliavale.internal.dispatch.EndpointChoice;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
-import org.magnoliavale.internal.dispatch.SelectionCriteria;
 
 /**
  * One call from arrival to response: selects endpoints, sends attempts and forwards the response.
@@ -23,7 +21,8 @@
  *
  * <p>A non-idempotent request is retried only after the endpoint stated that it did not execute it,
  * or when no byte of it was sent. A resumable stream continues at another endpoint after the last
- * complete event that was forwarded to the caller.
+ * complete event that was forwarded to the caller; an attempt at a silent endpoint is kept until
+ * another one has begun to answer.
  *
  * <p>A call that has certainly not been executed is rejected with status 503 and Retry-After; one
  * that may have been executed ends with the endpoint's own error response, with 502, or with 504 at
@@ -43,11 +42,11 @@
   private final Consumer<Call> onEnd;
   private final CallLog log;
   private final CallCompletion completion;
-  private final TriedEndpoints endpoints = new TriedEndpoints();
+  private final EndpointSelection selection;
   private final RetryAllowance retries;
   private State state = State.NEW;
-  private Optional<Artifact> awaitedArtifact = Optional.empty();
-  private Attempt attempt;
+  private final ArtifactWait artifactWait;
+  private final AttemptsInProgress attempts = new AttemptsInProgress();
   private boolean responseStarted;
   private RetryAfterDelay retryAfterDelay = RetryAfterDelay.FULL;
   private Optional<Long> lastEvent;
@@ -68,7 +67,9 @@
     this.context = context;
     this.plan = plan;
     this.caller = caller;
+    this.selection = new EndpointSelection(context, plan);
     this.retries = new RetryAllowance(context, plan, maySend);
+    this.artifactWait = new ArtifactWait(context.artifactDemand());
     this.onEnd = onEnd;
     this.log = new CallLog(plan);
     this.completion = new CallCompletion(context, plan, caller, this::end);
@@ -115,7 +116,7 @@
         dispatch(nowNanos);
         checkWaitLimit(nowNanos);
       }
-      case SENT -> attempt.tick(nowNanos);
+      case SENT -> attempts.latest().ifPresent(attempt -> attempt.tick(nowNanos));
       case NEW, ENDED -> {}
     }
   }
@@ -123,7 +124,7 @@
   private void checkWaitLimit(long nowNanos) {
     boolean tooLong = nowNanos - waitStartNanos > plan.maximumWaitNanos();
     if (state == State.WAITING && tooLong) {
-      retryAfterDelay = awaitedArtifact.isPresent() ? RetryAfterDelay.LOAD : RetryAfterDelay.FULL;
+      retryAfterDelay = artifactWait.isWaiting() ? RetryAfterDelay.LOAD : RetryAfterDelay.FULL;
       giveUp("no endpoint available in time", nowNanos);
     }
   }
@@ -144,9 +145,7 @@
 
   /** Logs that the call is in progress although the instance ends. */
   synchronized void logUnfinished(long nowNanos) {
-    Optional<EndpointIdentity> endpoint =
-        state == State.SENT ? Optional.of(attempt.endpoint().identity()) : Optional.empty();
-    log.unfinished(endpoint, responseStarted, lastEvent, nowNanos);
+    log.unfinished(attempts.latest().map(Attempt::identity), responseStarted, lastEvent, nowNanos);
   }
 
   /** Cancels the call, because its caller has disconnected. */
@@ -154,39 +153,54 @@
     if (state == State.ENDED) {
       return;
     }
-    cancelAttempt(AttemptOutcome.INCONCLUSIVE, nowNanos);
+    attempts.cancel(AttemptOutcome.INCONCLUSIVE, nowNanos);
     completion.abandon(retries.possibleExecutions(), responseStarted);
   }
 
-  private SelectionCriteria selectionCriteria() {
-    return new SelectionCriteria(
-        plan.service(), plan.metadata().generation(), endpoints.excluded());
+  /**
+   * Sends the call to another endpoint beside its attempt at a silent one, if there is one that can
+   * take the call now and a retry is allowed. The first of the two that makes progress is kept.
+   */
+  void tryBesideSilentAttempt(Attempt silent, long nowNanos) {
+    chooseOtherEndpoint(silent, nowNanos)
+        .ifPresent(
+            choice -> {
+              logRetry(silent, "silent");
+              waitStartNanos = nowNanos;
+              Attempt next = new Attempt(this, choice.endpoint(), nowNanos);
+              attempts.addBesideSilent(next);
+              send(next, choice, nowNanos);
+            });
   }
 
   /**
-   * Gives up an attempt in progress for one at another endpoint, if there is one that can take the
-   * call now and a retry is allowed; otherwise the attempt goes on.
+   * Gives up an attempt at a slow endpoint for one at another endpoint, if there is one that can
+   * take the call now and a retry is allowed; otherwise the attempt goes on.
    */
-  void moveToOtherEndpoint(Attempt source, String reason, long nowNanos) {
-    if (!retries.allowsRetryInPlaceOfAttempt(responseStarted, nowNanos)) {
-      return;
-    }
-    SelectionCriteria others = selectionCriteria().excluding(source.endpoint().identity());
-    Optional<EndpointChoice.Selected> choice =
-        context.endpoints().chooseHealthy(others, plan.connectionLimit(), nowNanos);
-    if (choice.isEmpty()) {
-      return;
-    }
-    if (!retries.spendRetry(nowNanos)) {
-      EndpointIdentity released = choice.get().endpoint().identity();
-      context.endpoints().attemptEnded(released, AttemptOutcome.INCONCLUSIVE, nowNanos);
-      return;
+  void replaceSlowAttempt(Attempt slow, long nowNanos) {
+    chooseOtherEndpoint(slow, nowNanos)
+        .ifPresent(
+            choice -> {
+              slow.cancel(AttemptOutcome.FAILED, nowNanos);
+              recordPossibleExecution(slow, "slow");
+              logRetry(slow, "slow");
+              waitStartNanos = nowNanos;
+              send(choice, nowNanos);
+            });
+  }
+
+  private Optional<EndpointChoice.Selected> chooseOtherEndpoint(Attempt source, long nowNanos) {
+    if (attempts.isPair() || !retries.allowsRetryInPlaceOfAttempt(responseStarted, nowNanos)) {
+      return Optional.empty();
     }
-    source.cancel(AttemptOutcome.FAILED, nowNanos);
-    recordPossibleExecution(source, reason);
-    logRetry(source, reason);
-    waitStartNanos = nowNanos;
-    send(choice.get(), nowNanos);
+    return selection.chooseOther(source.identity(), retries, nowNanos);
+  }
+
+  /** Keeps only an attempt whose endpoint has begun or gone on with the response. */
+  void attemptMadeProgress(Attempt source, long nowNanos) {
+    attempts
+        .keepOnly(source, nowNanos)
+        .ifPresent(other -> recordPossibleExecution(other, "another attempt made progress"));
   }
 
   private void dispatch(long nowNanos) {
@@ -195,7 +209,7 @@
       giveUp(ErrorCode.REQUEST_CRASHES_ENDPOINTS, "in flight in repeated crashes", nowNanos);
       return;
     }
-    switch (context.endpoints().choose(selectionCriteria(), plan.connectionLimit(), nowNanos)) {
+    switch (selection.choose(nowNanos)) {
       case EndpointChoice.Selected send -> send(send, nowNanos);
       case EndpointChoice.AwaitArtifact(Artifact artifact) -> awaitArtifact(artifact);
       case EndpointChoice.Unavailable(String reason) -> handleUnavailable(reason, nowNanos);
@@ -203,41 +217,29 @@
   }
 
   private void send(EndpointChoice.Selected choice, long nowNanos) {
-    stopWaiting();
-    Duration timeRemaining = plan.timeRemaining(nowNanos);
+    artifactWait.stop();
     state = State.SENT;
-    attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
-    log.sent(choice, retries.possibleExecutions() + retries.refusals() + 1, timeRemaining);
-    HttpFields headers =
-        context
-            .protocol()
-            .requestHeaders(
-                plan.request().headers(),
-                new ForwardingContext(
-                    choice.endpoint().identity(), timeRemaining, plan.urgency(), lastEvent));
-    attempt.send(
-        new OutgoingRequest(
-            choice.endpoint(),
-            plan.request().method(),
-            plan.request().pathQuery(),
-            headers,
-            plan.request().body(),
-            endpoints.recordAttempt(choice.endpoint().identity())));
+    Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos);
+    attempts.add(attempt);
+    send(attempt, choice, nowNanos);
+  }
+
+  private void send(Attempt attempt, EndpointChoice.Selected choice, long nowNanos) {
+    int number = retries.possibleExecutions() + retries.refusals() + 1;
+    log.sent(choice, number, plan.timeRemaining(nowNanos));
+    attempt.send(selection.request(choice, lastEvent, nowNanos));
   }
 
   private void awaitArtifact(Artifact artifact) {
-    if (awaitedArtifact.isPresent()) {
-      return;
+    if (artifactWait.start(artifact)) {
+      state = State.WAITING;
+      log.waitingForArtifact(artifact);
     }
-    state = State.WAITING;
-    awaitedArtifact = Optional.of(artifact);
-    log.waitingForArtifact(artifact);
-    context.artifactDemand().waitStarted(artifact);
   }
 
   private void handleUnavailable(String reason, long nowNanos) {
-    stopWaiting();
-    if (retries.allowsSecondRound() && endpoints.clearExcluded()) {
+    artifactWait.stop();
+    if (retries.allowsSecondRound() && selection.tried().clearExcluded()) {
       // Every endpoint has been tried once; a later attempt may find a free slot.
       retries.recordRefusal();
       state = State.WAITING;
@@ -246,11 +248,6 @@
     giveUp(reason, nowNanos);
   }
 
-  private void stopWaiting() {
-    awaitedArtifact.ifPresent(context.artifactDemand()::waitEnded);
-    awaitedArtifact = Optional.empty();
-  }
-
   /**
    * Handles an attempt that the endpoint states it did not execute.
    *
@@ -258,23 +255,27 @@
    */
   void attemptNotExecuted(Attempt source, String reason, boolean excludeEndpoint, long nowNanos) {
     if (excludeEndpoint) {
-      endpoints.exclude(source.endpoint().identity());
+      selection.tried().exclude(source.identity());
     }
-    retryOrGiveUp(
-        source, reason, context.retryBudget().trySpend(plan.service(), nowNanos), nowNanos);
+    retryOrGiveUp(source, reason, () -> retries.spendRetry(nowNanos), nowNanos);
   }
 
   /** Handles an attempt that failed before any byte was sent. */
   void attemptNotSent(Attempt source, String reason, long nowNanos) {
-    endpoints.exclude(source.endpoint().identity());
-    retryOrGiveUp(source, reason, true, nowNanos);
+    selection.tried().exclude(source.identity());
+    retryOrGiveUp(source, reason, () -> true, nowNanos);
   }
 
-  private void retryOrGiveUp(Attempt source, String reason, boolean withinBudget, long nowNanos) {
+  private void retryOrGiveUp(
+      Attempt source, String reason, BooleanSupplier withinBudget, long nowNanos) {
     retries.recordRefusal();
     lastFailure = reason;
+    if (attempts.removeEnded(source)) {
+      log.goingOnAtSilentEndpoint(source.identity(), reason);
+      return;
+    }
     state = State.WAITING;
-    if (withinBudget && retries.allowsRetryAfterRefusal(responseStarted, nowNanos)) {
+    if (withinBudget.getAsBoolean() && retries.allowsRetryAfterRefusal(responseStarted, nowNanos)) {
       logRetry(source, reason);
       dispatch(nowNanos);
     } else {
@@ -282,15 +283,22 @@
     }
   }
 
-  /** Handles a failed attempt that may have been executed; returns whether it is retried. */
+  /**
+   * Handles a failed attempt that may have been executed; returns whether the call goes on, with a
+   * retry or with another attempt in progress.
+   */
   boolean retryIfAllowed(Attempt source, String reason, long nowNanos) {
     recordPossibleExecution(source, reason);
+    waitStartNanos = nowNanos;
+    if (attempts.removeEnded(source)) {
+      log.goingOnAtSilentEndpoint(source.identity(), reason);
+      return true;
+    }
     if (!retries.allowsRetryAfterExecution(responseStarted, nowNanos)
         || !retries.spendRetry(nowNanos)) {
       return false;
     }
     logRetry(source, reason);
-    waitStartNanos = nowNanos;
     state = State.WAITING;
     dispatch(nowNanos);
     return true;
@@ -299,17 +307,12 @@
   private void recordPossibleExecution(Attempt source, String reason) {
     retries.recordPossibleExecution();
     lastFailure = reason;
-    endpoints.exclude(source.endpoint().identity());
+    selection.tried().exclude(source.identity());
   }
 
   private void logRetry(Attempt source, String reason) {
     context.metrics().retried().inc();
-    log.retrying(
-        source.endpoint().identity(),
-        reason,
-        retries.possibleExecutions(),
-        retries.refusals(),
-        lastEvent);
+    log.retrying(source.identity(), reason, retries, lastEvent);
   }
 
   /** Marks the response as started; returns whether it had not been started before. */
@@ -341,7 +344,7 @@
 
   private void expire(long nowNanos) {
     boolean sent = state == State.SENT;
-    cancelAttempt(AttemptOutcome.INCONCLUSIVE, nowNanos);
+    attempts.cancel(AttemptOutcome.INCONCLUSIVE, nowNanos);
     if (responseStarted) {
       abortResponse("timeout");
     } else if (sent || retries.mayHaveBeenExecuted()) {
@@ -381,14 +384,9 @@
     completion.abort(reason, lastFailure, lastEvent);
   }
 
-  private void cancelAttempt(AttemptOutcome result, long nowNanos) {
-    if (state == State.SENT) {
-      attempt.cancel(result, nowNanos);
-    }
-  }
-
   private void end() {
-    stopWaiting();
+    artifactWait.stop();
+    attempts.cancel(AttemptOutcome.INCONCLUSIVE, now());
     state = State.ENDED;
     onEnd.accept(this);
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -37,14 +37,21 @@
   }
 
   void retrying(
-      EndpointIdentity endpoint,
-      String reason,
-      int possibleExecutions,
-      int refusals,
-      Optional<Long> lastEvent) {
+      EndpointIdentity endpoint, String reason, RetryAllowance retries, Optional<Long> lastEvent) {
     LOG.infof(
         "Retrying. request=%s endpoint=%s reason=%s runs=%d refusals=%d after-event=%s",
-        plan.attemptId(), endpoint, reason, possibleExecutions, refusals, text(lastEvent));
+        plan.attemptId(),
+        endpoint,
+        reason,
+        retries.possibleExecutions(),
+        retries.refusals(),
+        text(lastEvent));
+  }
+
+  void goingOnAtSilentEndpoint(EndpointIdentity ended, String reason) {
+    LOG.infof(
+        "Going on at the silent endpoint. request=%s ended=%s reason=%s",
+        plan.attemptId(), ended, reason);
   }
 
   void callerDisconnected(int possibleExecutions, boolean responseStarted) {
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
@@ -0,0 +1,65 @@
+package org.magnoliavale.internal.call;
+
+import java.util.Optional;
+import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.dispatch.AttemptOutcome;
+import org.magnoliavale.internal.dispatch.EndpointChoice;
+import org.magnoliavale.internal.dispatch.SelectionCriteria;
+
+/** Selects the endpoints of one call, without those that it is not sent to again. */
+final class EndpointSelection {
+  private final CallContext context;
+  private final CallPlan plan;
+  private final TriedEndpoints tried = new TriedEndpoints();
+
+  EndpointSelection(CallContext context, CallPlan plan) {
+    this.context = context;
+    this.plan = plan;
+  }
+
+  /** Returns the endpoints that the call has been sent to, and those that are excluded. */
+  TriedEndpoints tried() {
+    return tried;
+  }
+
+  private SelectionCriteria criteria() {
+    return new SelectionCriteria(plan.service(), plan.metadata().generation(), tried.excluded());
+  }
+
+  /** Selects an endpoint for the next attempt. */
+  EndpointChoice choose(long nowNanos) {
+    return context.endpoints().choose(criteria(), plan.connectionLimit(), nowNanos);
+  }
+
+  /**
+   * Selects an endpoint that can take the call now although it is in progress at another one, and
+   * takes a retry from the budget.
+   */
+  Optional<EndpointChoice.Selected> chooseOther(
+      EndpointIdentity inProgress, RetryAllowance retries, long nowNanos) {
+    Optional<EndpointChoice.Selected> choice =
+        context
+            .endpoints()
+            .chooseHealthy(criteria().excluding(inProgress), plan.connectionLimit(), nowNanos);
+    if (choice.isPresent() && !retries.spendRetry(nowNanos)) {
+      EndpointIdentity released = choice.get().endpoint().identity();
+      context.endpoints().attemptEnded(released, AttemptOutcome.INCONCLUSIVE, nowNanos);
+      return Optional.empty();
+    }
+    return choice;
+  }
+
+  /** Returns the request for an attempt at an endpoint, and records that it is sent. */
+  OutgoingRequest request(EndpointChoice.Selected choice, Optional<Long> lastEvent, long nowNanos) {
+    EndpointIdentity endpoint = choice.endpoint().identity();
+    ForwardingContext forwarding =
+        new ForwardingContext(endpoint, plan.timeRemaining(nowNanos), plan.urgency(), lastEvent);
+    return new OutgoingRequest(
+        choice.endpoint(),
+        plan.request().method(),
+        plan.request().pathQuery(),
+        context.protocol().requestHeaders(plan.request().headers(), forwarding),
+        plan.request().body(),
+        tried.recordAttempt(endpoint));
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/call/RetryAllowance.java
+++ b/src/main/java/org/magnoliavale/internal/call/RetryAllowance.java
@@ -71,7 +71,8 @@
   /** Returns whether the call may be sent again instead of its attempt in progress. */
   boolean allowsRetryInPlaceOfAttempt(boolean responseStarted, long nowNanos) {
     // The attempt in progress may have been executed, too.
-    return allowsRetry(possibleExecutions + 1, responseStarted, nowNanos);
+    return refusals < MAXIMUM_REFUSALS
+        && allowsRetry(possibleExecutions + 1, responseStarted, nowNanos);
   }
 
   private boolean allowsRetry(int executions, boolean responseStarted, long nowNanos) {
