Play stops of instances as processes, and check rule LOST

This adds the first version of such plays: a store and sound workers in the test's process, two instances as processes, callers, a seeded disruption, and the rule with its excuses as check.

--- /dev/null
+++ b/src/test/java/org/magnoliavale/soak/Caller.java
@@ -0,0 +1,137 @@
+package org.magnoliavale.soak;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A caller with at most one connection, which it keeps if it is asked to. */
+final class Caller implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+  private static final int SMALL_BUFFER = 4_096;
+  private static final long SLOW_READER_PAUSE_MS = 50;
+  private static final long PATIENCE_MS = 1_500;
+
+  private final PlayClock clock;
+  private Socket socket;
+  private InputStream in;
+  private int instance;
+  private boolean used;
+
+  Caller(PlayClock clock) {
+    this.clock = clock;
+  }
+
+  boolean isConnected() {
+    return socket != null;
+  }
+
+  /** Connects anew; returns whether the instance took the connection. */
+  boolean connect(int index, int port, Kind kind) {
+    close();
+    try {
+      socket = new Socket();
+      socket.setTcpNoDelay(true);
+      if (kind == Kind.SLOW_READER) {
+        socket.setReceiveBufferSize(SMALL_BUFFER);
+      }
+      socket.connect(
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_TIMEOUT_MS);
+      in = new BufferedInputStream(socket.getInputStream(), SMALL_BUFFER);
+      instance = index;
+      used = false;
+      return true;
+    } catch (IOException e) {
+      // A stopping instance refuses connections; no request was sent.
+      close();
+      return false;
+    }
+  }
+
+  /** Sends a request and reads its response; empty if it could not be sent whole. */
+  Optional<Exchange> exchange(String id, Kind kind, String target) {
+    boolean kept = used;
+    used = true;
+    long sent = clock.now();
+    try {
+      socket.getOutputStream().write(request(id, kind, target));
+    } catch (IOException e) {
+      // The connection had ended before the request was sent.
+      close();
+      return Optional.empty();
+    }
+    long read = clock.now();
+    AtomicLong bytes = new AtomicLong();
+    int status = 0;
+    boolean whole = false;
+    String failure = "";
+    try {
+      socket.setSoTimeout((int) (kind.timeoutMs() + PATIENCE_MS));
+      HttpMessage head = HttpMessage.readHead(in);
+      if (head == null) {
+        failure = "closed before a response";
+      } else {
+        status = Integer.parseInt(head.startLine().split(" ")[1]);
+        head.readBody(in, piece -> receive(piece, kind, bytes));
+        whole = true;
+      }
+      if (head == null || head.closesConnection()) {
+        close();
+      }
+    } catch (IOException e) {
+      failure = e.toString();
+      close();
+    }
+    return Optional.of(
+        new Exchange(
+            id,
+            kind,
+            instance,
+            kept,
+            sent,
+            read,
+            clock.now(),
+            status,
+            bytes.get(),
+            whole,
+            failure));
+  }
+
+  private static void receive(byte[] piece, Kind kind, AtomicLong bytes) {
+    bytes.addAndGet(piece.length);
+    if (kind == Kind.SLOW_READER) {
+      PlayClock.sleep(SLOW_READER_PAUSE_MS);
+    }
+  }
+
+  private static byte[] request(String id, Kind kind, String target) {
+    String model = "X-Model: " + WorkerDescription.MODEL + "\r\nX-Token-Counts: 200,60\r\n";
+    return """
+        POST %s HTTP/1.1\r
+        Host: %s\r
+        X-Request-Attempt-Id: %s\r
+        X-Time-Remaining: %d\r
+        %sContent-Length: 4\r
+        \r
+        body"""
+        .formatted(target, SoakDeployment.HOST, id, kind.timeoutMs(), kind.isStream() ? model : "")
+        .getBytes(StandardCharsets.US_ASCII);
+  }
+
+  @Override
+  public void close() {
+    if (socket != null) {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        throw new IllegalStateException("a socket cannot be closed", e);
+      }
+    }
+    socket = null;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/soak/Play.java
@@ -0,0 +1,84 @@
+package org.magnoliavale.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** One seeded play: instances as processes, traffic, a disruption, and the stop of one instance. */
+final class Play {
+  private static final int INSTANCES = 2;
+  private static final long READY_TIMEOUT_MS = 20_000;
+  private static final long BEFORE_STOP_MS = 5_000;
+  private static final long GRACE_MS = InstanceProcess.GRACE_PERIOD_S * 1_000L;
+
+  private final PlayClock clock = new PlayClock();
+  private final Path folder;
+  private final Disruption disruption;
+  private final int seed;
+
+  /** What a play has shown. */
+  record Result(long stop, List<Exchange> exchanges, List<Run> runs) {}
+
+  Play(Path folder, Disruption disruption, int seed) {
+    this.folder = folder;
+    this.disruption = disruption;
+    this.seed = seed;
+  }
+
+  Result run() throws IOException, InterruptedException {
+    List<InstanceProcess> instances = new ArrayList<>();
+    try (SoakDeployment deployment = new SoakDeployment(clock)) {
+      for (int index = 0; index < INSTANCES; index++) {
+        instances.add(new InstanceProcess(folder, index, deployment.storePort()));
+      }
+      for (int index = 0; index < INSTANCES; index++) {
+        awaitReady(index, instances.get(index));
+      }
+      return stopOne(deployment, instances);
+    } finally {
+      instances.forEach(InstanceProcess::close);
+    }
+  }
+
+  private Result stopOne(SoakDeployment deployment, List<InstanceProcess> instances)
+      throws InterruptedException {
+    Random random = new Random(seed);
+    InstanceProcess stopped = instances.getFirst();
+    long stop = clock.now() + BEFORE_STOP_MS + random.nextInt(500);
+    Traffic traffic = new Traffic(clock, instances, stop + GRACE_MS);
+    traffic.start(seed);
+    Thread beside =
+        Thread.ofVirtual().start(() -> disruption.play(clock, random, stop, deployment, stopped));
+    clock.sleepUntil(stop);
+    stopped.signal("TERM");
+    clock.sleepUntil(stop + GRACE_MS);
+    stopped.signal("KILL");
+    beside.join();
+    List<Exchange> exchanges = traffic.await();
+    return new Result(stop, exchanges, deployment.runs());
+  }
+
+  private void awaitReady(int index, InstanceProcess instance) throws IOException {
+    long limit = clock.now() + READY_TIMEOUT_MS;
+    while (clock.now() < limit && instance.isAlive()) {
+      try (Caller caller = new Caller(clock)) {
+        if (isServed(caller, index, instance, Kind.READ)
+            && isServed(caller, index, instance, Kind.LONG_STREAM)) {
+          return;
+        }
+      }
+      PlayClock.sleep(50);
+    }
+    throw new IOException("an instance is not ready");
+  }
+
+  private static boolean isServed(Caller caller, int index, InstanceProcess instance, Kind kind) {
+    return caller.connect(index, instance.callerPort(), kind)
+        && caller
+            .exchange("start-" + index, kind, kind.prefix() + "x?events=1")
+            .filter(exchange -> exchange.status() == 200)
+            .isPresent();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/soak/PlayReport.java
@@ -0,0 +1,82 @@
+package org.magnoliavale.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The verdict on a play, and lines that tell what happened; times are relative to the stop. */
+final class PlayReport {
+  private final Disruption disruption;
+  private final int seed;
+  private final Play.Result result;
+  private final LostCheck check;
+
+  PlayReport(Disruption disruption, int seed, Play.Result result) {
+    this.disruption = disruption;
+    this.seed = seed;
+    this.result = result;
+    this.check = new LostCheck(result.stop(), result.runs());
+  }
+
+  /** Returns a line for each request that broke the rule. */
+  List<String> lost() {
+    return check.lost(result.exchanges()).stream().map(this::describe).toList();
+  }
+
+  void print() {
+    List<String> lines = new ArrayList<>();
+    List<String> lost = lost();
+    lines.add(
+        ("soak disruption=%s seed=%d requests=%d at-stopped=%d streams-at-stopped=%d"
+                + " whole=%d ok=%d excused=%d lost=%d")
+            .formatted(
+                disruption,
+                seed,
+                result.exchanges().size(),
+                count(false),
+                count(true),
+                result.exchanges().stream().filter(Exchange::whole).count(),
+                result.exchanges().stream().filter(exchange -> exchange.status() == 200).count(),
+                check.excused(result.exchanges()).size(),
+                lost.size()));
+    lost.forEach(line -> lines.add("  lost " + line));
+    lines.forEach(System.out::println);
+  }
+
+  private long count(boolean streamsOnly) {
+    return result.exchanges().stream()
+        .filter(exchange -> exchange.instance() == 0 && exchange.end() >= result.stop())
+        .filter(exchange -> !streamsOnly || exchange.kind().isStream())
+        .count();
+  }
+
+  private String describe(Exchange exchange) {
+    StringBuilder line = new StringBuilder();
+    line.append(
+        "%s %s %s sent %+d end %+d deadline %+d status %d bytes %d (%s)"
+            .formatted(
+                exchange.id(),
+                exchange.kind(),
+                exchange.kept() ? "kept" : "new",
+                sinceStop(exchange.sent()),
+                sinceStop(exchange.end()),
+                sinceStop(exchange.sent() + exchange.kind().timeoutMs()),
+                exchange.status(),
+                exchange.bytes(),
+                exchange.failure()));
+    for (Run run : check.runsOf(exchange)) {
+      line.append(
+          "; ran at %s %+d..%+d events %d whole %b"
+              .formatted(
+                  run.worker(),
+                  sinceStop(run.start()),
+                  sinceStop(run.end()),
+                  run.events(),
+                  run.whole()));
+    }
+    return line.toString();
+  }
+
+  private long sinceStop(long time) {
+    return time - result.stop();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/magnoliavale/soak/SoakWorker.java
@@ -0,0 +1,207 @@
+package org.magnoliavale.soak;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Semaphore;
+
+/**
+ * A sound worker on plain sockets. It streams the events that the query of a request asks for, goes
+ * on after {@code Last-Event-Id}, refuses what exceeds its slots, and may pause as a whole.
+ */
+final class SoakWorker implements AutoCloseable {
+  static final int SLOTS = 24;
+  private static final long PAUSE_CHECK_MS = 5;
+
+  private final String name;
+  private final PlayClock clock;
+  private final ServerSocket server;
+  private final Semaphore slots = new Semaphore(SLOTS);
+  private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
+  private final Queue<Socket> connections = new ConcurrentLinkedQueue<>();
+  private volatile long pausedUntil;
+  private volatile long fullUntil;
+
+  SoakWorker(String name, PlayClock clock) throws IOException {
+    this.name = name;
+    this.clock = clock;
+    server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+    Thread.ofVirtual().name(name).start(this::acceptConnections);
+  }
+
+  String name() {
+    return name;
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  Queue<Run> runs() {
+    return runs;
+  }
+
+  /** Writes nothing for some time, and goes on after it. */
+  void pause(long milliseconds) {
+    pausedUntil = clock.now() + milliseconds;
+  }
+
+  /** Refuses new requests for some time, as if others had taken all slots. */
+  void fill(long milliseconds) {
+    fullUntil = clock.now() + milliseconds;
+  }
+
+  private boolean isFull() {
+    return clock.now() < fullUntil;
+  }
+
+  private void acceptConnections() {
+    while (!server.isClosed()) {
+      try {
+        Socket connection = server.accept();
+        connection.setTcpNoDelay(true);
+        connections.add(connection);
+        Thread.ofVirtual().name(name + " connection").start(() -> serve(connection));
+      } catch (IOException e) {
+        // The worker has been closed, which ends the loop, or the connection is already gone.
+        continue;
+      }
+    }
+  }
+
+  private void serve(Socket connection) {
+    try (connection) {
+      InputStream in = new BufferedInputStream(connection.getInputStream());
+      OutputStream out = connection.getOutputStream();
+      for (HttpMessage request = HttpMessage.readHead(in);
+          request != null;
+          request = HttpMessage.readHead(in)) {
+        request.readBody(in, ignored -> {});
+        awaitEndOfPause();
+        answer(request, out);
+      }
+    } catch (IOException e) {
+      // The instance has closed the connection; the run has recorded its own end.
+      return;
+    } finally {
+      connections.remove(connection);
+    }
+  }
+
+  private void answer(HttpMessage request, OutputStream out) throws IOException {
+    String path = request.startLine().split(" ")[1];
+    if (path.equals("/-/report")) {
+      write(out, 200, "", WorkerDescription.report(isFull() ? SLOTS : running()));
+    } else if (path.startsWith("/-/")) {
+      write(out, 200, "", "{}");
+    } else if (isFull() || !slots.tryAcquire()) {
+      write(out, 503, echo(request) + "X-Not-Executed: 1\r\n", "full");
+    } else {
+      try {
+        run(request, parameters(path), out);
+      } finally {
+        slots.release();
+      }
+    }
+  }
+
+  private int running() {
+    return SLOTS - slots.availablePermits();
+  }
+
+  private void run(HttpMessage request, Map<String, Integer> query, OutputStream out)
+      throws IOException {
+    long start = clock.now();
+    int events = 0;
+    boolean whole = false;
+    try {
+      String headers = echo(request) + "X-Response-Signature: " + name + "\r\n";
+      if (!query.containsKey("events")) {
+        PlayClock.sleep(query.getOrDefault("work", 0));
+        awaitEndOfPause();
+        write(out, 200, headers, "served");
+      } else {
+        PlayClock.sleep(query.getOrDefault("work", 0));
+        awaitEndOfPause();
+        writeText(out, streamHead(headers));
+        String last = request.header("last-event-id");
+        int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+        for (int number = first; number <= query.get("events"); number++) {
+          writeText(out, chunk(event(number, query.getOrDefault("size", 0))));
+          events++;
+          PlayClock.sleep(query.getOrDefault("gap", 0));
+          awaitEndOfPause();
+        }
+        writeText(out, "0\r\n\r\n");
+      }
+      whole = true;
+    } finally {
+      runs.add(
+          new Run(request.header("x-request-attempt-id"), name, start, clock.now(), events, whole));
+    }
+  }
+
+  private void awaitEndOfPause() {
+    while (clock.now() < pausedUntil) {
+      PlayClock.sleep(PAUSE_CHECK_MS);
+    }
+  }
+
+  private static String echo(HttpMessage request) {
+    return "X-Request-Attempt-Id: " + request.header("x-request-attempt-id") + "\r\n";
+  }
+
+  private static String streamHead(String headers) {
+    return "HTTP/1.1 200 OK\r\n"
+        + headers
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
+
+  private static String event(int number, int size) {
+    return "id: " + number + "\ndata: " + "t".repeat(size) + "\n\n";
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  private static void write(OutputStream out, int status, String headers, String body)
+      throws IOException {
+    writeText(
+        out,
+        "HTTP/1.1 %d -\r\n%sContent-Length: %d\r\n\r\n%s"
+            .formatted(status, headers, body.length(), body));
+  }
+
+  private static void writeText(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static Map<String, Integer> parameters(String path) {
+    Map<String, Integer> result = new HashMap<>();
+    for (String pair : path.substring(path.indexOf('?') + 1).split("&")) {
+      int equals = pair.indexOf('=');
+      if (equals > 0) {
+        result.put(pair.substring(0, equals), Integer.parseInt(pair.substring(equals + 1)));
+      }
+    }
+    return result;
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket connection : connections) {
+      connection.close();
+    }
+  }
+}
