Let plays of stops be started by hand, and record refusals and other cuts

Plays end soon after the kill; streams last longer than the rest of the grace period more often, so that the excuses of the rule are exercised as well.

--- a/src/test/java/org/magnoliavale/soak/AnswersCutOffAroundStopTest.java
+++ b/src/test/java/org/magnoliavale/soak/AnswersCutOffAroundStopTest.java
@@ -3,9 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.file.Path;
-import java.util.Arrays;
-import java.util.List;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Timeout;
@@ -20,35 +17,17 @@
  */
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class AnswersCutOffAroundStopTest {
-  private static final String SEEDS = System.getProperty("soak.seeds", "");
-  private static final String DISRUPTIONS = System.getProperty("soak.disruptions", "");
-
-  private static Stream<Arguments> plays(Disruption... ofTests) {
-    List<Disruption> disruptions =
-        DISRUPTIONS.isEmpty()
-            ? List.of(ofTests)
-            : Arrays.stream(DISRUPTIONS.split(",")).map(Disruption::valueOf).toList();
-    return seeds()
-        .boxed()
-        .flatMap(seed -> disruptions.stream().map(kind -> Arguments.of(kind, seed)));
-  }
-
-  private static IntStream seeds() {
-    if (SEEDS.isEmpty()) {
-      return IntStream.of(1);
-    }
-    String[] ends = SEEDS.split("-");
-    return IntStream.rangeClosed(
-        Integer.parseInt(ends[0]), Integer.parseInt(ends[ends.length - 1]));
-  }
-
   @Nested
   class Stop {
     @TempDir private Path folder;
 
     static Stream<Arguments> plays() {
-      return AnswersCutOffAroundStopTest.plays(
-          Disruption.SIGHUP_BEFORE, Disruption.PAUSES_AND_FULL_WORKERS);
+      return Soak.seeds()
+          .boxed()
+          .flatMap(
+              seed ->
+                  Soak.disruptions(Disruption.SIGHUP_BEFORE, Disruption.PAUSES_AND_FULL_WORKERS)
+                      .map(disruption -> Arguments.of(disruption, seed)));
     }
 
     @ParameterizedTest
--- a/src/test/java/org/magnoliavale/soak/InstanceProcess.java
+++ b/src/test/java/org/magnoliavale/soak/InstanceProcess.java
@@ -39,6 +39,8 @@
     line.addAll(List.of("gateway", "--settings", settings.toString()));
     process =
         new ProcessBuilder(line).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    // The process does not outlive the test, however that ends.
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     callerPort = fixedPort == 0 ? awaitCallerPort() : fixedPort;
   }
 
--- a/src/test/java/org/magnoliavale/soak/Kind.java
+++ b/src/test/java/org/magnoliavale/soak/Kind.java
@@ -51,11 +51,11 @@
     return prefix
         + switch (this) {
           case LONG_STREAM ->
-              "x?events=57&gap=%d&work=150&size=80".formatted(between(60, 110, draw));
+              "x?events=57&gap=%d&work=150&size=80".formatted(between(60, 200, draw));
           case SHORT_STREAM ->
-              "x?events=23&gap=%d&work=150&size=80".formatted(between(60, 200, draw));
+              "x?events=23&gap=%d&work=150&size=80".formatted(between(60, 250, draw));
           case SINGLE_STREAM ->
-              "x?events=40&gap=%d&work=100&size=80".formatted(between(60, 110, draw));
+              "x?events=40&gap=%d&work=100&size=80".formatted(between(60, 200, draw));
           case SLOW_READER ->
               "x?events=30&gap=60&work=100&size=%d".formatted(between(4_000, 9_000, draw));
           case ORDER -> "x?work=%d".formatted(between(20, 2_600, draw));
--- a/src/test/java/org/magnoliavale/soak/LostCheck.java
+++ b/src/test/java/org/magnoliavale/soak/LostCheck.java
@@ -38,19 +38,36 @@
     return runs.getOrDefault(exchange.id(), List.of());
   }
 
+  /** Returns the requests that were cut off before the deadline, but not around the stop. */
+  List<Exchange> outside(List<Exchange> exchanges) {
+    return exchanges.stream()
+        .filter(exchange -> isCut(exchange) && !isAroundStop(exchange))
+        .filter(exchange -> !reachedDeadline(exchange))
+        .toList();
+  }
+
   private boolean isCutOff(Exchange exchange) {
-    boolean inWindow =
-        exchange.instance() == 0
-            && exchange.end() >= stop
-            && exchange.end() <= stop + GRACE_MS + AFTER_GRACE_MS;
+    return isCut(exchange) && isAroundStop(exchange);
+  }
+
+  private boolean isAroundStop(Exchange exchange) {
+    return exchange.instance() == 0
+        && exchange.end() >= stop
+        && exchange.end() <= stop + GRACE_MS + AFTER_GRACE_MS;
+  }
+
+  private boolean isCut(Exchange exchange) {
     boolean accepted = !runsOf(exchange).isEmpty() || exchange.end() - exchange.read() > LOST_MS;
-    return inWindow && !exchange.whole() && accepted;
+    return !exchange.whole() && accepted;
   }
 
   private boolean isExcused(Exchange exchange) {
-    boolean deadlineReached = exchange.end() - exchange.sent() >= exchange.kind().timeoutMs();
     boolean sentSoon = exchange.sent() <= stop + SENT_SOON_MS;
-    return deadlineReached || sentSoon && wasAtWorkInLastSixth(exchange);
+    return reachedDeadline(exchange) || sentSoon && wasAtWorkInLastSixth(exchange);
+  }
+
+  private static boolean reachedDeadline(Exchange exchange) {
+    return exchange.end() - exchange.sent() >= exchange.kind().timeoutMs();
   }
 
   private boolean wasAtWorkInLastSixth(Exchange exchange) {
--- a/src/test/java/org/magnoliavale/soak/Play.java
+++ b/src/test/java/org/magnoliavale/soak/Play.java
@@ -10,7 +10,8 @@
 final class Play {
   private static final int INSTANCES = 2;
   private static final long READY_TIMEOUT_MS = 20_000;
-  private static final long BEFORE_STOP_MS = 5_000;
+  private static final long BEFORE_STOP_MS = 4_500;
+  private static final long AFTER_KILL_MS = 300;
   private static final long GRACE_MS = InstanceProcess.GRACE_PERIOD_S * 1_000L;
 
   private final PlayClock clock = new PlayClock();
@@ -19,7 +20,7 @@
   private final int seed;
 
   /** What a play has shown. */
-  record Result(long stop, List<Exchange> exchanges, List<Run> runs) {}
+  record Result(long stop, List<Exchange> exchanges, List<Run> runs, List<Refusal> refusals) {}
 
   Play(Path folder, Disruption disruption, int seed) {
     this.folder = folder;
@@ -47,7 +48,7 @@
     Random random = new Random(seed);
     InstanceProcess stopped = instances.getFirst();
     long stop = clock.now() + BEFORE_STOP_MS + random.nextInt(500);
-    Traffic traffic = new Traffic(clock, instances, stop + GRACE_MS);
+    Traffic traffic = new Traffic(clock, instances);
     traffic.start(seed);
     Thread beside =
         Thread.ofVirtual().start(() -> disruption.play(clock, random, stop, deployment, stopped));
@@ -56,8 +57,9 @@
     clock.sleepUntil(stop + GRACE_MS);
     stopped.signal("KILL");
     beside.join();
-    List<Exchange> exchanges = traffic.await();
-    return new Result(stop, exchanges, deployment.runs());
+    clock.sleepUntil(stop + GRACE_MS + AFTER_KILL_MS);
+    List<Exchange> exchanges = traffic.end();
+    return new Result(stop, exchanges, deployment.runs(), deployment.refusals());
   }
 
   private void awaitReady(int index, InstanceProcess instance) throws IOException {
--- a/src/test/java/org/magnoliavale/soak/PlayReport.java
+++ b/src/test/java/org/magnoliavale/soak/PlayReport.java
@@ -27,7 +27,7 @@
     List<String> lost = lost();
     lines.add(
         ("soak disruption=%s seed=%d requests=%d at-stopped=%d streams-at-stopped=%d"
-                + " whole=%d ok=%d excused=%d lost=%d")
+                + " whole=%d ok=%d excused=%d outside=%d lost=%d")
             .formatted(
                 disruption,
                 seed,
@@ -37,8 +37,10 @@
                 result.exchanges().stream().filter(Exchange::whole).count(),
                 result.exchanges().stream().filter(exchange -> exchange.status() == 200).count(),
                 check.excused(result.exchanges()).size(),
+                check.outside(result.exchanges()).size(),
                 lost.size()));
     lost.forEach(line -> lines.add("  lost " + line));
+    check.outside(result.exchanges()).forEach(each -> lines.add("  outside " + describe(each)));
     lines.forEach(System.out::println);
   }
 
@@ -73,6 +75,12 @@
                   run.events(),
                   run.whole()));
     }
+    result.refusals().stream()
+        .filter(refusal -> refusal.requestId().equals(exchange.id()))
+        .forEach(
+            refusal ->
+                line.append(
+                    "; refused at %s %+d".formatted(refusal.worker(), sinceStop(refusal.time()))));
     return line.toString();
   }
 
--- /dev/null
+++ b/src/test/java/org/magnoliavale/soak/Soak.java
@@ -0,0 +1,47 @@
+package org.magnoliavale.soak;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * Plays stops for long, started by hand. {@code -Dsoak.seeds=1-20} and {@code
+ * -Dsoak.disruptions=NONE,PAUSES} choose the plays, of the tests too; by default all disruptions
+ * are played with seed 1.
+ */
+public final class Soak {
+  private static final String SEEDS = System.getProperty("soak.seeds", "1");
+  private static final String DISRUPTIONS = System.getProperty("soak.disruptions", "");
+
+  private Soak() {}
+
+  /** Plays all seeds and disruptions; the exit status is 1 if a request was lost. */
+  public static void main(String[] arguments) throws Exception {
+    int lost = 0;
+    for (int seed : seeds().toArray()) {
+      for (Disruption disruption : disruptions(Disruption.values()).toList()) {
+        Path folder = Files.createTempDirectory("soak-" + disruption + "-" + seed + "-");
+        PlayReport report =
+            new PlayReport(disruption, seed, new Play(folder, disruption, seed).run());
+        report.print();
+        lost += report.lost().size();
+      }
+    }
+    System.out.println("soak lost=" + lost);
+    System.exit(lost == 0 ? 0 : 1);
+  }
+
+  static IntStream seeds() {
+    String[] ends = SEEDS.split("-");
+    return IntStream.rangeClosed(
+        Integer.parseInt(ends[0]), Integer.parseInt(ends[ends.length - 1]));
+  }
+
+  static Stream<Disruption> disruptions(Disruption... ofTests) {
+    return DISRUPTIONS.isEmpty()
+        ? Stream.of(ofTests)
+        : Arrays.stream(DISRUPTIONS.split(",")).map(Disruption::valueOf);
+  }
+}
--- a/src/test/java/org/magnoliavale/soak/SoakDeployment.java
+++ b/src/test/java/org/magnoliavale/soak/SoakDeployment.java
@@ -46,6 +46,13 @@
     return result;
   }
 
+  List<Refusal> refusals() {
+    List<Refusal> result = new ArrayList<>();
+    plain.forEach(worker -> result.addAll(worker.refusals()));
+    engines.forEach(worker -> result.addAll(worker.refusals()));
+    return result;
+  }
+
   /** Writes the next version of the configuration: the same routes, and one that is added. */
   void changeConfiguration() {
     version++;
--- a/src/test/java/org/magnoliavale/soak/SoakWorker.java
+++ b/src/test/java/org/magnoliavale/soak/SoakWorker.java
@@ -27,6 +27,7 @@
   private final ServerSocket server;
   private final Semaphore slots = new Semaphore(SLOTS);
   private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
+  private final Queue<Refusal> refusals = new ConcurrentLinkedQueue<>();
   private final Queue<Socket> connections = new ConcurrentLinkedQueue<>();
   private volatile long pausedUntil;
   private volatile long fullUntil;
@@ -50,6 +51,10 @@
     return runs;
   }
 
+  Queue<Refusal> refusals() {
+    return refusals;
+  }
+
   /** Writes nothing for some time, and goes on after it. */
   void pause(long milliseconds) {
     pausedUntil = clock.now() + milliseconds;
@@ -104,6 +109,7 @@
     } else if (path.startsWith("/-/")) {
       write(out, 200, "", "{}");
     } else if (isFull() || !slots.tryAcquire()) {
+      refusals.add(new Refusal(request.header("x-request-attempt-id"), name, clock.now()));
       write(out, 503, echo(request) + "X-Not-Executed: 1\r\n", "full");
     } else {
       try {
--- a/src/test/java/org/magnoliavale/soak/Traffic.java
+++ b/src/test/java/org/magnoliavale/soak/Traffic.java
@@ -2,67 +2,72 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /** Callers that send requests one after another, drawn from the seed of the play. */
 final class Traffic {
-  private static final int CALLERS = Integer.getInteger("soak.callers", 30);
+  private static final int CALLERS = Integer.getInteger("soak.callers", 40);
   private static final double NEW_CONNECTION_SHARE = 0.3;
   private static final double STOPPED_INSTANCE_SHARE = 0.7;
   private static final long PAUSE_MS = 40;
 
   private final PlayClock clock;
   private final List<InstanceProcess> instances;
-  private final long end;
   private final Queue<Exchange> exchanges = new ConcurrentLinkedQueue<>();
+  private final List<Caller> callers = new ArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
+  private volatile boolean ended;
 
-  /** Returns traffic until a time of the play; the instance of index 0 gets most of it. */
-  Traffic(PlayClock clock, List<InstanceProcess> instances, long end) {
+  /** Returns traffic that is not started; the instance of index 0 gets most of it. */
+  Traffic(PlayClock clock, List<InstanceProcess> instances) {
     this.clock = clock;
     this.instances = instances;
-    this.end = end;
   }
 
   void start(int seed) {
     for (int number = 0; number < CALLERS; number++) {
       String name = seed + "-" + number;
       Random random = new Random(seed * 1_000L + number);
-      threads.add(Thread.ofVirtual().name("caller " + name).start(() -> send(name, random)));
+      Caller caller = new Caller(clock);
+      callers.add(caller);
+      threads.add(
+          Thread.ofVirtual().name("caller " + name).start(() -> send(caller, name, random)));
     }
   }
 
-  List<Exchange> await() throws InterruptedException {
+  /** Ends the traffic; returns the requests that had ended before. */
+  List<Exchange> end() throws InterruptedException {
+    ended = true;
+    List<Exchange> result = List.copyOf(exchanges);
+    callers.forEach(Caller::close);
     for (Thread thread : threads) {
       thread.join();
     }
-    return List.copyOf(exchanges);
+    return result;
   }
 
-  private void send(String name, Random random) {
-    try (Caller caller = new Caller(clock)) {
-      for (int number = 0; clock.now() < end; number++) {
-        Kind kind = draw(random.nextDouble());
-        String target = kind.target(random.nextDouble());
-        boolean anew = random.nextDouble() < NEW_CONNECTION_SHARE;
-        int index =
-            random.nextDouble() < STOPPED_INSTANCE_SHARE
-                ? 0
-                : 1 + random.nextInt(instances.size() - 1);
-        PlayClock.sleep(random.nextLong(PAUSE_MS));
-        if (anew || !caller.isConnected() || kind == Kind.SLOW_READER) {
-          if (!caller.connect(index, instances.get(index).callerPort(), kind)) {
-            PlayClock.sleep(PAUSE_MS);
-            continue;
-          }
-        }
-        Optional<Exchange> exchange = caller.exchange(name + "-" + number, kind, target);
-        exchange.ifPresent(exchanges::add);
+  private void send(Caller caller, String name, Random random) {
+    for (int number = 0; !ended; number++) {
+      Kind kind = draw(random.nextDouble());
+      String target = kind.target(random.nextDouble());
+      boolean anew = random.nextDouble() < NEW_CONNECTION_SHARE || kind == Kind.SLOW_READER;
+      int index =
+          random.nextDouble() < STOPPED_INSTANCE_SHARE
+              ? 0
+              : 1 + random.nextInt(instances.size() - 1);
+      PlayClock.sleep(random.nextLong(PAUSE_MS));
+      boolean connected =
+          caller.isConnected() && !anew
+              || caller.connect(index, instances.get(index).callerPort(), kind);
+      if (connected) {
+        caller.exchange(name + "-" + number, kind, target).ifPresent(exchanges::add);
+      } else {
+        PlayClock.sleep(PAUSE_MS);
       }
     }
+    caller.close();
   }
 
   private static Kind draw(double share) {
