Take all calls for 2.5 s of a stop, so that a signal that is handled late cuts nothing off

What callers might see: a stream that is sent over 3 s after SIGTERM, taken, and cut off when the process ends. Cause: all calls were taken for 2.9 s from when the signal is handled; a machine that hands it over 0.1 s late, as a busy one may, takes calls that came more than 3 s after it, and most streams last longer than the rest of the grace period.

The load balancer needs two checks, one a second, to notice a stop, so 2.5 s are enough; what comes later over a kept connection and can't end in time is rejected at once, and its caller goes to another instance.

Test: GracefulDrainTest.signalThatIsHandledLateLeavesNoCallOpenThatWasSentThreeSecondsAfterIt, red before (a call that came 2,501 ms after the handling was open at the end), green now.

--- a/src/main/java/org/magnoliavale/internal/call/GracefulDrain.java
+++ b/src/main/java/org/magnoliavale/internal/call/GracefulDrain.java
@@ -22,8 +22,11 @@
   /** Minimum drain time, so that the load balancer notices that the instance is not ready. */
   private static final Duration MINIMUM_DRAIN_TIME = Duration.ofMillis(3_500);
 
-  /** Time after the stop signal for which all calls are taken. */
-  private static final Duration ACCEPT_PERIOD = Duration.ofMillis(2_900);
+  /**
+   * Time for which all calls are taken: the load balancer needs 2 s to notice the stop, and a busy
+   * machine may hand the signal over some hundred milliseconds late.
+   */
+  private static final Duration ACCEPT_PERIOD = Duration.ofMillis(2_500);
 
   /** Time before the process is killed at which all new calls are rejected. */
   private static final Duration REJECT_ALL_BEFORE_KILL = Duration.ofMillis(2_500);
--- a/src/test/java/org/magnoliavale/internal/call/GracefulDrainTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/GracefulDrainTest.java
@@ -88,6 +88,25 @@
     assertThat(calls.size()).isZero();
   }
 
+  /**
+   * Guards against streams that are taken late and cut off at the end, when a busy machine hands
+   * the signal over late: a caller counts the time of the stop from when the signal was sent.
+   */
+  @Test
+  void signalThatIsHandledLateLeavesNoCallOpenThatWasSentThreeSecondsAfterIt() {
+    long handledLateMs = 500;
+    Map<Long, RecordingCaller> late = new TreeMap<>();
+    for (long ms = 3_000 - handledLateMs + 1; ms < 7_600; ms += 50) {
+      long sentMs = ms;
+      atMs(sentMs, () -> late.put(sentMs, order(8_000)));
+    }
+    order(9_000);
+    drain(GRACE_PERIOD);
+    late.forEach(
+        (sentMs, lateCaller) ->
+            assertThat(lateCaller.ending()).as("sent at %d ms", sentMs).isNotEqualTo("open"));
+  }
+
   @Nested
   class Calls {
     @Test
