Answer 413 to a request whose body is longer than the limit

Callers saw their connection closed without an answer after a whole request whose body was longer than the configured limit, for example beside a change of the limit that an instance hasn't applied yet: neither an answer nor a refusal.

Cause: Jetty hands the failure over inside a CompletionException, so the check for IllegalStateException never matched, and the request was aborted as one that can't be read. And the rest of the body stayed unread, so that the connection would have been reset and a 413 could be lost.

--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayHandler.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayHandler.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.gateway;
 
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
@@ -56,13 +57,17 @@
       startCall(request, NO_BODY, writer, arrivalNanos);
       return true;
     }
-    Content.Source.asByteArrayAsync(request, maximumBodyBytes.getAsInt())
+    long limit = bodyLimit();
+    // One byte more than the limit shows that the body is longer.
+    Content.Source.asByteArrayAsync(new TruncatedContent(request, limit + 1), -1)
         .whenComplete(
             (body, failure) -> {
-              if (failure == null) {
-                startCall(request, body, writer, arrivalNanos);
-              } else {
+              if (failure != null) {
                 rejectUnreadable(request, writer, failure);
+              } else if (body.length > limit) {
+                rejectTooLarge(request, writer);
+              } else {
+                startCall(request, body, writer, arrivalNanos);
               }
             });
     return true;
@@ -73,6 +78,12 @@
     return requestsInProgress.get();
   }
 
+  /** Returns the maximum size of a body; a negative number stands for none. */
+  private long bodyLimit() {
+    int bytes = maximumBodyBytes.getAsInt();
+    return bytes < 0 ? Integer.MAX_VALUE : bytes;
+  }
+
   private static boolean hasBody(Request request) {
     return request.getLength() > 0 || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
   }
@@ -101,14 +112,19 @@
   private void rejectUnreadable(Request request, JettyResponseWriter writer, Throwable failure) {
     LOG.infof(
         "Request could not be read. path=%s reason=%s", request.getHttpURI().getPath(), failure);
-    if (failure instanceof IllegalStateException) {
-      calls.reject(
-          protocol.parseRequest(request.getHeaders()),
-          writer,
-          ErrorCode.BODY_TOO_LARGE,
-          "the body is too large");
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    if (cause instanceof IllegalStateException) {
+      rejectTooLarge(request, writer);
     } else {
       writer.abort();
     }
   }
+
+  private void rejectTooLarge(Request request, JettyResponseWriter writer) {
+    calls.reject(
+        protocol.parseRequest(request.getHeaders()),
+        writer,
+        ErrorCode.BODY_TOO_LARGE,
+        "the body is too large");
+  }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -1,5 +1,7 @@
 package org.magnoliavale.internal.gateway;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -33,11 +35,16 @@
 
 /** A complete instance between plain caller sockets and a raw endpoint. */
 abstract class GatewayFixture {
-  private static final ServiceId SERVICE = new ServiceId("assistant");
+  static final ServiceId SERVICE = new ServiceId("assistant");
   static final int SOCKET_TIMEOUT_MS = 20_000;
   static final long POLL_INTERVAL_MS = 10;
   static final String EVENT = "id: 1\ndata: a\n\n";
 
+  private static final int MAXIMUM_CHECKS = 1_000;
+  private static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(30);
+  private static final int BODY_LIMIT_BYTES = 10_000;
+
+  private volatile RouteTable configuration = configuration(1, BODY_LIMIT_BYTES, standardRoutes());
   RawEndpoint endpoint;
   GatewayInstance instance;
 
@@ -67,7 +74,7 @@
             (client, settings) ->
                 new PlatformAdapters(
                     new FakeTable(),
-                    GatewayFixture::configuration,
+                    this::pollConfiguration,
                     () -> new DirectoryReadResult.Entries(List.of(entry())),
                     TestProtocol.create(),
                     new RejectingEndpointControl()));
@@ -101,25 +108,31 @@
         "warn");
   }
 
-  private static ConfigurationPollResult configuration() {
+  private ConfigurationPollResult pollConfiguration() {
     try {
       TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    return new ConfigurationPollResult.Found(
-        RouteTable.of(
-            1,
-            List.of(
-                route("/stream/", CallKind.STREAM, true),
-                route("/safe/", CallKind.IDEMPOTENT, false),
-                route("/unsafe/", CallKind.NON_IDEMPOTENT, false)),
-            List.of(new ServiceSpecification(SERVICE, 100, Optional.empty())),
-            10_000));
+    return new ConfigurationPollResult.Found(configuration);
+  }
+
+  static RouteTable configuration(long version, int bodyLimitBytes, List<Route> routes) {
+    return RouteTable.of(
+        version,
+        routes,
+        List.of(new ServiceSpecification(SERVICE, 100, Optional.empty())),
+        bodyLimitBytes);
   }
 
-  private static Route route(String prefix, CallKind kind, boolean resumable) {
-    Duration timeout = Duration.ofSeconds(30);
+  static List<Route> standardRoutes() {
+    return List.of(
+        route("/stream/", CallKind.STREAM, true, ROUTE_TIMEOUT),
+        route("/safe/", CallKind.IDEMPOTENT, false, ROUTE_TIMEOUT),
+        route("/unsafe/", CallKind.NON_IDEMPOTENT, false, ROUTE_TIMEOUT));
+  }
+
+  static Route route(String prefix, CallKind kind, boolean resumable, Duration timeout) {
     return new Route(
         prefix,
         "menus.example",
@@ -129,10 +142,17 @@
         0,
         1,
         timeout,
-        timeout,
+        ROUTE_TIMEOUT,
         List.of(new WeightedService(SERVICE, 1)));
   }
 
+  /** Puts a configuration in force; returns when the instance has applied it. */
+  void configure(RouteTable table) throws Exception {
+    configuration = table;
+    String line = "configuration_version " + (double) table.version();
+    assertThat(awaitMetric(line)).contains(line);
+  }
+
   private DirectoryEntry entry() {
     return new DirectoryEntry(
         new EndpointIdentity("i-1", 1),
@@ -182,4 +202,22 @@
       }
     }
   }
+
+  /** Reads the metrics until they contain a line; returns the last ones that were read. */
+  String awaitMetric(String line) throws Exception {
+    String metrics = "";
+    for (int i = 0; i < MAXIMUM_CHECKS && !metrics.contains(line); i++) {
+      TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
+      try (Socket reader = new Socket(InetAddress.getLoopbackAddress(), instance.metricsPort())) {
+        reader.setSoTimeout(SOCKET_TIMEOUT_MS);
+        reader
+            .getOutputStream()
+            .write(
+                "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+        metrics = new String(reader.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      }
+    }
+    return metrics;
+  }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
@@ -4,9 +4,7 @@
 import static org.assertj.core.api.Assertions.fail;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -97,24 +95,6 @@
     assertThat(awaitMetric("calls_answered 1.0")).contains("calls_answered 1.0");
   }
 
-  /** Reads the metrics until they contain a line; returns the last ones that were read. */
-  private String awaitMetric(String line) throws Exception {
-    String metrics = "";
-    for (int i = 0; i < MAXIMUM_CHECKS && !metrics.contains(line); i++) {
-      TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
-      try (Socket reader = new Socket(InetAddress.getLoopbackAddress(), instance.metricsPort())) {
-        reader.setSoTimeout(SOCKET_TIMEOUT_MS);
-        reader
-            .getOutputStream()
-            .write(
-                "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII));
-        metrics = new String(reader.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-      }
-    }
-    return metrics;
-  }
-
   /**
    * Guards against a drain that ends while a response is still being written to a slow caller,
    * which would get only a part of it.
