Answer a call that throws, and let the other calls go on

Seen in tests only: a call whose start threw an exception was never answered if its request had a body, since the exception was swallowed with the body's future; it stayed registered, and when it threw again in a tick, the other calls reached no time limit any more. The same exception left the directory's read unapplied, as it runs over all calls, too.

Cause: CallRegistry ran over all calls without keeping an exception to the call that threw it.

Now each event of a call is contained: an exception is logged and ends that call, with 500 or, once its response has begun, by closing the connection. What throws before the call is registered is answered with 500 as well.

Remains: an attempt that had been sent when its call threw is not cancelled; it ends at its endpoint.

--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.magnoliavale.ErrorCode;
@@ -25,6 +26,7 @@
  */
 public final class CallRegistry {
   private static final Logger LOG = Logs.of("call");
+  private static final String INTERNAL_ERROR = "internal error";
 
   private final CallContext context;
   private final RandomGenerator random;
@@ -44,6 +46,16 @@
    */
   public Runnable begin(CallRequest request, CallerResponse caller) {
     CallMetadata metadata = context.protocol().parseRequest(request.headers());
+    try {
+      return begin(request, metadata, caller);
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "Call could not be started. request=%s", metadata.attemptId());
+      reject(metadata, caller, ErrorCode.INTERNAL, INTERNAL_ERROR);
+      return () -> {};
+    }
+  }
+
+  private Runnable begin(CallRequest request, CallMetadata metadata, CallerResponse caller) {
     RouteTable routes = context.routes().get();
     if (routes == null) {
       reject(metadata, caller, ErrorCode.PLATFORM_UNAVAILABLE, "no configuration yet");
@@ -66,7 +78,8 @@
       reject(metadata, caller, ErrorCode.STOPPING, "the instance is stopping");
       return () -> {};
     }
-    call.start(context.nanoClock().getAsLong());
+    long now = context.nanoClock().getAsLong();
+    runContained(call, started -> started.start(now));
     return () -> call.callerDisconnected(context.nanoClock().getAsLong());
   }
 
@@ -113,13 +126,13 @@
   /** Checks the time limits of all calls and selects endpoints for waiting calls. */
   public void tick() {
     long now = context.nanoClock().getAsLong();
-    calls.forEach(call -> call.tick(now));
+    forEachCall(call -> call.tick(now));
   }
 
   /** Selects endpoints for waiting calls, after the available endpoints have changed. */
   public void endpointsChanged() {
     long now = context.nanoClock().getAsLong();
-    calls.forEach(call -> call.endpointsChanged(now));
+    forEachCall(call -> call.endpointsChanged(now));
   }
 
   /**
@@ -139,7 +152,34 @@
 
   private void rejectWaiting() {
     long now = context.nanoClock().getAsLong();
-    calls.forEach(call -> call.instanceStopping(now));
+    forEachCall(call -> call.instanceStopping(now));
+  }
+
+  private void forEachCall(Consumer<Call> event) {
+    calls.forEach(call -> runContained(call, event));
+  }
+
+  /** Handles an event of a call; an exception ends this call, and no other. */
+  private void runContained(Call call, Consumer<Call> event) {
+    try {
+      event.accept(call);
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "Call failed unexpectedly. request=%s", call.plan().attemptId());
+      endUnanswered(call);
+    }
+  }
+
+  private void endUnanswered(Call call) {
+    if (!calls.remove(call)) {
+      return;
+    }
+    synchronized (call) {
+      if (call.hasResponseStarted()) {
+        call.abortResponse(INTERNAL_ERROR);
+      } else {
+        call.fail(ErrorCode.INTERNAL, INTERNAL_ERROR);
+      }
+    }
   }
 
   /** Logs each call in progress, since the end of the process cuts it off. */
--- a/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
+++ b/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
@@ -3,7 +3,9 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 
 /** Records attempts, and lets a test supply their responses. */
@@ -78,6 +80,12 @@
   }
 
   private final List<Sent> sent = new ArrayList<>();
+  private final Set<String> failing = new HashSet<>();
+
+  /** From now on the sending of a request with this path and query throws. */
+  void failOn(String pathQuery) {
+    failing.add(pathQuery);
+  }
 
   List<Sent> sent() {
     return sent;
@@ -89,6 +97,9 @@
 
   @Override
   public Handle send(OutgoingRequest request, AttemptListener listener) {
+    if (failing.contains(request.pathQuery())) {
+      throw new IllegalStateException("expected by the test");
+    }
     Sent attempt = new Sent(request, listener);
     sent.add(attempt);
     return () -> attempt.cancelled = true;
