--- a/src/main/java/org/magnoliavale/internal/route/Route.java
+++ b/src/main/java/org/magnoliavale/internal/route/Route.java
@@ -29,8 +29,12 @@
     Duration timeout,
     Duration targetLatency,
     List<WeightedService> services) {
-  /** Copies the services. */
+  /** Longest timeout; a longer one stands for none, and may be too long to count in nanoseconds. */
+  private static final Duration MAXIMUM_TIMEOUT = Duration.ofDays(1);
+
+  /** Copies the services and shortens a timeout that is too long. */
   public Route {
+    timeout = timeout.compareTo(MAXIMUM_TIMEOUT) < 0 ? timeout : MAXIMUM_TIMEOUT;
     services = List.copyOf(services);
   }
 
--- a/src/test/java/org/magnoliavale/internal/gateway/ConfigurationChangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/ConfigurationChangeTest.java
@@ -159,6 +159,22 @@
   /** A request whose handling throws an exception. */
   @Nested
   class Exceptions {
+    private static final Duration UNLIMITED = Duration.ofMillis(Long.MAX_VALUE);
+
+    @Test
+    void callIsAnsweredIfTheTimeoutOfItsRouteIsBeyondNanoseconds() throws Exception {
+      configure(
+          configuration(
+              2,
+              LIMIT_BYTES,
+              List.of(route("/unsafe/", CallKind.NON_IDEMPOTENT, false, UNLIMITED))));
+      try (Socket caller = connect()) {
+        write(caller, post("/unsafe/x", "id-1", BODY.length()) + BODY);
+        endpoint.nextRequest().respond(200, "done");
+        assertThat(readUntil(caller, "done")).contains(" 200 ");
+      }
+    }
+
     @ParameterizedTest
     @ValueSource(
         strings = {
