Ask for streams late in the stop, and let endpoints pause from the signal on

Pauses before the signal used up the instance's budget of retries, so that the moves that the check judges were rare.

--- a/src/test/java/org/magnoliavale/soak/Disruption.java
+++ b/src/test/java/org/magnoliavale/soak/Disruption.java
@@ -19,7 +19,7 @@
   private static final int MAXIMUM_PAUSE_MS = 1_600;
   private static final long MAXIMUM_FILL_DELAY_MS = 1_000;
   private static final long MINIMUM_FILL_DELAY_MS = 600;
-  private static final int ROUNDS = 5;
+  private static final int ROUNDS = 4;
   private static final int ROUND_MS = 1_900;
 
   /** Plays the disruption; the stop signal is sent at {@code stop}. */
@@ -41,7 +41,7 @@
         pauseWorkers(clock, random, stop, deployment);
       }
       case CONFIGURATIONS -> {
-        for (int round = 0; round < ROUNDS; round++) {
+        for (int round = 0; round <= ROUNDS; round++) {
           clock.sleepUntil(stop - 500 + round * 1_000L + random.nextInt(900));
           deployment.changeConfiguration();
         }
@@ -64,7 +64,7 @@
   private void pauseWorkers(PlayClock clock, Random random, long stop, SoakDeployment deployment) {
     List<SoakWorker> workers = deployment.engines();
     for (int round = 0; round < ROUNDS; round++) {
-      clock.sleepUntil(stop - ROUND_MS + (long) round * ROUND_MS);
+      clock.sleepUntil(stop + (long) round * ROUND_MS);
       int paused = random.nextInt(workers.size());
       // Only a longer pause makes an instance move streams, which full workers then refuse.
       int minimum = this == PAUSES_AND_FULL_WORKERS ? LONG_PAUSE_MS : MINIMUM_PAUSE_MS;
--- a/src/test/java/org/magnoliavale/soak/Play.java
+++ b/src/test/java/org/magnoliavale/soak/Play.java
@@ -50,6 +50,8 @@
     long stop = clock.now() + BEFORE_STOP_MS + random.nextInt(500);
     Traffic traffic = new Traffic(clock, instances);
     traffic.start(seed);
+    LateStreams lateStreams = new LateStreams(clock, stopped, stop);
+    lateStreams.start();
     Thread beside =
         Thread.ofVirtual().start(() -> disruption.play(clock, random, stop, deployment, stopped));
     clock.sleepUntil(stop);
@@ -58,7 +60,8 @@
     stopped.signal("KILL");
     beside.join();
     clock.sleepUntil(stop + GRACE_MS + AFTER_KILL_MS);
-    List<Exchange> exchanges = traffic.end();
+    List<Exchange> exchanges = new ArrayList<>(traffic.end());
+    exchanges.addAll(lateStreams.end());
     return new Result(stop, exchanges, deployment.runs(), deployment.refusals());
   }
 
--- a/src/test/java/org/magnoliavale/soak/SoakWorker.java
+++ b/src/test/java/org/magnoliavale/soak/SoakWorker.java
@@ -7,9 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -116,15 +114,16 @@
   private void answer(HttpMessage request, OutputStream out) throws IOException {
     String path = request.startLine().split(" ")[1];
     if (path.equals("/-/report")) {
-      write(out, 200, "", WorkerDescription.report(reportedRunning()));
+      WorkerMessages.write(out, 200, "", WorkerDescription.report(reportedRunning()));
     } else if (path.startsWith("/-/")) {
-      write(out, 200, "", "{}");
+      WorkerMessages.write(out, 200, "", "{}");
     } else if (isFullAt(clock.now()) || !slots.tryAcquire()) {
       refusals.add(new Refusal(request.header("x-request-attempt-id"), name, clock.now()));
-      write(out, 503, echo(request) + "X-Not-Executed: 1\r\n", "full");
+      WorkerMessages.write(
+          out, 503, WorkerMessages.echo(request) + "X-Not-Executed: 1\r\n", "full");
     } else {
       try {
-        run(request, parameters(path), out);
+        run(request, WorkerMessages.parameters(path), out);
       } finally {
         slots.release();
       }
@@ -143,24 +142,26 @@
     runsInProgress.add(run);
     boolean whole = false;
     try {
-      String headers = echo(request) + "X-Response-Signature: " + name + "\r\n";
+      String headers = WorkerMessages.echo(request) + "X-Response-Signature: " + name + "\r\n";
       if (!query.containsKey("events")) {
         PlayClock.sleep(query.getOrDefault("work", 0));
         awaitEndOfPause();
-        write(out, 200, headers, "served");
+        WorkerMessages.write(out, 200, headers, "served");
       } else {
         PlayClock.sleep(query.getOrDefault("work", 0));
         awaitEndOfPause();
-        writeText(out, streamHead(headers));
+        WorkerMessages.writeText(out, WorkerMessages.streamHead(headers));
         String last = request.header("last-event-id");
         int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
         for (int number = first; number <= query.get("events"); number++) {
-          writeText(out, chunk(event(number, query.getOrDefault("size", 0))));
+          WorkerMessages.writeText(
+              out,
+              WorkerMessages.chunk(WorkerMessages.event(number, query.getOrDefault("size", 0))));
           run.eventWritten();
           PlayClock.sleep(query.getOrDefault("gap", 0));
           awaitEndOfPause();
         }
-        writeText(out, "0\r\n\r\n");
+        WorkerMessages.writeText(out, "0\r\n\r\n");
       }
       whole = true;
     } finally {
@@ -175,47 +176,6 @@
     }
   }
 
-  private static String echo(HttpMessage request) {
-    return "X-Request-Attempt-Id: " + request.header("x-request-attempt-id") + "\r\n";
-  }
-
-  private static String streamHead(String headers) {
-    return "HTTP/1.1 200 OK\r\n"
-        + headers
-        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-  }
-
-  private static String event(int number, int size) {
-    return "id: " + number + "\ndata: " + "t".repeat(size) + "\n\n";
-  }
-
-  private static String chunk(String text) {
-    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-  }
-
-  private static void write(OutputStream out, int status, String headers, String body)
-      throws IOException {
-    writeText(
-        out,
-        "HTTP/1.1 %d -\r\n%sContent-Length: %d\r\n\r\n%s"
-            .formatted(status, headers, body.length(), body));
-  }
-
-  private static void writeText(OutputStream out, String text) throws IOException {
-    out.write(text.getBytes(StandardCharsets.US_ASCII));
-  }
-
-  private static Map<String, Integer> parameters(String path) {
-    Map<String, Integer> result = new HashMap<>();
-    for (String pair : path.substring(path.indexOf('?') + 1).split("&")) {
-      int equals = pair.indexOf('=');
-      if (equals > 0) {
-        result.put(pair.substring(0, equals), Integer.parseInt(pair.substring(equals + 1)));
-      }
-    }
-    return result;
-  }
-
   @Override
   public void close() throws IOException {
     server.close();
