Read responses that end with their connection

A stopping instance answers streams without a length or chunks, since it closes the connection after them. The callers took such a body for an empty one and left, so nothing that was taken after the signal was judged. Now a stream is whole only if all its events have come.

--- a/src/test/java/org/magnoliavale/soak/Caller.java
+++ b/src/test/java/org/magnoliavale/soak/Caller.java
@@ -8,11 +8,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** A caller with at most one connection, which it keeps if it is asked to. */
 final class Caller implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 1_000;
+  private static final int OK = 200;
   private static final int SMALL_BUFFER = 4_096;
   private static final long SLOW_READER_PAUSE_MS = 50;
   private static final long PATIENCE_MS = 1_500;
@@ -66,7 +66,7 @@
       return Optional.empty();
     }
     long read = clock.now();
-    AtomicLong bytes = new AtomicLong();
+    ReceivedBody body = new ReceivedBody();
     int status = 0;
     boolean whole = false;
     String failure = "";
@@ -77,8 +77,9 @@
         failure = "closed before a response";
       } else {
         status = Integer.parseInt(head.startLine().split(" ")[1]);
-        head.readBody(in, piece -> receive(piece, kind, bytes));
-        whole = true;
+        head.readResponseBody(in, piece -> receive(piece, kind, body));
+        whole = status != OK || body.isWhole(target);
+        failure = whole ? "" : "ended early but looks complete";
       }
       if (head == null || head.closesConnection()) {
         close();
@@ -97,13 +98,13 @@
             read,
             clock.now(),
             status,
-            bytes.get(),
+            body.bytes(),
             whole,
             failure));
   }
 
-  private static void receive(byte[] piece, Kind kind, AtomicLong bytes) {
-    bytes.addAndGet(piece.length);
+  private static void receive(byte[] piece, Kind kind, ReceivedBody body) {
+    body.add(piece);
     if (kind == Kind.SLOW_READER) {
       PlayClock.sleep(SLOW_READER_PAUSE_MS);
     }
--- a/src/test/java/org/magnoliavale/soak/HttpMessage.java
+++ b/src/test/java/org/magnoliavale/soak/HttpMessage.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
@@ -48,6 +49,18 @@
     readLine(in);
   }
 
+  /** Reads the body of a response, which may end with its connection. */
+  void readResponseBody(InputStream in, Consumer<byte[]> receiver) throws IOException {
+    if (headers.containsKey("transfer-encoding") || headers.containsKey("content-length")) {
+      readBody(in, receiver);
+      return;
+    }
+    byte[] piece = new byte[PIECE];
+    for (int count = in.read(piece); count >= 0; count = in.read(piece)) {
+      receiver.accept(Arrays.copyOf(piece, count));
+    }
+  }
+
   String header(String name) {
     return headers.getOrDefault(name, "");
   }
--- a/src/test/java/org/magnoliavale/soak/PlayReport.java
+++ b/src/test/java/org/magnoliavale/soak/PlayReport.java
@@ -1,6 +1,10 @@
 package org.magnoliavale.soak;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /** The verdict on a play, and lines that tell what happened; times are relative to the stop. */
@@ -44,6 +48,17 @@
     lines.forEach(System.out::println);
   }
 
+  /** Writes all requests at the stopped instance to a file beside the logs of the instances. */
+  void write(Path folder) throws IOException {
+    List<String> lines =
+        result.exchanges().stream()
+            .filter(exchange -> exchange.instance() == 0)
+            .sorted(Comparator.comparingLong(Exchange::sent))
+            .map(this::describe)
+            .toList();
+    Files.write(folder.resolve("requests.txt"), lines);
+  }
+
   private long count(boolean streamsOnly) {
     return result.exchanges().stream()
         .filter(exchange -> exchange.instance() == 0 && exchange.end() >= result.stop())
--- a/src/test/java/org/magnoliavale/soak/Soak.java
+++ b/src/test/java/org/magnoliavale/soak/Soak.java
@@ -26,6 +26,7 @@
         PlayReport report =
             new PlayReport(disruption, seed, new Play(folder, disruption, seed).run());
         report.print();
+        report.write(folder);
         lost += report.lost().size();
       }
     }
