--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -185,7 +185,7 @@
   /** Logs each call in progress, since the end of the process cuts it off. */
   public void logUnfinished() {
     long now = context.nanoClock().getAsLong();
-    calls.forEach(call -> call.logUnfinished(now));
+    forEachCall(call -> call.logUnfinished(now));
   }
 
   /** Returns the number of calls in progress. */
