Let a call go on at a silent endpoint also after a refusal, an exception or a second silence

An error after the begin of a response was counted as two runs. - A call whose deadline can't be computed stayed registered when it came during a stop. - The log says which of two attempts was kept.

The tries of other endpoints moved out of Call (OtherEndpointTries).

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -29,8 +29,8 @@
   private static final int MAXIMUM_RESPONSE_BYTES = 16 << 20;
 
   /**
-   * Time without data within a resumable stream after which the attempt is abandoned if its
-   * endpoint is unresponsive, in milliseconds.
+   * Time without data within a resumable stream after which another endpoint is asked as well, if
+   * this one is unresponsive, in milliseconds.
    */
   private static final long EVENT_SILENCE_TIMEOUT_MS = 1_200;
 
@@ -108,9 +108,9 @@
     boolean endpointSilent =
         pool().isUnresponsive(identity(), nowNanos) || !pool().isAvailable(identity());
     if ((noHead || noEvent) && endpointSilent) {
-      call.tryBesideSilentAttempt(this, nowNanos);
+      call.otherEndpoints().trySilent(this, nowNanos);
     } else if (noHead && call.plan().route().kind() == CallKind.IDEMPOTENT) {
-      call.replaceSlowAttempt(this, nowNanos);
+      call.otherEndpoints().replaceSlow(this, nowNanos);
     }
   }
 
@@ -143,7 +143,7 @@
       }
       streaming = responseHead.isSuccess() && call.plan().route().kind() == CallKind.STREAM;
       if (responseHead.isSuccess() && status != NO_CONTENT) {
-        call.attemptMadeProgress(this, now);
+        call.otherEndpoints().madeProgress(this, now);
       }
     }
   }
@@ -158,7 +158,7 @@
       pool().recordActivity(identity(), lastActivityNanos);
       if (streaming) {
         if (bytes.hasRemaining()) {
-          call.attemptMadeProgress(this, lastActivityNanos);
+          call.otherEndpoints().madeProgress(this, lastActivityNanos);
         }
         forwardEvents(bytes, demand);
         return;
@@ -282,16 +282,9 @@
     if (responseHead.isServerError() && retryServerError(now)) {
       return;
     }
-    if (call.hasResponseStarted()) {
-      retryOrFail("status " + responseHead.status(), now);
-      return;
-    }
-    if (responseHead.status() == ErrorCode.OVERLOADED.httpStatus()
-        || responseHead.status() == ErrorCode.MODEL_UNAVAILABLE.httpStatus()) {
-      // This status tells the caller that the call was not executed, which the endpoint has not
-      // stated.
-      call.fail(
-          ErrorCode.UPSTREAM_FAILED, "endpoint answered with status " + responseHead.status());
+    boolean unprovenPromise = statesNotExecuted(responseHead.status());
+    if (call.hasResponseStarted() || unprovenPromise) {
+      endWithoutAnswer("endpoint answered with status " + responseHead.status(), now);
       return;
     }
     if (responseHead.isSuccess()) {
@@ -303,6 +296,27 @@
         ByteBuffer.wrap(body.toByteArray()));
   }
 
+  /**
+   * Returns whether a status tells the caller that the call was not executed; the endpoint has not
+   * stated that if it did not say so in its headers.
+   */
+  private static boolean statesNotExecuted(int status) {
+    return status == ErrorCode.OVERLOADED.httpStatus()
+        || status == ErrorCode.MODEL_UNAVAILABLE.httpStatus();
+  }
+
+  private void endWithoutAnswer(String reason, long now) {
+    boolean triedAlready = responseHead.isServerError();
+    if (!triedAlready && call.retryIfAllowed(this, reason, now)) {
+      return;
+    }
+    if (call.hasResponseStarted()) {
+      call.abortResponse(reason);
+    } else {
+      call.fail(ErrorCode.UPSTREAM_FAILED, reason);
+    }
+  }
+
   private boolean retryServerError(long now) {
     return call.retryIfAllowed(this, "status " + responseHead.status(), now);
   }
--- a/src/main/java/org/magnoliavale/internal/call/AttemptsInProgress.java
+++ b/src/main/java/org/magnoliavale/internal/call/AttemptsInProgress.java
@@ -48,7 +48,7 @@
     Optional<Attempt> other = other(kept);
     // An endpoint that was left because the silent one woke up has not failed.
     AttemptOutcome outcome =
-        other.equals(silent) ? AttemptOutcome.FAILED : AttemptOutcome.INCONCLUSIVE;
+        latest.get() == kept ? AttemptOutcome.FAILED : AttemptOutcome.INCONCLUSIVE;
     other.ifPresent(attempt -> attempt.cancel(outcome, nowNanos));
     add(kept);
     return other;
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -36,6 +36,8 @@
     ENDED
   }
 
+  private static final String INTERNAL_ERROR = "internal error";
+
   private final CallContext context;
   private final CallPlan plan;
   private final CallerResponse caller;
@@ -44,6 +46,7 @@
   private final CallCompletion completion;
   private final EndpointSelection selection;
   private final RetryAllowance retries;
+  private final OtherEndpointTries otherEndpoints;
   private State state = State.NEW;
   private final ArtifactWait artifactWait;
   private final AttemptsInProgress attempts = new AttemptsInProgress();
@@ -69,6 +72,7 @@
     this.caller = caller;
     this.selection = new EndpointSelection(context, plan);
     this.retries = new RetryAllowance(context, plan, maySend);
+    this.otherEndpoints = new OtherEndpointTries(this, attempts, selection, retries);
     this.artifactWait = new ArtifactWait(context.artifactDemand());
     this.onEnd = onEnd;
     this.log = new CallLog(plan);
@@ -136,9 +140,9 @@
     }
   }
 
-  /** Ends the call if it waits, because this instance is stopping. */
+  /** Ends the call if it waits and no response has begun, because this instance is stopping. */
   synchronized void instanceStopping(long nowNanos) {
-    if (state == State.WAITING) {
+    if (state == State.WAITING && !responseStarted) {
       giveUp("the instance is stopping", nowNanos);
     }
   }
@@ -148,6 +152,22 @@
     log.unfinished(attempts.latest().map(Attempt::identity), responseStarted, lastEvent, nowNanos);
   }
 
+  /**
+   * Ends the call after an unexpected exception in one of its steps; an attempt that goes on beside
+   * the one that was to be made is kept.
+   */
+  synchronized void failedUnexpectedly(long nowNanos) {
+    if (attempts.isPair()) {
+      Attempt newer = attempts.latest().orElseThrow();
+      newer.cancel(AttemptOutcome.INCONCLUSIVE, nowNanos);
+      attempts.removeEnded(newer);
+    } else if (state != State.ENDED && responseStarted) {
+      abortResponse(INTERNAL_ERROR);
+    } else if (state != State.ENDED) {
+      fail(ErrorCode.INTERNAL, INTERNAL_ERROR);
+    }
+  }
+
   /** Cancels the call, because its caller has disconnected. */
   synchronized void callerDisconnected(long nowNanos) {
     if (state == State.ENDED) {
@@ -157,50 +177,9 @@
     completion.abandon(retries.possibleExecutions(), responseStarted);
   }
 
-  /**
-   * Sends the call to another endpoint beside its attempt at a silent one, if there is one that can
-   * take the call now and a retry is allowed. The first of the two that makes progress is kept.
-   */
-  void tryBesideSilentAttempt(Attempt silent, long nowNanos) {
-    chooseOtherEndpoint(silent, nowNanos)
-        .ifPresent(
-            choice -> {
-              logRetry(silent, "silent");
-              waitStartNanos = nowNanos;
-              Attempt next = new Attempt(this, choice.endpoint(), nowNanos);
-              attempts.addBesideSilent(next);
-              send(next, choice, nowNanos);
-            });
-  }
-
-  /**
-   * Gives up an attempt at a slow endpoint for one at another endpoint, if there is one that can
-   * take the call now and a retry is allowed; otherwise the attempt goes on.
-   */
-  void replaceSlowAttempt(Attempt slow, long nowNanos) {
-    chooseOtherEndpoint(slow, nowNanos)
-        .ifPresent(
-            choice -> {
-              slow.cancel(AttemptOutcome.FAILED, nowNanos);
-              recordPossibleExecution(slow, "slow");
-              logRetry(slow, "slow");
-              waitStartNanos = nowNanos;
-              send(choice, nowNanos);
-            });
-  }
-
-  private Optional<EndpointChoice.Selected> chooseOtherEndpoint(Attempt source, long nowNanos) {
-    if (attempts.isPair() || !retries.allowsRetryInPlaceOfAttempt(responseStarted, nowNanos)) {
-      return Optional.empty();
-    }
-    return selection.chooseOther(source.identity(), retries, nowNanos);
-  }
-
-  /** Keeps only an attempt whose endpoint has begun or gone on with the response. */
-  void attemptMadeProgress(Attempt source, long nowNanos) {
-    attempts
-        .keepOnly(source, nowNanos)
-        .ifPresent(other -> recordPossibleExecution(other, "another attempt made progress"));
+  /** Returns the tries of other endpoints while the call is at a silent or slow one. */
+  OtherEndpointTries otherEndpoints() {
+    return otherEndpoints;
   }
 
   private void dispatch(long nowNanos) {
@@ -216,7 +195,8 @@
     }
   }
 
-  private void send(EndpointChoice.Selected choice, long nowNanos) {
+  /** Sends the call to an endpoint; no other attempt is in progress. */
+  void send(EndpointChoice.Selected choice, long nowNanos) {
     artifactWait.stop();
     state = State.SENT;
     Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos);
@@ -224,6 +204,13 @@
     send(attempt, choice, nowNanos);
   }
 
+  /** Sends the call to an endpoint beside its attempt in progress at a silent one. */
+  void sendBesideSilent(EndpointChoice.Selected choice, long nowNanos) {
+    Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos);
+    attempts.addBesideSilent(attempt);
+    send(attempt, choice, nowNanos);
+  }
+
   private void send(Attempt attempt, EndpointChoice.Selected choice, long nowNanos) {
     int number = retries.possibleExecutions() + retries.refusals() + 1;
     log.sent(choice, number, plan.timeRemaining(nowNanos));
@@ -254,7 +241,8 @@
    * @param excludeEndpoint whether the endpoint is excluded from further attempts
    */
   void attemptNotExecuted(Attempt source, String reason, boolean excludeEndpoint, long nowNanos) {
-    if (excludeEndpoint) {
+    // Beside a silent attempt, an endpoint that is full now may be asked again a little later.
+    if (excludeEndpoint && !attempts.isPair()) {
       selection.tried().exclude(source.identity());
     }
     retryOrGiveUp(source, reason, () -> retries.spendRetry(nowNanos), nowNanos);
@@ -271,7 +259,7 @@
     retries.recordRefusal();
     lastFailure = reason;
     if (attempts.removeEnded(source)) {
-      log.goingOnAtSilentEndpoint(source.identity(), reason);
+      log.goingOnAtOtherEndpoint(source.identity(), reason);
       return;
     }
     state = State.WAITING;
@@ -288,10 +276,9 @@
    * retry or with another attempt in progress.
    */
   boolean retryIfAllowed(Attempt source, String reason, long nowNanos) {
-    recordPossibleExecution(source, reason);
-    waitStartNanos = nowNanos;
+    recordPossibleExecution(source, reason, nowNanos);
     if (attempts.removeEnded(source)) {
-      log.goingOnAtSilentEndpoint(source.identity(), reason);
+      log.goingOnAtOtherEndpoint(source.identity(), reason);
       return true;
     }
     if (!retries.allowsRetryAfterExecution(responseStarted, nowNanos)
@@ -304,13 +291,14 @@
     return true;
   }
 
-  private void recordPossibleExecution(Attempt source, String reason) {
+  void recordPossibleExecution(Attempt source, String reason, long nowNanos) {
+    waitStartNanos = nowNanos;
     retries.recordPossibleExecution();
     lastFailure = reason;
     selection.tried().exclude(source.identity());
   }
 
-  private void logRetry(Attempt source, String reason) {
+  void logRetry(Attempt source, String reason) {
     context.metrics().retried().inc();
     log.retrying(source.identity(), reason, retries, lastEvent);
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -48,9 +48,15 @@
         text(lastEvent));
   }
 
-  void goingOnAtSilentEndpoint(EndpointIdentity ended, String reason) {
+  void keptOneOfTwo(EndpointIdentity kept, EndpointIdentity cancelled) {
     LOG.infof(
-        "Going on at the silent endpoint. request=%s ended=%s reason=%s",
+        "Kept one of two attempts. request=%s kept=%s cancelled=%s",
+        plan.attemptId(), kept, cancelled);
+  }
+
+  void goingOnAtOtherEndpoint(EndpointIdentity ended, String reason) {
+    LOG.infof(
+        "Going on at the other endpoint. request=%s ended=%s reason=%s",
         plan.attemptId(), ended, reason);
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -28,7 +28,7 @@
     int connectionLimit,
     long configurationVersion,
     CrashKeys crashKeys) {
-  /** Minimum time without a response head before a retryable attempt is given up. */
+  /** Minimum time without a response head before another endpoint is asked. */
   private static final long MINIMUM_SILENCE_TIMEOUT_MS = 350;
 
   /** Multiple of the target latency that a stream may take until its response head. */
--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -72,8 +72,15 @@
     Call call = newCall(request, metadata, route.get(), routes, caller);
     // Registered first: a drain that sees no call in progress has rejected all that come later.
     calls.add(call);
-    if (!admission.takes(call.plan())) {
-      calls.remove(call);
+    boolean taken = false;
+    try {
+      taken = admission.takes(call.plan());
+    } finally {
+      if (!taken) {
+        calls.remove(call);
+      }
+    }
+    if (!taken) {
       LOG.infof("Rejected, instance is stopping. request=%s", metadata.attemptId());
       reject(metadata, caller, ErrorCode.STOPPING, "the instance is stopping");
       return () -> {};
@@ -165,20 +172,7 @@
       event.accept(call);
     } catch (RuntimeException | Error e) {
       LOG.errorf(e, "Call failed unexpectedly. request=%s", call.plan().attemptId());
-      endUnanswered(call);
-    }
-  }
-
-  private void endUnanswered(Call call) {
-    if (!calls.remove(call)) {
-      return;
-    }
-    synchronized (call) {
-      if (call.hasResponseStarted()) {
-        call.abortResponse(INTERNAL_ERROR);
-      } else {
-        call.fail(ErrorCode.INTERNAL, INTERNAL_ERROR);
-      }
+      call.failedUnexpectedly(context.nanoClock().getAsLong());
     }
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
@@ -35,7 +35,7 @@
    * Selects an endpoint that can take the call now although it is in progress at another one, and
    * takes a retry from the budget.
    */
-  Optional<EndpointChoice.Selected> chooseOther(
+  Optional<EndpointChoice.Selected> chooseOtherWithinBudget(
       EndpointIdentity inProgress, RetryAllowance retries, long nowNanos) {
     Optional<EndpointChoice.Selected> choice =
         context
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/call/OtherEndpointTries.java
@@ -0,0 +1,98 @@
+package org.magnoliavale.internal.call;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.magnoliavale.internal.dispatch.AttemptOutcome;
+import org.magnoliavale.internal.dispatch.EndpointChoice;
+
+/**
+ * Tries other endpoints for a call while its endpoint is silent or slow. Guarded by its call.
+ *
+ * <p>A silent endpoint may only pause. Its attempt is kept beside the one at another endpoint until
+ * either of them makes progress, so a call loses nothing if the other endpoint does not take it. An
+ * attempt at a slow endpoint is given up at once, since both would load endpoints that are slow
+ * because of their load.
+ */
+final class OtherEndpointTries {
+  /** Minimum time between two tries beside a silent endpoint. */
+  private static final long SILENT_RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  private final Call call;
+  private final AttemptsInProgress attempts;
+  private final EndpointSelection selection;
+  private final RetryAllowance retries;
+  private final CallLog log;
+  private long lastTryNanos;
+
+  OtherEndpointTries(
+      Call call, AttemptsInProgress attempts, EndpointSelection selection, RetryAllowance retries) {
+    this.call = call;
+    this.attempts = attempts;
+    this.selection = selection;
+    this.retries = retries;
+    this.log = new CallLog(call.plan());
+    this.lastTryNanos = call.plan().request().arrivedNanos();
+  }
+
+  /**
+   * Sends the call to another endpoint as well, if one can take it now and a retry is allowed. Of
+   * two silent attempts the newer one is dropped if the call may be sent to a third endpoint.
+   */
+  void trySilent(Attempt silent, long nowNanos) {
+    if (nowNanos - lastTryNanos < SILENT_RETRY_INTERVAL_NANOS) {
+      return;
+    }
+    if (attempts.isPair()) {
+      dropNewer(silent, nowNanos);
+      return;
+    }
+    choose(silent, nowNanos)
+        .ifPresent(
+            choice -> {
+              lastTryNanos = nowNanos;
+              call.logRetry(silent, "silent");
+              call.sendBesideSilent(choice, nowNanos);
+            });
+  }
+
+  private void dropNewer(Attempt newer, long nowNanos) {
+    if (retries.allowsRetryInPlaceOfPair(call.hasResponseStarted(), nowNanos)) {
+      newer.cancel(AttemptOutcome.FAILED, nowNanos);
+      call.recordPossibleExecution(newer, "silent", nowNanos);
+      attempts.removeEnded(newer);
+    }
+  }
+
+  /** Sends the call to another endpoint instead, if one can take it now and a retry is allowed. */
+  void replaceSlow(Attempt slow, long nowNanos) {
+    if (attempts.isPair()) {
+      return;
+    }
+    choose(slow, nowNanos)
+        .ifPresent(
+            choice -> {
+              slow.cancel(AttemptOutcome.FAILED, nowNanos);
+              call.recordPossibleExecution(slow, "slow", nowNanos);
+              call.logRetry(slow, "slow");
+              call.send(choice, nowNanos);
+            });
+  }
+
+  private Optional<EndpointChoice.Selected> choose(Attempt inProgress, long nowNanos) {
+    if (!retries.allowsRetryInPlaceOfAttempt(call.hasResponseStarted(), nowNanos)) {
+      return Optional.empty();
+    }
+    return selection.chooseOtherWithinBudget(inProgress.identity(), retries, nowNanos);
+  }
+
+  /** Keeps only an attempt whose endpoint has begun or gone on with the response. */
+  void madeProgress(Attempt source, long nowNanos) {
+    attempts
+        .keepOnly(source, nowNanos)
+        .ifPresent(
+            other -> {
+              log.keptOneOfTwo(source.identity(), other.identity());
+              call.recordPossibleExecution(other, "another attempt made progress", nowNanos);
+            });
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/call/RetryAllowance.java
+++ b/src/main/java/org/magnoliavale/internal/call/RetryAllowance.java
@@ -68,11 +68,20 @@
     return allowsRetry(possibleExecutions, responseStarted, nowNanos);
   }
 
-  /** Returns whether the call may be sent again instead of its attempt in progress. */
+  /** Returns whether the call may be sent again beside or instead of its attempt in progress. */
   boolean allowsRetryInPlaceOfAttempt(boolean responseStarted, long nowNanos) {
-    // The attempt in progress may have been executed, too.
+    return allowsRetryBeside(1, responseStarted, nowNanos);
+  }
+
+  /** Returns whether the call may be sent again instead of one of its two attempts in progress. */
+  boolean allowsRetryInPlaceOfPair(boolean responseStarted, long nowNanos) {
+    return allowsRetryBeside(2, responseStarted, nowNanos);
+  }
+
+  /** Attempts in progress may have been executed, too. */
+  private boolean allowsRetryBeside(int attempts, boolean responseStarted, long nowNanos) {
     return refusals < MAXIMUM_REFUSALS
-        && allowsRetry(possibleExecutions + 1, responseStarted, nowNanos);
+        && allowsRetry(possibleExecutions + attempts, responseStarted, nowNanos);
   }
 
   private boolean allowsRetry(int executions, boolean responseStarted, long nowNanos) {
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -77,6 +77,7 @@
             route("/safe/", CallKind.IDEMPOTENT, false, 2),
             route("/unsafe/", CallKind.NON_IDEMPOTENT, false, 1),
             route("/stream/", CallKind.STREAM, true, 2),
+            route("/long/", CallKind.STREAM, true, 3),
             route("/once/", CallKind.STREAM, false, 1)),
         List.of(new ServiceSpecification(TestEntries.SERVICE, connectionLimit, Optional.empty())),
         1_000);
--- a/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
+++ b/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
@@ -46,6 +46,16 @@
               .put("X-Response-Signature", "signature-of-" + endpoint()));
     }
 
+    /** Starts a response in chunks, so that it says itself where it ends. */
+    void beginChunked() {
+      listener.onResponseHead(
+          200,
+          HttpFields.build()
+              .put("X-Request-Attempt-Id", request.headers().get("X-Request-Attempt-Id"))
+              .put("X-Response-Signature", "signature-of-" + endpoint())
+              .put("Transfer-Encoding", "chunked"));
+    }
+
     void content(String text) {
       byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
       listener.onContent(ByteBuffer.wrap(bytes), () -> {});
--- a/src/test/java/org/magnoliavale/internal/call/SilentEndpointTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/SilentEndpointTest.java
@@ -243,6 +243,24 @@
       assertThat(caller.ending()).isEqualTo("finished");
     }
 
+    @Test
+    void goesOnIfTheOtherCannotBeAsked() {
+      other.failAfterSend();
+      connector.failOn("/stream/x?x=1");
+      advance(300);
+      assertThatTheSilentEndpointGoesOn();
+    }
+
+    @Test
+    void isFollowedByTheOtherIfThatHasRoomALittleLater() {
+      other.respondNotExecuted(503);
+      advance(200);
+      assertThat(connector.sent()).hasSize(2);
+      advance(200);
+      assertThat(endpoints()).hasSize(3);
+      assertThat(endpoints().get(2)).isEqualTo(other.endpoint());
+    }
+
     @Test
     void isNotJoinedByAThirdOne() {
       updateEndpoints(
@@ -262,4 +280,36 @@
       assertThat(calls.size()).isZero();
     }
   }
+
+  /** Guards against a call that waits for two dead endpoints although a third one could take it. */
+  @Test
+  void twoSilentEndpointsLeadToAThirdIfTheRouteAllowsIt() {
+    updateEndpoints(
+        TestEntries.entry("a", 2, "m"),
+        TestEntries.entry("b", 2, "m"),
+        TestEntries.entry("c", 2, "m"));
+    call("/long/x");
+    connector.last().begin(200);
+    connector.last().content(EVENT_ONE);
+    advance(1_500);
+    advance(1_000);
+    advance(50);
+    assertThat(endpoints()).hasSize(3).doesNotHaveDuplicates();
+    assertThat(connector.sent().getFirst().isCancelled()).isFalse();
+    connector.last().respond(200, EVENT_TWO);
+    assertThat(caller.body()).isEqualTo(EVENT_ONE + EVENT_TWO);
+    assertThat(caller.ending()).isEqualTo("finished");
+  }
+
+  @Test
+  void otherEndpointThatIsBusyDoesNotEndACallWhoseFirstOneIsSilent() {
+    call("/stream/x");
+    ScriptedConnector.Sent silent = connector.last();
+    advance(1_100);
+    assertThat(connector.sent()).hasSize(2);
+    connector.last().respond(429, "");
+    assertThat(caller.ending()).isEqualTo("open");
+    silent.respond(200, EVENT_ONE);
+    assertThat(caller.body()).isEqualTo(EVENT_ONE);
+  }
 }
