Handle the stop signal from before the start, so that none is lost in between

Seen once: ReloadSignalTest.logsItsStop found no line 'Stopped.'. Cause: the signals were handled only after the start had been logged; a SIGTERM in between ended the process the runtime's way, without a drain, with calls in progress cut off.

They are handled from before the start now, and one that comes meanwhile stops the service once it has started. Test: ReloadSignalTest.stopsInOrderIfTheSignalComesDuringTheStart, a process that gets SIGTERM at its first line of the configuration, before 'Started.'.

--- a/src/main/java/org/magnoliavale/internal/command/GatewayCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/GatewayCommand.java
@@ -37,8 +37,9 @@
     GatewaySettings settings = GatewaySettingsReader.read(settingsFile, text);
     Logs.install(settings.logLevel(), System.out);
     GatewayInstance instance = GatewayInstance.create(settings, PlatformAdapterFactory::create);
+    StopSignal stopSignal = StopSignal.listen();
     instance.start();
-    StopSignal.stopAtFirst(instance);
+    stopSignal.stopAtFirst(instance);
     new SettingsReload(
             settingsFile,
             text,
--- a/src/main/java/org/magnoliavale/internal/command/ServeCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/ServeCommand.java
@@ -30,8 +30,9 @@
     Logs.install(settings.logLevel());
     Magnoliavale instance =
         Magnoliavale.builder().settings(settingsFile, text).routingPolicy(routingPolicy).build();
+    StopSignal stopSignal = StopSignal.listen();
     instance.start();
-    StopSignal.stopAtFirst(instance);
+    stopSignal.stopAtFirst(instance);
     new SettingsReload(
             settingsFile,
             text,
--- a/src/main/java/org/magnoliavale/internal/command/package-info.java
+++ b/src/main/java/org/magnoliavale/internal/command/package-info.java
@@ -3,7 +3,7 @@
  *
  * <p>{@link org.magnoliavale.internal.command.Main} parses the arguments and runs the selected
  * {@link org.magnoliavale.internal.command.Command} on the main thread. Commands that run until the
- * process is terminated stop their service on a shutdown hook, see {@link
+ * process is terminated stop their service at a signal, see {@link
  * org.magnoliavale.internal.command.StopSignal}.
  *
  * <p>Only this package may depend on the adapter of the users' platform, and only this package and
--- a/src/test/java/org/magnoliavale/internal/command/ReloadSignalTest.java
+++ b/src/test/java/org/magnoliavale/internal/command/ReloadSignalTest.java
@@ -136,6 +136,17 @@
       assertThat(awaitLine("Stopped.")).contains("Stopped.");
     }
 
+    /** Guards against a signal that comes as soon as the start is logged and ends the process. */
+    @Test
+    void stopsInOrderIfTheSignalComesDuringTheStart() throws Exception {
+      start("gateway", settings("info", 8, 3_000));
+      awaitLine("Configuration");
+      signal("TERM");
+      assertThat(awaitLine("Stopped.")).contains("Stopped.");
+      assertThat(process.waitFor(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+      assertThat(process.exitValue()).isZero();
+    }
+
     @Test
     void keepsItsSettingsIfTheNewOnesAreInvalid() throws Exception {
       start("gateway", settings("info", 8, 3_000));
