--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.magnoliavale.internal.directory.DirectoryEntry;
@@ -36,6 +37,10 @@
   private static final ServiceId SERVICE = new ServiceId("assistant");
   static final int SOCKET_TIMEOUT_MS = 20_000;
   static final long POLL_INTERVAL_MS = 10;
+
+  /** Retries beyond the share of requests, more than the cases of one test class need. */
+  private static final int RETRY_BUDGET = 10_000;
+
   static final String EVENT = "id: 1\ndata: a\n\n";
 
   RawEndpoint endpoint;
@@ -67,8 +72,8 @@
             (client, settings) ->
                 new PlatformAdapters(
                     new FakeTable(),
-                    GatewayFixture::configuration,
-                    () -> new DirectoryReadResult.Entries(List.of(entry())),
+                    this::configuration,
+                    () -> new DirectoryReadResult.Entries(entries()),
                     TestProtocol.create(),
                     new RejectingEndpointControl()));
     instance.start();
@@ -95,13 +100,23 @@
         second.multipliedBy(3),
         second.multipliedBy(8),
         0.2,
-        50,
+        RETRY_BUDGET,
         second.multipliedBy(10),
         second.multipliedBy(5),
         "warn");
   }
 
-  private static ConfigurationPollResult configuration() {
+  /** Returns the number of endpoints; all listen on the address of {@link #endpoint}. */
+  int endpointCount() {
+    return 1;
+  }
+
+  /** Returns the maximum number of attempts of each route. */
+  int maximumAttempts() {
+    return 1;
+  }
+
+  private ConfigurationPollResult configuration() {
     try {
       TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
     } catch (InterruptedException e) {
@@ -112,13 +127,14 @@
             1,
             List.of(
                 route("/stream/", CallKind.STREAM, true),
+                route("/once/", CallKind.STREAM, false),
                 route("/safe/", CallKind.IDEMPOTENT, false),
                 route("/unsafe/", CallKind.NON_IDEMPOTENT, false)),
             List.of(new ServiceSpecification(SERVICE, 100, Optional.empty())),
             10_000));
   }
 
-  private static Route route(String prefix, CallKind kind, boolean resumable) {
+  private Route route(String prefix, CallKind kind, boolean resumable) {
     Duration timeout = Duration.ofSeconds(30);
     return new Route(
         prefix,
@@ -127,15 +143,19 @@
         kind,
         resumable,
         0,
-        1,
+        maximumAttempts(),
         timeout,
         timeout,
         List.of(new WeightedService(SERVICE, 1)));
   }
 
-  private DirectoryEntry entry() {
+  private List<DirectoryEntry> entries() {
+    return IntStream.rangeClosed(1, endpointCount()).mapToObj(this::entry).toList();
+  }
+
+  private DirectoryEntry entry(int number) {
     return new DirectoryEntry(
-        new EndpointIdentity("i-1", 1),
+        new EndpointIdentity("i-" + number, 1),
         SERVICE,
         endpoint.address(),
         "east",
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
@@ -211,6 +211,39 @@
     awaitClosedPort();
   }
 
+  /** Guards against a response that its connection's end would complete, since it is to close. */
+  @Test
+  void streamThatBreaksOffDuringAStopDoesNotAppearComplete() throws Exception {
+    try (Socket caller = connect()) {
+      send(caller, "/stream/x", "id-1");
+      RawEndpoint.ReceivedRequest received = endpoint.nextRequest();
+      Thread stop = Thread.ofVirtual().start(instance::stop);
+      awaitStopping();
+      received.beginStream();
+      received.sendChunk(EVENT);
+      received.close();
+      CallerAnswer answer = CallerAnswer.read(caller.getInputStream());
+      assertThat(answer.head()).contains("Connection: close");
+      assertThat(answer.body()).isEqualTo(EVENT);
+      assertThat(answer.complete()).isFalse();
+      stop.join();
+    }
+  }
+
+  /** Returns when responses announce that their connections end. */
+  private void awaitStopping() throws Exception {
+    for (int i = 0; i < MAXIMUM_CHECKS; i++) {
+      try (Socket socket = connect()) {
+        send(socket, "/nowhere/", "id-0");
+        if (readUntil(socket, "\r\n\r\n").contains("Connection: close")) {
+          return;
+        }
+      }
+      TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
+    }
+    fail("the instance does not stop");
+  }
+
   /** Returns when connections to the port are refused; fails if it keeps accepting them. */
   private void awaitClosedPort() throws Exception {
     for (int attempt = 0; attempt < MAXIMUM_CHECKS; attempt++) {
