Join no stream that does not go on after Last-Event-Id

What callers saw: a resumed stream on `gateway` had events twice, if the next endpoint began again at event 1 or repeated the last event, and ended as complete.

Cause: the events of the next endpoint were forwarded whatever their ids.

What changed: once the caller has events, an event of another attempt whose id is not greater than the one before it ends that attempt. The stream is resumed elsewhere within the route's attempts, or aborted. Dropping the repeated events instead would join pieces of two runs. The first answer is forwarded as it is.

Not covered: an endpoint that skips an event. Ids only have to increase, so a gap alone proves nothing.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -40,7 +40,11 @@
   private final Call call;
   private final DirectoryEntry endpoint;
   private final long sentNanos;
-  private final EventSplitter events = new EventSplitter();
+  private final EventSplitter events;
+
+  /** Whether the caller has got events of an earlier attempt, after which this one must go on. */
+  private final boolean resumed;
+
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private EndpointConnector.Handle handle;
   private ResponseHead responseHead;
@@ -60,6 +64,8 @@
     this.endpoint = endpoint;
     this.sentNanos = sentNanos;
     this.lastActivityNanos = sentNanos;
+    this.resumed = call.hasResponseStarted();
+    this.events = new EventSplitter(resumed ? resumedAfter : Optional.empty());
   }
 
   DirectoryEntry endpoint() {
@@ -176,6 +182,11 @@
       retryOrFail("event is too large", lastActivityNanos);
       return;
     }
+    if (resumed && events.isOutOfOrder()) {
+      cancel(AttemptOutcome.FAILED, lastActivityNanos);
+      retryOrFail("stream does not go on after the last event", lastActivityNanos);
+      return;
+    }
     if (!completeEvents.hasRemaining()) {
       demand.run();
       return;
--- a/src/main/java/org/magnoliavale/internal/call/EventSplitter.java
+++ b/src/main/java/org/magnoliavale/internal/call/EventSplitter.java
@@ -23,6 +23,17 @@
 
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private Optional<Long> lastId = Optional.empty();
+  private Optional<Long> previousId;
+  private boolean outOfOrder;
+
+  /**
+   * Returns a splitter of a stream that goes on after an event.
+   *
+   * @param resumedAfter id of that event, empty for a stream that begins
+   */
+  EventSplitter(Optional<Long> resumedAfter) {
+    this.previousId = resumedAfter;
+  }
 
   /**
    * Adds received bytes and returns all buffered bytes up to the last blank line, possibly none.
@@ -51,6 +62,11 @@
     return pending.size() > MAXIMUM_EVENT_BYTES;
   }
 
+  /** Returns whether a numeric id was not greater than the one before it. */
+  boolean isOutOfOrder() {
+    return outOfOrder;
+  }
+
   /** Returns the last numeric id in the events returned so far. */
   Optional<Long> lastId() {
     return lastId;
@@ -84,7 +100,7 @@
     for (String line : events.split("\n")) {
       if (line.startsWith(ID_FIELD)) {
         try {
-          lastId = Optional.of(Long.parseLong(line.substring(ID_FIELD.length()).strip()));
+          readId(Long.parseLong(line.substring(ID_FIELD.length()).strip()));
         } catch (NumberFormatException e) {
           // A stream can only be resumed after a numeric id; the previous one stays valid.
           continue;
@@ -92,4 +108,10 @@
       }
     }
   }
+
+  private void readId(long id) {
+    outOfOrder |= previousId.isPresent() && id <= previousId.get();
+    previousId = Optional.of(id);
+    lastId = previousId;
+  }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/CutStreamTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/CutStreamTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Cuts the streams of endpoints at every byte of their heads and events. A caller must never read a
@@ -134,6 +135,30 @@
       assertThat(answer.body()).isEqualTo(EVENT + EVENT_TWO);
       assertThat(answer.complete()).isFalse();
     }
+
+    /** Guards against events that a caller gets twice from an endpoint that began again. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          ALL_EVENTS,
+          EVENT_TWO + EVENT_THREE + EVENT_FOUR,
+          EVENT_TWO,
+          EVENT_THREE + EVENT_TWO + EVENT_FOUR
+        })
+    void thatDoesNotGoOnAfterTheLastEventIsNotJoined(String events) throws Exception {
+      for (Framing framing : Framing.values()) {
+        String id = nextId();
+        CallerAnswer answer =
+            call(
+                "/stream/",
+                CallerConnection.KEPT,
+                id,
+                brokenOff(id),
+                new Answer(whole(id, framing, events), Ending.CLOSED));
+        check(isFaithful(answer, false), framing.toString(), answer);
+      }
+      assertThat(violations).isEmpty();
+    }
   }
 
   /** Guards against a stream that broke off and is read as a whole one by the caller's framing. */
