Give no empty success for an answer that ends after its head

What callers saw: an endpoint that stopped right after a head without length or chunks, and closed, led to a signed 200 on plain routes of `gateway` with an empty body and "Content-Length: 0", framed as whole.

Cause: such an answer ends with its connection, so an orderly close after the head counted as its end.

What changed: an empty success that isn't framed by its head counts as a lost answer: retried where the route allows it, 502 otherwise. Streams were judged so already. An empty answer with a length of 0, in chunks, with 204 or 205, or to HEAD is forwarded as before.

Ruled out: a body that is cut after its first byte and closed in an orderly way can't be told from a whole one without a length.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -274,6 +274,12 @@
     call.completeStream();
   }
 
+  /** Returns whether an empty body may be one whose endpoint stopped after the head. */
+  private boolean mayLackBody() {
+    boolean bodyless = responseHead.isBodyless() || call.plan().request().method().equals("HEAD");
+    return !bodyless && !isFramed(responseHeaders);
+  }
+
   /** Returns whether a response says itself where it ends, other than by its connection's end. */
   private static boolean isFramed(HttpFields headers) {
     return headers.contains(HttpHeader.CONTENT_LENGTH)
@@ -281,6 +287,10 @@
   }
 
   private void finishBuffered(long now) {
+    if (responseHead.isSuccess() && body.size() == 0 && mayLackBody()) {
+      failAfterSend("response ended before its body", now);
+      return;
+    }
     AttemptOutcome result =
         responseHead.isServerError() ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED;
     close(result, now);
--- a/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
+++ b/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
@@ -25,6 +25,8 @@
     boolean contentEncoded,
     Optional<ReportedLoad> load) {
   private static final int SUCCESS_CLASS = 2;
+  private static final int NO_CONTENT = 204;
+  private static final int RESET_CONTENT = 205;
   private static final int SERVER_ERROR = 500;
   private static final int HUNDRED = 100;
 
@@ -33,6 +35,11 @@
     return status / HUNDRED == SUCCESS_CLASS;
   }
 
+  /** Returns whether responses with this status never have a body. */
+  public boolean isBodyless() {
+    return status == NO_CONTENT || status == RESET_CONTENT;
+  }
+
   /** Returns whether the status is 500 or higher. */
   public boolean isServerError() {
     return status >= SERVER_ERROR;
--- a/src/test/java/org/magnoliavale/internal/gateway/CutAnswerTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/CutAnswerTest.java
@@ -36,7 +36,7 @@
           boolean mayBeWhole = cut == length || framing == Framing.CHUNKED && cut >= length - 2;
           boolean mustBeWhole = cut == length && ending == Ending.CLOSED;
           if (framing == Framing.CONNECTION) {
-            mayBeWhole = ending == Ending.CLOSED && cut >= headLength;
+            mayBeWhole = ending == Ending.CLOSED && cut > headLength;
             expected = text.substring(Math.min(cut, headLength), cut);
           }
           boolean success =
@@ -72,6 +72,17 @@
     assertThat(violations).isEmpty();
   }
 
+  @ParameterizedTest
+  @CsvSource({"200,LENGTH,200", "200,CHUNKED,200", "200,CONNECTION,502", "204,CONNECTION,204"})
+  void givesAnEmptySuccessOnlyIfItsHeadSaysSo(int status, Framing framing, int expected)
+      throws Exception {
+    String id = nextId();
+    String text = whole(id, framing, "").replace(" 200 ", " " + status + " ");
+    CallerAnswer answer =
+        call("/unsafe/", CallerConnection.CLOSE, id, new Answer(text, Ending.CLOSED));
+    assertThat(answer.status()).isEqualTo(expected);
+  }
+
   @ParameterizedTest
   @EnumSource(Framing.class)
   void givesNoSuccessWithoutSignature(Framing framing) throws Exception {
