Treat a chunked answer that is cut off as a failed attempt on serve

What callers saw: on `serve`, an answer in chunks whose endpoint closed or reset inside the framing of a chunk ended with an internal error (500). It was not retried, and the outcome of an order was not marked as unknown. This follows from the code; the test is one level below, at the client.

Cause: Jetty's client throws HttpResponseException, which is no IOException, from the stream of the content; the code that reads it handles IOException.

What changed: the stream throws an IOException in its place.

Evidence: EndpointClientTest cuts an answer at every byte, framed by length, in chunks and by the connection's end, and closes or resets.

--- a/src/main/java/org/magnoliavale/internal/traffic/EndpointClient.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/EndpointClient.java
@@ -115,7 +115,8 @@
       Response response,
       InputStreamResponseListener listener) {
     EndpointResponse endpointResponse =
-        new JettyEndpointResponse(request, response, listener.getInputStream());
+        new JettyEndpointResponse(
+            request, response, new ResponseContent(listener.getInputStream()));
     String echoedAttemptId = response.getHeaders().get(HeaderNames.ATTEMPT_ID);
     if (!attempt.attemptId().equals(echoedAttemptId)) {
       boolean unidentifiedError = echoedAttemptId == null && response.getStatus() >= 500;
--- /dev/null
+++ b/src/test/java/org/magnoliavale/internal/traffic/EndpointClientTest.java
@@ -0,0 +1,130 @@
+package org.magnoliavale.internal.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.magnoliavale.internal.document.DocumentReader;
+import org.magnoliavale.internal.document.Endpoint;
+import org.magnoliavale.internal.document.TestDocuments;
+import org.magnoliavale.internal.http.HeaderNames;
+import org.magnoliavale.internal.settings.EngineSettings;
+
+/** Sends attempts to a plain socket that cuts off its answer at every byte. */
+class EndpointClientTest {
+  private static final String BODY = "a body";
+  private static final String ID = "attempt-1";
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  private final EndpointClient client =
+      EndpointClient.of(new EngineSettings(8, TIMEOUT, TIMEOUT, TIMEOUT, TIMEOUT, TIMEOUT, 1_024));
+  private ServerSocket server;
+  private Endpoint endpoint;
+
+  @BeforeEach
+  void start() throws Exception {
+    server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+    String document =
+        TestDocuments.base() + TestDocuments.serviceEndpoint("service-1", server.getLocalPort());
+    endpoint = DocumentReader.read("d.ini", document, 1).endpoints().values().iterator().next();
+    client.start();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    client.stop();
+    server.close();
+  }
+
+  private static String head(String framing) {
+    String header =
+        switch (framing) {
+          case "length" -> "Content-Length: " + BODY.length() + "\r\n";
+          case "chunked" -> "Transfer-Encoding: chunked\r\n";
+          default -> "";
+        };
+    return "HTTP/1.1 200 OK\r\n" + header + HeaderNames.ATTEMPT_ID + ": " + ID + "\r\n\r\n";
+  }
+
+  /** Answers one request; a reset follows once the sender has the head. */
+  private void serve(String text, boolean reset) throws IOException {
+    Socket socket = server.accept();
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try (socket) {
+                socket.getInputStream().read(new byte[4_096]);
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+                socket.setSoLinger(reset, 0);
+              } catch (IOException e) {
+                throw new IllegalStateException(e);
+              }
+            });
+  }
+
+  /** Returns the body of a complete answer, or a text that begins with "failed". */
+  private String send(boolean newConnection) {
+    AttemptRequest request =
+        new AttemptRequest(
+            ID, endpoint, "GET", "/x", HttpFields.EMPTY, new byte[0], TIMEOUT, TIMEOUT, TIMEOUT);
+    AttemptResult result =
+        newConnection ? client.sendOnNewConnection(request) : client.send(request);
+    if (!(result instanceof AttemptResult.Responded(EndpointResponse response))) {
+      return "failed: " + result;
+    }
+    try {
+      return new String(response.readFully(1_024), StandardCharsets.US_ASCII);
+    } catch (IOException e) {
+      return "failed: " + e;
+    }
+  }
+
+  /** Guards against an answer that was reset on the way and is taken for a whole one. */
+  @ParameterizedTest
+  @CsvSource({
+    "length,false",
+    "length,true",
+    "chunked,false",
+    "chunked,true",
+    "none,false"
+  })
+  void cutAnswerIsNeverComplete(String framing, boolean reset) throws Exception {
+    String body = framing.equals("chunked") ? "6\r\n" + BODY + "\r\n0\r\n\r\n" : BODY;
+    String text = head(framing) + body;
+    // A chunked body is whole with its last chunk, even without the empty line after it.
+    int last = framing.equals("chunked") ? text.length() - 3 : text.length() - 1;
+    boolean endsWithConnection = framing.equals("none") && !reset;
+    int end = endsWithConnection ? head(framing).length() - 1 : last;
+    List<String> violations = new ArrayList<>();
+    for (int cut = 0; cut <= end; cut++) {
+      String part = text.substring(0, cut);
+      Thread serving =
+          Thread.ofVirtual()
+              .start(
+                  () -> {
+                    try {
+                      serve(part, reset);
+                    } catch (IOException e) {
+                      throw new IllegalStateException(e);
+                    }
+                  });
+      String outcome = send(cut % 2 == 0);
+      serving.join();
+      if (!outcome.startsWith("failed")) {
+        violations.add("at " + cut + ": " + outcome);
+      }
+    }
+    assertThat(violations).isEmpty();
+  }
+}
