Take no reset for the end of an answer on serve

What callers saw: on `serve`, an answer without length or chunks that was reset on the way counted as whole: the caller got a 200 with an empty or short body, and for an order it would be recorded as its outcome.

Cause: Jetty's client reports a reset as the end of the stream. `gateway` has a connector that tells them apart; the clients of `serve` had not.

Ruled out: heads cut at every byte, and bodies short of their length or chunks, closed or reset, gave no success. An answer that ends with its connection and is closed in an orderly way can't be told from a whole one.

--- a/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.magnoliavale.internal.http.HttpClients;
+import org.magnoliavale.internal.http.ResetDetectingConnector;
 
 /**
  * Creates Jetty servers and clients that share one small thread pool and one scheduler. Handlers
--- a/src/main/java/org/magnoliavale/internal/gateway/ResetDetectingConnector.java
+++ b/src/main/java/org/magnoliavale/internal/http/ResetDetectingConnector.java
@@ -1,4 +1,4 @@
-package org.magnoliavale.internal.gateway;
+package org.magnoliavale.internal.http;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -17,7 +17,7 @@
  * <p>Jetty's own connections report a reset as the end of the stream, so a response without a
  * content length that is truncated by a reset would look complete.
  */
-final class ResetDetectingConnector extends ClientConnector {
+public final class ResetDetectingConnector extends ClientConnector {
   private static final class ResetDetectingEndPoint extends SocketChannelEndPoint {
     private final ByteBuffer probe = ByteBuffer.allocate(1);
 
--- a/src/test/java/org/magnoliavale/internal/traffic/EndpointClientTest.java
+++ b/src/test/java/org/magnoliavale/internal/traffic/EndpointClientTest.java
@@ -97,7 +97,8 @@
     "length,true",
     "chunked,false",
     "chunked,true",
-    "none,false"
+    "none,false",
+    "none,true"
   })
   void cutAnswerIsNeverComplete(String framing, boolean reset) throws Exception {
     String body = framing.equals("chunked") ? "6\r\n" + BODY + "\r\n0\r\n\r\n" : BODY;
