Give no empty completion as a success on serve

What callers saw: on `serve`, a model request whose engine answered 200 with no body, as one does that stops after its head, was answered with an empty 200.

Cause: a completion must be JSON, so that a cut one is noticed, but the parser takes no bytes at all for a missing value and raises no error.

What changed: an empty body is an incomplete response, which is tried at another endpoint.

Evidence: RetryTest.IncompleteResponse.isDetectedIfTheBodyIsEmpty fails without the change and passes with it.

--- a/src/main/java/org/magnoliavale/internal/traffic/Forwarder.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/Forwarder.java
@@ -62,7 +62,9 @@
     byte[] body = attempt.response().readFully(settings.maximumResponseBytes());
     if (target instanceof Target.OfModel) {
       // Rejects a truncated body that the engine terminated as if it were complete.
-      Json.tree(body);
+      if (Json.tree(body).isMissingNode()) {
+        throw new IOException("response has no body");
+      }
     }
     String type = attempt.response().contentType().orElse("application/octet-stream");
     return new BufferedResponse(attempt.response().status(), type, body);
--- a/src/test/java/org/magnoliavale/internal/traffic/RetryTest.java
+++ b/src/test/java/org/magnoliavale/internal/traffic/RetryTest.java
@@ -96,6 +96,12 @@
       assertThat(new String(forward().body())).isEqualTo(BODY);
     }
 
+    @Test
+    void isDetectedIfTheBodyIsEmpty() {
+      sender.then(ScriptedSender.response(200, "")).then(ScriptedSender.response(200, BODY));
+      assertThat(new String(forward().body())).isEqualTo(BODY);
+    }
+
     @Test
     void isDetectedAlthoughTheBodyIsTerminated() {
       sender.then(ScriptedSender.response(200, "{\"cho")).then(ScriptedSender.response(200, BODY));
