--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -3,9 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.jboss.logging.Logger;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.internal.directory.DirectoryEntry;
@@ -40,7 +40,11 @@
   private final Call call;
   private final DirectoryEntry endpoint;
   private final long sentNanos;
-  private final EventSplitter events = new EventSplitter();
+  private final EventSplitter events;
+
+  /** Whether the caller has got events of an earlier attempt, after which this one must go on. */
+  private final boolean resumed;
+
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private EndpointConnector.Handle handle;
   private ResponseHead responseHead;
@@ -55,11 +59,13 @@
   private long lastActivityNanos;
   private long lastEventNanos;
 
-  Attempt(Call call, DirectoryEntry endpoint, long sentNanos) {
+  Attempt(Call call, DirectoryEntry endpoint, long sentNanos, Optional<Long> resumedAfter) {
     this.call = call;
     this.endpoint = endpoint;
     this.sentNanos = sentNanos;
     this.lastActivityNanos = sentNanos;
+    this.resumed = call.hasResponseStarted();
+    this.events = new EventSplitter(resumed ? resumedAfter : Optional.empty());
   }
 
   DirectoryEntry endpoint() {
@@ -182,6 +188,11 @@
       retryOrFail("event is too large", lastActivityNanos);
       return;
     }
+    if (resumed && events.isOutOfOrder()) {
+      cancel(AttemptOutcome.FAILED, lastActivityNanos);
+      retryOrFail("stream does not go on after the last event", lastActivityNanos);
+      return;
+    }
     if (!completeEvents.hasRemaining()) {
       demand.run();
       return;
@@ -256,7 +267,7 @@
       failAfterSend("stream ended within an event", now);
       return;
     }
-    if (lastEventNanos == 0 && !isFramed(responseHeaders)) {
+    if (lastEventNanos == 0 && !ResponseHead.isFramed(responseHeaders)) {
       failAfterSend("stream ended before its first event", now);
       return;
     }
@@ -269,20 +280,19 @@
     call.completeStream();
   }
 
-  /** Returns whether a response says itself where it ends, other than by its connection's end. */
-  private static boolean isFramed(HttpFields headers) {
-    return headers.contains(HttpHeader.CONTENT_LENGTH)
-        || headers.contains(HttpHeader.TRANSFER_ENCODING);
-  }
-
   private void finishBuffered(long now) {
+    if (body.size() == 0
+        && responseHead.mayLackBody(responseHeaders, call.plan().request().method())) {
+      failAfterSend("response ended before its body", now);
+      return;
+    }
     AttemptOutcome result =
         responseHead.isServerError() ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED;
     close(result, now);
     if (responseHead.isServerError() && retryServerError(now)) {
       return;
     }
-    boolean unprovenPromise = statesNotExecuted(responseHead.status());
+    boolean unprovenPromise = responseHead.tellsNotExecuted();
     if (call.hasResponseStarted() || unprovenPromise) {
       endWithoutAnswer("endpoint answered with status " + responseHead.status(), now);
       return;
@@ -296,15 +306,6 @@
         ByteBuffer.wrap(body.toByteArray()));
   }
 
-  /**
-   * Returns whether a status tells the caller that the call was not executed; the endpoint has not
-   * stated that if it did not say so in its headers.
-   */
-  private static boolean statesNotExecuted(int status) {
-    return status == ErrorCode.OVERLOADED.httpStatus()
-        || status == ErrorCode.MODEL_UNAVAILABLE.httpStatus();
-  }
-
   private void endWithoutAnswer(String reason, long now) {
     boolean triedAlready = responseHead.isServerError();
     if (!triedAlready && call.retryIfAllowed(this, reason, now)) {
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -199,14 +199,14 @@
   void send(EndpointChoice.Selected choice, long nowNanos) {
     artifactWait.stop();
     state = State.SENT;
-    Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos);
+    Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
     attempts.add(attempt);
     send(attempt, choice, nowNanos);
   }
 
   /** Sends the call to an endpoint beside its attempt in progress at a silent one. */
   void sendBesideSilent(EndpointChoice.Selected choice, long nowNanos) {
-    Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos);
+    Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
     attempts.addBesideSilent(attempt);
     send(attempt, choice, nowNanos);
   }
--- a/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
+++ b/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
@@ -1,6 +1,10 @@
 package org.magnoliavale.internal.call;
 
 import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.magnoliavale.ErrorCode;
 import org.magnoliavale.internal.dispatch.ReportedLoad;
 
 /**
@@ -25,6 +29,8 @@
     boolean contentEncoded,
     Optional<ReportedLoad> load) {
   private static final int SUCCESS_CLASS = 2;
+  private static final int NO_CONTENT = 204;
+  private static final int RESET_CONTENT = 205;
   private static final int SERVER_ERROR = 500;
   private static final int HUNDRED = 100;
 
@@ -33,6 +39,30 @@
     return status / HUNDRED == SUCCESS_CLASS;
   }
 
+  /**
+   * Returns whether an empty body of a success may be one whose endpoint stopped after the head.
+   *
+   * @param headers the headers of the response
+   * @param method the method of the request
+   */
+  boolean mayLackBody(HttpFields headers, String method) {
+    boolean bodyless =
+        status == NO_CONTENT || status == RESET_CONTENT || HttpMethod.HEAD.is(method);
+    return isSuccess() && !bodyless && !isFramed(headers);
+  }
+
+  /** Returns whether a response says itself where it ends, other than by its connection's end. */
+  static boolean isFramed(HttpFields headers) {
+    return headers.contains(HttpHeader.CONTENT_LENGTH)
+        || headers.contains(HttpHeader.TRANSFER_ENCODING);
+  }
+
+  /** Returns whether the status tells a caller that its call was not executed. */
+  boolean tellsNotExecuted() {
+    return status == ErrorCode.OVERLOADED.httpStatus()
+        || status == ErrorCode.MODEL_UNAVAILABLE.httpStatus();
+  }
+
   /** Returns whether the status is 500 or higher. */
   public boolean isServerError() {
     return status >= SERVER_ERROR;
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.magnoliavale.internal.directory.DirectoryEntry;
@@ -38,6 +39,10 @@
   static final ServiceId SERVICE = new ServiceId("assistant");
   static final int SOCKET_TIMEOUT_MS = 20_000;
   static final long POLL_INTERVAL_MS = 10;
+
+  /** Retries beyond the share of requests, more than the cases of one test class need. */
+  private static final int RETRY_BUDGET = 10_000;
+
   static final String EVENT = "id: 1\ndata: a\n\n";
 
   private static final int MAXIMUM_CHECKS = 1_000;
@@ -75,7 +80,7 @@
                 new PlatformAdapters(
                     new FakeTable(),
                     this::pollConfiguration,
-                    () -> new DirectoryReadResult.Entries(List.of(entry())),
+                    () -> new DirectoryReadResult.Entries(entries()),
                     TestProtocol.create(),
                     new RejectingEndpointControl()));
     instance.start();
@@ -102,12 +107,22 @@
         second.multipliedBy(3),
         second.multipliedBy(8),
         0.2,
-        50,
+        RETRY_BUDGET,
         second.multipliedBy(10),
         second.multipliedBy(5),
         "warn");
   }
 
+  /** Returns the number of endpoints; all listen on the address of {@link #endpoint}. */
+  int endpointCount() {
+    return 1;
+  }
+
+  /** Returns the maximum number of attempts of each route. */
+  int maximumAttempts() {
+    return 1;
+  }
+
   private ConfigurationPollResult pollConfiguration() {
     try {
       TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
@@ -125,14 +140,15 @@
         bodyLimitBytes);
   }
 
-  static List<Route> standardRoutes() {
+  final List<Route> standardRoutes() {
     return List.of(
         route("/stream/", CallKind.STREAM, true, ROUTE_TIMEOUT),
+        route("/once/", CallKind.STREAM, false, ROUTE_TIMEOUT),
         route("/safe/", CallKind.IDEMPOTENT, false, ROUTE_TIMEOUT),
         route("/unsafe/", CallKind.NON_IDEMPOTENT, false, ROUTE_TIMEOUT));
   }
 
-  static Route route(String prefix, CallKind kind, boolean resumable, Duration timeout) {
+  final Route route(String prefix, CallKind kind, boolean resumable, Duration timeout) {
     return new Route(
         prefix,
         "menus.example",
@@ -140,7 +156,7 @@
         kind,
         resumable,
         0,
-        1,
+        maximumAttempts(),
         timeout,
         ROUTE_TIMEOUT,
         List.of(new WeightedService(SERVICE, 1)));
@@ -153,9 +169,13 @@
     assertThat(awaitMetric(line)).contains(line);
   }
 
-  private DirectoryEntry entry() {
+  private List<DirectoryEntry> entries() {
+    return IntStream.rangeClosed(1, endpointCount()).mapToObj(this::entry).toList();
+  }
+
+  private DirectoryEntry entry(int number) {
     return new DirectoryEntry(
-        new EndpointIdentity("i-1", 1),
+        new EndpointIdentity("i-" + number, 1),
         SERVICE,
         endpoint.address(),
         "east",
