Take the time of the stop signal where it is sent, and tell unread requests apart

A request without a byte of a response whose connection is reset was not read by the process, which the rule asks for; such requests are counted apart.

--- a/src/test/java/org/magnoliavale/soak/Exchange.java
+++ b/src/test/java/org/magnoliavale/soak/Exchange.java
@@ -29,4 +29,12 @@
     String failure) {
   /** Failure of a response that ended as a complete one does, with events missing. */
   static final String LOOKS_COMPLETE = "ended early but looks complete";
+
+  /**
+   * Returns whether no byte of a response came and the connection was reset: the system resets a
+   * connection that is closed with bytes that its process has not read.
+   */
+  boolean isUnread() {
+    return status == 0 && failure.contains("reset");
+  }
 }
--- a/src/test/java/org/magnoliavale/soak/InstanceProcess.java
+++ b/src/test/java/org/magnoliavale/soak/InstanceProcess.java
@@ -123,6 +123,11 @@
     }
   }
 
+  /** Sends SIGTERM without a helper process, so that the time of the signal is known. */
+  void stop() {
+    process.destroy();
+  }
+
   @Override
   public void close() {
     process.destroyForcibly();
