--- a/src/test/java/org/magnoliavale/soak/Disruption.java
+++ b/src/test/java/org/magnoliavale/soak/Disruption.java
@@ -12,6 +12,8 @@
   CONFIGURATIONS,
   PAUSES,
   PAUSES_AND_FULL_WORKERS,
+
+  /** Holds the process up as a busy machine may; the rules excuse a freeze, so no test plays it. */
   LATE_SIGNAL;
 
   private static final int MINIMUM_PAUSE_MS = 1_000;
