--- /dev/null
+++ b/src/test/java/org/magnoliavale/platform/StoreConfigurationSourceTest.java
@@ -0,0 +1,45 @@
+package org.magnoliavale.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliavale.internal.route.ConfigurationPollResult;
+import org.magnoliavale.internal.route.RouteTable;
+
+/** Guards against a configuration that cannot be read, after which no later one is applied. */
+class StoreConfigurationSourceTest extends StoreFixture {
+  private static final String SECOND = configuration(2, "\"service\":\"s\"");
+
+  private static String configuration(int version, String service) {
+    return "{\"version\":"
+        + version
+        + ",\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":\"/p/\","
+        + "\"kind\":\"safe\",\"timeout-ms\":900,"
+        + service
+        + "}],\"services\":[{\"name\":\"s\"}]}";
+  }
+
+  private void write(String text) {
+    store.write("op", "config", text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static long version(ConfigurationPollResult result) {
+    assertThat(result).isInstanceOf(ConfigurationPollResult.Found.class);
+    RouteTable table = ((ConfigurationPollResult.Found) result).routes();
+    return table.version();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"{", "[[[[", "\"service\":\"\"", "\"service\":\"a b/c\""})
+  void laterConfigurationIsAppliedAfterOneThatCannotBeRead(String odd) {
+    StoreConfigurationSource source = new StoreConfigurationSource(client, TIMEOUT.dividedBy(2));
+    write(configuration(1, "\"service\":\"s\""));
+    assertThat(version(source.poll())).isEqualTo(1);
+    write(odd.startsWith("\"") ? configuration(2, odd) : odd);
+    assertThat(source.poll()).isInstanceOf(ConfigurationPollResult.Unavailable.class);
+    write(SECOND);
+    assertThat(version(source.poll())).isEqualTo(2);
+  }
+}
