Bound what a server may send besides content, on every HTTP client

A response head had no maximum size (71 MB of one connection were read and kept until the deadline), and a chunk extension or a trailer was read on after the call had ended. Other requests on the same instance could wait: with empty lines or fields without end a second request was not answered within 20 s.

Cause: Jetty's client has no limit on a head by default (-1) and counts nothing of chunk sizes, extensions, empty lines and interim responses. Its receiver reads in a loop as long as bytes come, and an abort is queued behind that loop, so it never runs while the server keeps sending. Bytes after a whole response are discarded and the connection goes back to the pool.

Ruled out: a limit on heads alone, which counts neither chunk extensions nor interim responses, and closes nothing after an abort.

BoundedTransport, now used by all clients (JettyTransport and HttpClients), looks at each read: it closes the connection when bytes belong to no request, when the request was aborted, and when 128 KiB came since the start of the response or its last content. Heads and trailers are limited to 32 KiB. A response that is followed by more bytes closes its connection. The attempt fails as LOST, so the call is retried or gets 502, never "not run".

A request whose connection is closed within interim responses was at times never completed by Jetty, also not by its own timeout: JsonClient waits at most a second longer than the timeout, and then reports the outcome as unknown. The cause within Jetty was not found.

--- a/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ClientConnector;
@@ -14,6 +13,7 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.magnoliavale.internal.http.BoundedTransport;
 import org.magnoliavale.internal.http.HttpClients;
 
 /**
@@ -103,7 +103,7 @@
     connector.setSelectors(1);
     connector.setExecutor(threads);
     connector.setScheduler(scheduler);
-    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    HttpClient client = BoundedTransport.createClient(connector);
     client.setName(name);
     client.setExecutor(threads);
     client.setScheduler(scheduler);
--- a/src/main/java/org/magnoliavale/internal/http/HttpClients.java
+++ b/src/main/java/org/magnoliavale/internal/http/HttpClients.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.VirtualThreads;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -24,7 +23,7 @@
     threads.setDaemon(true);
     threads.setVirtualThreadsExecutor(VirtualThreads.getDefaultVirtualThreadsExecutor());
     connector.setExecutor(threads);
-    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    HttpClient client = BoundedTransport.createClient(connector);
     client.setName(name);
     client.setExecutor(threads);
     client.setConnectTimeout(connectTimeout.toMillis());
--- a/src/main/java/org/magnoliavale/internal/http/JsonClient.java
+++ b/src/main/java/org/magnoliavale/internal/http/JsonClient.java
@@ -4,11 +4,13 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -21,6 +23,9 @@
  * have reached the server. Thread-safe.
  */
 public final class JsonClient {
+  /** Time after a request's own timeout that its result may take, in milliseconds. */
+  private static final long LOST_REQUEST_MARGIN_MS = 1_000;
+
   private final HttpClient client;
 
   private JsonClient(HttpClient client) {
@@ -66,16 +71,24 @@
   }
 
   private static JsonCallResult send(Request request, Duration timeout) {
+    // The HTTP client may lose a request whose connection is closed during interim responses.
+    long limitMs = timeout.toMillis() + LOST_REQUEST_MARGIN_MS;
+
     AtomicBoolean sendStarted = new AtomicBoolean();
     request.onRequestBegin(ignored -> sendStarted.set(true));
     request.timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
     try {
-      ContentResponse response = request.send();
+      CompletableFuture<ContentResponse> pending = new CompletableResponseListener(request).send();
+      ContentResponse response = pending.get(limitMs, TimeUnit.MILLISECONDS);
       return new JsonCallResult.Response(response.getStatus(), response.getContent());
     } catch (InterruptedException e) {
+      request.abort(e);
       Thread.currentThread().interrupt();
       return toFailure(sendStarted.get(), e);
-    } catch (ExecutionException | TimeoutException e) {
+    } catch (TimeoutException e) {
+      request.abort(e);
+      return new JsonCallResult.OutcomeUnknown(e.getClass().getSimpleName());
+    } catch (ExecutionException e) {
       return toFailure(sendStarted.get(), e);
     }
   }
--- a/src/test/java/org/magnoliavale/internal/gateway/RawEndpoint.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/RawEndpoint.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.magnoliavale.internal.http.EndlessBytes;
 
 /**
  * An endpoint on a plain socket, so that a test can observe every byte and every close. Reads the
@@ -53,6 +54,11 @@
       socket.getOutputStream().flush();
     }
 
+    /** Sends a text repeatedly until the connection is closed; returns the bytes taken. */
+    CompletableFuture<Long> sendUntilClosed(String text) throws IOException {
+      return EndlessBytes.writeUntilClosed(socket.getOutputStream(), text);
+    }
+
     /** Starts an event stream as the response to this request. */
     void beginStream() throws IOException {
       send(
