--- a/src/test/java/org/magnoliavale/soak/AnswersCutOffAroundStopTest.java
+++ b/src/test/java/org/magnoliavale/soak/AnswersCutOffAroundStopTest.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -53,7 +52,6 @@
     }
 
     /** Guards against a stream that is moved from a pausing endpoint to one that refuses it. */
-    @Tag("known-red")
     @ParameterizedTest
     @MethodSource("plays")
     void loseNoAcceptedRequest(Disruption disruption, int seed) throws Exception {
@@ -68,7 +66,6 @@
     }
 
     /** Guards against a stream that is cut off by the end of the process and looks complete. */
-    @Tag("known-red")
     @ParameterizedTest
     @MethodSource("plays")
     void doNotLookCompleteWhenCutOff(Disruption disruption, int seed) throws Exception {
