Bound the memory of all responses that are kept until they are complete

What callers could see: an instance that runs out of memory when many endpoints send bodies without end, and the requests of others that end with it. Cause: each call kept up to 16 MiB, in an array that doubles, and nothing bounded all calls together; 50 such bodies need 800 MiB and more, where the heap has 160.

A body that finds no room ends its attempt as one that is too long does: a retry where that is allowed, 502 otherwise.

Not bounded by it: what is written to callers that read slowly.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -1,6 +1,5 @@
 package org.magnoliavale.internal.call;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
@@ -25,9 +24,6 @@
 final class Attempt implements AttemptListener {
   private static final Logger LOG = Logs.of("call");
 
-  /** Maximum size of a buffered response, in bytes. */
-  private static final int MAXIMUM_RESPONSE_BYTES = 16 << 20;
-
   /**
    * Time without data within a resumable stream after which another endpoint is asked as well, if
    * this one is unresponsive, in milliseconds.
@@ -45,7 +41,7 @@
   /** Whether the caller has got events of an earlier attempt, after which this one must go on. */
   private final boolean resumed;
 
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ResponseBody body;
   private EndpointConnector.Handle handle;
   private ResponseHead responseHead;
   private HttpFields responseHeaders;
@@ -65,6 +61,7 @@
     this.sentNanos = sentNanos;
     this.lastActivityNanos = sentNanos;
     this.resumed = call.hasResponseStarted();
+    this.body = new ResponseBody(call.context().responseMemory());
     this.events = new EventSplitter(resumed ? resumedAfter : Optional.empty());
   }
 
@@ -169,10 +166,7 @@
         forwardEvents(bytes, demand);
         return;
       }
-      byte[] copy = new byte[bytes.remaining()];
-      bytes.get(copy);
-      body.writeBytes(copy);
-      if (body.size() > MAXIMUM_RESPONSE_BYTES) {
+      if (!body.append(bytes)) {
         cancel(AttemptOutcome.FAILED, lastActivityNanos);
         retryOrFail("response is too large", lastActivityNanos);
         return;
@@ -286,6 +280,7 @@
       failAfterSend("response ended before its body", now);
       return;
     }
+    ByteBuffer content = body.takeAll();
     AttemptOutcome result =
         responseHead.isServerError() ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED;
     close(result, now);
@@ -301,9 +296,7 @@
       call.context().crashDetector().answered(call.plan().crashKeys(), now);
     }
     call.respond(
-        responseHead.status(),
-        call.context().protocol().responseHeaders(responseHeaders),
-        ByteBuffer.wrap(body.toByteArray()));
+        responseHead.status(), call.context().protocol().responseHeaders(responseHeaders), content);
   }
 
   private void endWithoutAnswer(String reason, long now) {
@@ -392,6 +385,7 @@
       return false;
     }
     closed = true;
+    body.release();
     pool().attemptEnded(identity(), result, nowNanos);
     return true;
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallContext.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallContext.java
@@ -16,6 +16,7 @@
  * @param artifactDemand demand for artifacts
  * @param crashDetector attributes endpoint crashes to requests
  * @param routes the current configuration, null before the first one
+ * @param responseMemory memory for responses that are kept until they are complete
  * @param metrics metrics of calls
  * @param nanoClock monotonic time in nanoseconds
  */
@@ -27,5 +28,6 @@
     ArtifactDemand artifactDemand,
     CrashDetector crashDetector,
     Supplier<RouteTable> routes,
+    ResponseMemory responseMemory,
     CallMetrics metrics,
     LongSupplier nanoClock) {}
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -19,6 +19,7 @@
 import org.magnoliavale.internal.call.CrashDetector;
 import org.magnoliavale.internal.call.EndpointProbe;
 import org.magnoliavale.internal.call.GracefulDrain;
+import org.magnoliavale.internal.call.ResponseMemory;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
@@ -176,6 +177,7 @@
         demand,
         crashDetector,
         configuration::routes,
+        ResponseMemory.ofHeap(),
         new CallMetrics(metrics),
         System::nanoTime);
   }
@@ -369,7 +371,7 @@
     ticks.stop();
   }
 
-  /** Stops polling, the links, the servers and the clients at once, without draining calls. */
+  /** Stops polling, links, servers and clients at once, without draining calls. */
   public void halt() {
     stopPolling();
     links.stop();
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -42,6 +42,8 @@
   final CrashDetector crashDetector =
       new CrashDetector(new CrashRegistry("self", () -> java.time.Instant.EPOCH), endpoint -> {});
 
+  final ResponseMemory responseMemory = new ResponseMemory(1 << 20);
+
   /** Runs once, at the next reading of the clock. */
   Runnable onNextClockReading = () -> {};
 
@@ -65,6 +67,7 @@
                 new ArtifactDemand(() -> {}),
                 crashDetector,
                 () -> table == null ? null : createTable(),
+                responseMemory,
                 new CallMetrics(new InstanceMetrics()),
                 this::readClock),
             new Random(1));
--- a/src/test/java/org/magnoliavale/internal/gateway/EndlessBytesTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/EndlessBytesTest.java
@@ -4,6 +4,8 @@
 
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.Nested;
@@ -132,6 +134,31 @@
     }
   }
 
+  @Nested
+  class ManyAtOnce {
+    /** Guards against endless bodies that use up the heap; with 50 and a small heap, by hand. */
+    @Test
+    void endAndLeaveRoomForOthers() throws Exception {
+      List<Socket> callers = new ArrayList<>();
+      List<CompletableFuture<Long>> taken = new ArrayList<>();
+      for (int number = 0; number < Integer.getInteger("endless.bodies", 12); number++) {
+        callers.add(connect());
+        send(callers.getLast(), "/unsafe/x", "id-" + number);
+        RawEndpoint.ReceivedRequest received = endpoint.nextRequest();
+        String start = EndlessResponse.CHUNKED_BODY.start("id-" + number);
+        taken.add(sendWithoutEnd(received, start, EndlessResponse.CHUNKED_BODY.repeated()));
+      }
+      assertOthersAreAnswered();
+      for (CompletableFuture<Long> bytes : taken) {
+        assertThat(bytes.get()).isLessThan(maximumTaken(EndlessResponse.CHUNKED_BODY));
+      }
+      for (Socket caller : callers) {
+        assertThat(readUntil(caller, "\r\n")).startsWith("HTTP/1.1 502 ");
+        caller.close();
+      }
+    }
+  }
+
   @Nested
   class IdleConnections {
     // Guards against a connection in the pool that goes on receiving.
