Let the tests of signals take their ports from the system

Seen once, in a run of all tests on a busy machine: ReloadSignalTest.keepsItsSettingsIfTheFileIsMissing read no line after its signal. The ports come from the system now, and each test asserts that the process has started, with its last line.

--- a/src/test/java/org/magnoliavale/internal/command/ReloadSignalTest.java
+++ b/src/test/java/org/magnoliavale/internal/command/ReloadSignalTest.java
@@ -4,8 +4,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -74,22 +72,12 @@
     return process.exitValue();
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
+  private void awaitStart() throws IOException {
+    assertThat(awaitLine("Started.")).contains("Started.");
   }
 
   @Nested
   class Gateway {
-    private final int peerPort;
-    private final int metricsPort;
-
-    Gateway() throws IOException {
-      peerPort = freePort();
-      metricsPort = freePort();
-    }
-
     private String settings(String level, int graceSeconds, int leaseMs) {
       return """
           [instance]
@@ -101,8 +89,8 @@
           grace-period-s = %d
           [peers]
           host = 127.0.0.1
-          port = %d
-          metrics-port = %d
+          port = 0
+          metrics-port = 0
           shared-key = key
           [store]
           address = 127.0.0.1:1
@@ -111,13 +99,13 @@
           [log]
           level = %s
           """
-          .formatted(graceSeconds, peerPort, metricsPort, leaseMs, level);
+          .formatted(graceSeconds, leaseMs, level);
     }
 
     @Test
     void goesOnAfterTheSignalAndAppliesWhatHasChanged() throws Exception {
       start("gateway", settings("info", 8, 3_000));
-      assertThat(awaitLine("Started.")).contains("Started.");
+      awaitStart();
       write(settings("info", 6, 4_000));
       signal("HUP");
       assertThat(awaitLine("Settings reloaded."))
@@ -131,7 +119,7 @@
     @Test
     void logsItsStop() throws Exception {
       start("gateway", settings("info", 8, 3_000));
-      awaitLine("Started.");
+      awaitStart();
       signal("TERM");
       assertThat(awaitLine("Stopped.")).contains("Stopped.");
     }
@@ -150,7 +138,7 @@
     @Test
     void keepsItsSettingsIfTheNewOnesAreInvalid() throws Exception {
       start("gateway", settings("info", 8, 3_000));
-      awaitLine("Started.");
+      awaitStart();
       write("[instance]\nid = front-1\nno such key = 1\n");
       signal("HUP");
       assertThat(awaitLine("Settings not reloaded.")).contains("code=").contains("settings.ini:3");
@@ -163,7 +151,7 @@
     @Test
     void keepsItsSettingsIfTheFileIsMissing() throws Exception {
       start("gateway", settings("info", 8, 3_000));
-      awaitLine("Started.");
+      awaitStart();
       Files.delete(folder.resolve("settings.ini"));
       signal("HUP");
       assertThat(awaitLine("Settings not reloaded.")).contains("cannot read file");
