--- a/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
@@ -5,7 +5,6 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.UriCompliance;
-import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -91,12 +90,6 @@
         createClient(
             "endpoints", MAXIMUM_CONNECTIONS_PER_ENDPOINT, connectTimeout, ENDPOINT_IDLE_TIMEOUT);
     client.setDestinationIdleTimeout(ENDPOINT_IDLE_TIMEOUT.toMillis() * 2);
-    // Jetty 12.1.5 may clear a connection's buffer after it has released it, which would lose what
-    // another connection has read into it, so no buffer is used twice. A new one is cheap on the
-    // heap only.
-    client.setByteBufferPool(ByteBufferPool.NON_POOLING);
-    client.setUseInputDirectByteBuffers(false);
-    client.setUseOutputDirectByteBuffers(false);
     return client;
   }
 
--- a/src/main/java/org/magnoliavale/internal/http/BoundedTransport.java
+++ b/src/main/java/org/magnoliavale/internal/http/BoundedTransport.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.client.transport.internal.HttpReceiverOverHTTP;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnectionFactory;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.Connection;
@@ -151,6 +152,12 @@
   public static HttpClient createClient(ClientConnector connector) {
     HttpClient client = new HttpClient(new BoundedTransport(connector));
     client.setMaxResponseHeadersSize(MAXIMUM_HEAD_BYTES);
+    // Jetty 12.1.5 may clear a connection's buffer after it has released it, which would lose what
+    // another connection has read into it, so no buffer is used twice. A new one is cheap on the
+    // heap only.
+    client.setByteBufferPool(ByteBufferPool.NON_POOLING);
+    client.setUseInputDirectByteBuffers(false);
+    client.setUseOutputDirectByteBuffers(false);
     return client;
   }
 
--- a/src/test/java/org/magnoliavale/internal/gateway/SimultaneousAnswersTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/SimultaneousAnswersTest.java
@@ -14,9 +14,13 @@
  * time.
  */
 class SimultaneousAnswersTest extends ScriptedAnswerFixture {
-  private static final int CALLERS = 8;
   private static final int CALLS = 300;
 
+  /** Returns the number of callers that call at the same time. */
+  int callers() {
+    return 8;
+  }
+
   /** Sends a call whose stream breaks off and is resumed by a whole answer. */
   private Void callThatIsResumed(int number) throws Exception {
     String id = nextId();
@@ -36,7 +40,7 @@
   @RepeatedTest(3)
   void areAllReceived() throws Exception {
     List<Future<Void>> calls = new ArrayList<>();
-    try (ExecutorService callers = Executors.newFixedThreadPool(CALLERS)) {
+    try (ExecutorService callers = Executors.newFixedThreadPool(callers())) {
       for (int i = 0; i < CALLS; i++) {
         int number = i;
         calls.add(callers.submit(() -> callThatIsResumed(number)));
