Decode and log the limits that endpoints name in their answers

What an endpoint says of itself did not show in any log, so a limit that is not read could not be told from one that is kept by each instance for itself. Server-Limit is decoded in platform/ for every answer that belongs to its request and comes from the incarnation that was asked: a decimal number from 0.05 to 1,000,000; any other text changes nothing. Nothing acts on it yet.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -135,6 +135,9 @@
         retryOrFail("response belongs to another attempt or is encoded", now);
         return;
       }
+      if (!responseHead.otherIncarnation()) {
+        pool().recordLimit(identity(), responseHead.limit());
+      }
       if (responseHead.isSuccess() && !responseHead.signed()) {
         cancel(AttemptOutcome.FAILED, now);
         retryOrFail("response is not signed", now);
--- a/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
+++ b/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.magnoliavale.ErrorCode;
+import org.magnoliavale.internal.dispatch.LimitStatement;
 import org.magnoliavale.internal.dispatch.ReportedLoad;
 
 /**
@@ -18,6 +19,7 @@
  * @param eventStream whether the body is a stream of server-sent events
  * @param contentEncoded whether the body has a content encoding
  * @param load the load that the endpoint reported, if any
+ * @param limit what the endpoint says of the requests that it takes
  */
 public record ResponseHead(
     int status,
@@ -27,7 +29,8 @@
     boolean otherIncarnation,
     boolean eventStream,
     boolean contentEncoded,
-    Optional<ReportedLoad> load) {
+    Optional<ReportedLoad> load,
+    LimitStatement limit) {
   private static final int SUCCESS_CLASS = 2;
   private static final int NO_CONTENT = 204;
   private static final int RESET_CONTENT = 205;
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -242,6 +242,14 @@
     }
   }
 
+  /** Records what an endpoint says of the requests that it takes. */
+  public synchronized void recordLimit(EndpointIdentity identity, LimitStatement statement) {
+    EndpointState state = endpoints.get(identity);
+    if (state != null) {
+      state.recordLimit(statement);
+    }
+  }
+
   /** Records the time to the first byte of a response. */
   public synchronized void recordFirstByte(EndpointIdentity identity, long nanos) {
     EndpointState state = endpoints.get(identity);
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -64,6 +64,7 @@
   private int inFlightAtReport;
   private ReportedLoad report;
   private long reportNanos;
+  private LimitStatement limit = LimitStatement.UNLIMITED;
   private long lastActivityNanos;
   private long pausedUntilNanos;
   private int consecutiveFailures;
@@ -200,6 +201,14 @@
     inFlightAtReport = inFlight;
   }
 
+  void recordLimit(LimitStatement statement) {
+    if (statement.equals(limit) || statement instanceof LimitStatement.Unreadable) {
+      return;
+    }
+    LOG.infof("Endpoint limit changed. endpoint=%s limit=%s", entry.identity(), statement);
+    limit = statement;
+  }
+
   void recordFirstByte(double milliseconds) {
     firstByteMs += SMOOTHING * (milliseconds - firstByteMs);
   }
--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -133,7 +133,8 @@
         status == MISDIRECTED_REQUEST && fromEndpoint.contains(INSTANCE_ID),
         contentType != null && contentType.startsWith("text/event-stream"),
         fromEndpoint.contains("Content-Encoding"),
-        parseLoad(fromEndpoint.get(SERVER_LOAD)));
+        parseLoad(fromEndpoint.get(SERVER_LOAD)),
+        WorkerStatements.limit(fromEndpoint));
   }
 
   /** Parses a load header: running requests, waiting requests and slots, separated by commas. */
--- a/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
+++ b/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
@@ -5,12 +5,15 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliavale.internal.call.ForwardingContext;
 import org.magnoliavale.internal.call.ResponseHead;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.dispatch.LimitStatement;
 import org.magnoliavale.internal.dispatch.PromptSegment;
 import org.magnoliavale.internal.dispatch.ReportedLoad;
 
@@ -112,4 +115,39 @@
         protocol.parseResponse(200, HttpFields.build().put("X-Server-Load", "3,0,8"));
     assertThat(responseHead.load()).contains(new ReportedLoad(3, 0, 8));
   }
+
+  @Nested
+  class Limit {
+    private LimitStatement limit(String value) {
+      HttpFields headers = HttpFields.build().put("Server-Limit", value);
+      return protocol.parseResponse(200, headers).limit();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+      "3.1, 3.1",
+      "0.25, 0.25",
+      "12, 12",
+      "0, 0.05",
+      "0.0001, 0.05",
+      "999999999999999999999999999999, 1000000",
+      "2.123456789012345678901, 2.123456789012345678901"
+    })
+    void isReadWithinItsBounds(String value, double expected) {
+      assertThat(limit(value)).isEqualTo(LimitStatement.limited(expected));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {"-1", "+2", "", "many", "NaN", "Infinity", "1e3", "0x1p3", "2d", "2, 3"})
+    void thatIsNoDecimalNumberChangesNothing(String value) {
+      assertThat(limit(value)).isEqualTo(LimitStatement.UNREADABLE);
+    }
+
+    @Test
+    void isLiftedByAnAnswerWithoutIt() {
+      assertThat(protocol.parseResponse(200, HttpFields.EMPTY).limit())
+          .isEqualTo(LimitStatement.UNLIMITED);
+    }
+  }
 }
