Send no calls to an endpoint that says in its answers that it leaves

An endpoint may say Server-Leaving: 1 in its answers while its entry in the directory still says that it is ready.

Cause: the same class as the limits, a statement of an endpoint about itself that nobody decodes. Found by looking for that cause elsewhere.

An answer of another incarnation at the address says nothing; other values than 1 say nothing. EndpointDirectory forgot the mark of an endpoint that does not say when it started while its entry was still there; it keeps it now until the entry goes.

Related paths looked at: streams (from the head), refusals, errors, reports, commands. The answer to a report or command lifts no limit, since it need not name one.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -136,7 +136,7 @@
         return;
       }
       if (!responseHead.otherIncarnation()) {
-        call.context().limits().observe(identity(), responseHead.limit(), sentNanos, now);
+        call.context().statements().heard(identity(), responseHead.statement(), sentNanos);
       }
       if (responseHead.isSuccess() && !responseHead.signed()) {
         cancel(AttemptOutcome.FAILED, now);
--- a/src/main/java/org/magnoliavale/internal/call/CallContext.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallContext.java
@@ -2,9 +2,9 @@
 
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.magnoliavale.internal.directory.EndpointStatementListener;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
-import org.magnoliavale.internal.limit.EndpointLimits;
 import org.magnoliavale.internal.route.RouteTable;
 
 /**
@@ -13,7 +13,7 @@
  * @param protocol maps headers
  * @param connector sends attempts
  * @param endpoints selects endpoints
- * @param limits how many requests endpoints take
+ * @param statements acts on what endpoints say of themselves
  * @param retryBudget limits retries across the fleet
  * @param artifactDemand demand for artifacts
  * @param crashDetector attributes endpoint crashes to requests
@@ -26,7 +26,7 @@
     CallProtocol protocol,
     EndpointConnector connector,
     EndpointPool endpoints,
-    EndpointLimits limits,
+    EndpointStatementListener statements,
     FleetRetryBudget retryBudget,
     ArtifactDemand artifactDemand,
     CrashDetector crashDetector,
--- a/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
+++ b/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
@@ -5,8 +5,8 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.magnoliavale.ErrorCode;
+import org.magnoliavale.internal.directory.EndpointStatement;
 import org.magnoliavale.internal.dispatch.ReportedLoad;
-import org.magnoliavale.internal.limit.LimitStatement;
 
 /**
  * Status and parsed headers of an endpoint's response.
@@ -19,7 +19,7 @@
  * @param eventStream whether the body is a stream of server-sent events
  * @param contentEncoded whether the body has a content encoding
  * @param load the load that the endpoint reported, if any
- * @param limit what the endpoint says of the requests that it takes
+ * @param statement what the endpoint says of itself
  */
 public record ResponseHead(
     int status,
@@ -30,7 +30,7 @@
     boolean eventStream,
     boolean contentEncoded,
     Optional<ReportedLoad> load,
-    LimitStatement limit) {
+    EndpointStatement statement) {
   private static final int SUCCESS_CLASS = 2;
   private static final int NO_CONTENT = 204;
   private static final int RESET_CONTENT = 205;
--- a/src/main/java/org/magnoliavale/internal/command/DemoCheckCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/DemoCheckCommand.java
@@ -62,7 +62,7 @@
     long deadlineMs = System.currentTimeMillis() + MODELS_AVAILABLE_TIMEOUT_MS;
     while (System.currentTimeMillis() < deadlineMs) {
       JsonCallResult result = operatorClient.call("GET", "/placement", Map.of(), "");
-      if (result instanceof JsonCallResult.Response(int status, byte[] body)
+      if (result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body)
           && status == HttpStatus.OK_200) {
         JsonNode models = Json.tree(body).path("models");
         boolean allAvailable = models.size() > 0;
@@ -97,7 +97,7 @@
   private List<String> models(InstanceClient client) throws IOException {
     List<String> names = new ArrayList<>();
     JsonCallResult result = client.call("GET", "/v1/models", Map.of(), "");
-    if (result instanceof JsonCallResult.Response(int status, byte[] body)
+    if (result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body)
         && status == HttpStatus.OK_200) {
       Json.tree(body).path("data").forEach(model -> names.add(model.path("id").asText()));
     }
@@ -120,7 +120,7 @@
 
   private boolean checkCompletion(InstanceClient client, String model) throws IOException {
     JsonCallResult result = bufferedCompletion(client, model);
-    return result instanceof JsonCallResult.Response(int status, byte[] body)
+    return result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body)
         && status == HttpStatus.OK_200
         && Json.tree(body)
             .path("choices")
@@ -132,7 +132,7 @@
 
   private boolean checkStream(InstanceClient client, String model) throws IOException {
     JsonCallResult result = completion(client, model, "stream", true);
-    if (!(result instanceof JsonCallResult.Response(int status, byte[] body))
+    if (!(result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body))
         || status != HttpStatus.OK_200) {
       return false;
     }
@@ -197,7 +197,7 @@
     try (InstanceClient client = InstanceClient.of(operators.getFirst())) {
       JsonCallResult result = client.call("GET", "/document", Map.of(), "");
       String text =
-          result instanceof JsonCallResult.Response(int ignored, byte[] body)
+          result instanceof JsonCallResult.Response(int ignored, var ignoredHeaders, byte[] body)
               ? new String(body, StandardCharsets.UTF_8)
               : "";
       return text.lines()
@@ -211,7 +211,7 @@
   private long version(int index) throws IOException {
     try (InstanceClient client = InstanceClient.of(operators.get(index))) {
       JsonCallResult result = client.call("GET", "/status", Map.of(), "");
-      return result instanceof JsonCallResult.Response(int status, byte[] body)
+      return result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body)
               && status == HttpStatus.OK_200
           ? Json.tree(body).path("documentVersion").asLong()
           : 0;
@@ -219,7 +219,9 @@
   }
 
   private static int status(JsonCallResult result) {
-    return result instanceof JsonCallResult.Response(int status, byte[] ignored) ? status : 0;
+    return result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] ignored)
+        ? status
+        : 0;
   }
 
   private void report(String check, boolean passed) {
--- a/src/main/java/org/magnoliavale/internal/command/InstanceClient.java
+++ b/src/main/java/org/magnoliavale/internal/command/InstanceClient.java
@@ -40,7 +40,7 @@
   /** Sends a request, prints the response body, and returns the exit code. */
   int callAndPrint(String method, String path, Map<String, String> headers, String body) {
     return switch (call(method, path, headers, body)) {
-      case JsonCallResult.Response(int status, byte[] content) -> {
+      case JsonCallResult.Response(int status, var ignoredHeaders, byte[] content) -> {
         System.out.println(new String(content, StandardCharsets.UTF_8));
         yield status < 300 ? Command.SUCCESS : Command.FAILURE;
       }
--- a/src/main/java/org/magnoliavale/internal/command/LoadCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/LoadCommand.java
@@ -80,7 +80,7 @@
     List<String> names = new ArrayList<>();
     try (InstanceClient client = InstanceClient.of(callers.getFirst())) {
       JsonCallResult result = client.call("GET", "/v1/models", Map.of(), "");
-      if (result instanceof JsonCallResult.Response(int ignored, byte[] body)) {
+      if (result instanceof JsonCallResult.Response(int ignored, var ignoredHeaders, byte[] body)) {
         Json.tree(body).path("data").forEach(model -> names.add(model.path("id").asText()));
       }
     }
@@ -100,7 +100,7 @@
     try (InstanceClient client = InstanceClient.of(executionCounterAddress)) {
       JsonCallResult result = client.call("GET", "/stand-in/runs", Map.of(), "");
       JsonNode runs =
-          result instanceof JsonCallResult.Response(int ignored, byte[] body)
+          result instanceof JsonCallResult.Response(int ignored, var ignoredHeaders, byte[] body)
               ? Json.tree(body)
               : Json.MAPPER.createObjectNode();
       int duplicateExecutions = 0;
--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDepartures.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDepartures.java
@@ -52,7 +52,12 @@
 
   /** Records that this instance has seen an entry that says that its endpoint drains. */
   public void observeDraining(DirectoryEntry entry, long nowNanos) {
-    record(new Departure(entry.identity(), DRAINING), true, nowNanos);
+    observeLeaving(entry.identity(), nowNanos);
+  }
+
+  /** Records that an endpoint itself has said to this instance that it leaves. */
+  public void observeLeaving(EndpointIdentity endpoint, long nowNanos) {
+    record(new Departure(endpoint, DRAINING), true, nowNanos);
   }
 
   /** Records that this instance has seen an entry disappear from the directory. */
--- a/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.logging.Logs;
 
@@ -80,7 +81,9 @@
     if (graceRemainingMs(nowNanos) == 0 || isRenewalOver()) {
       stopWaiting();
     }
-    entries.values().removeIf(entry -> isRemoved(entry, current, nowNanos));
+    Set<EndpointIdentity> stillListed =
+        listed.stream().map(DirectoryEntry::identity).collect(Collectors.toSet());
+    entries.values().removeIf(entry -> isRemoved(entry, current, stillListed, nowNanos));
     entries.putAll(current);
     return entries();
   }
@@ -138,7 +141,10 @@
   }
 
   private boolean isRemoved(
-      DirectoryEntry entry, Map<String, DirectoryEntry> current, long nowNanos) {
+      DirectoryEntry entry,
+      Map<String, DirectoryEntry> current,
+      Set<EndpointIdentity> stillListed,
+      long nowNanos) {
     String id = entry.identity().id();
     if (current.containsKey(id)) {
       return false;
@@ -146,7 +152,9 @@
     if (awaited.contains(id) && !departures.includes(entry)) {
       return false;
     }
-    departures.observeRemoval(entry, nowNanos);
+    if (!stillListed.contains(entry.identity())) {
+      departures.observeRemoval(entry, nowNanos);
+    }
     return true;
   }
 
--- a/src/main/java/org/magnoliavale/internal/limit/LimitStatement.java
+++ b/src/main/java/org/magnoliavale/internal/directory/LimitStatement.java
@@ -1,12 +1,12 @@
-package org.magnoliavale.internal.limit;
+package org.magnoliavale.internal.directory;
 
 /** What a response says of the number of requests that its endpoint takes. */
 public sealed interface LimitStatement {
   /** A response of an endpoint that takes any number. */
   LimitStatement UNLIMITED = new Unlimited();
 
-  /** A response whose limit can't be read. */
-  LimitStatement UNREADABLE = new Unreadable();
+  /** A response that tells nothing of a limit. */
+  LimitStatement UNKNOWN = new Unknown();
 
   /** Returns the statement of an endpoint that takes so many requests from all instances. */
   static LimitStatement limited(double requestsPerSecond) {
@@ -26,6 +26,9 @@
   /** The endpoint names no limit. */
   record Unlimited() implements LimitStatement {}
 
-  /** The endpoint names a limit that can't be read, so what it said before still counts. */
-  record Unreadable() implements LimitStatement {}
+  /**
+   * The response names a limit that can't be read, or need not name one; what was said before
+   * holds.
+   */
+  record Unknown() implements LimitStatement {}
 }
--- a/src/main/java/org/magnoliavale/internal/engine/HttpEngineClient.java
+++ b/src/main/java/org/magnoliavale/internal/engine/HttpEngineClient.java
@@ -33,7 +33,7 @@
   @Override
   public Optional<EngineReport> report(Endpoint endpoint) {
     JsonCallResult result = client.get(endpoint.address(), REPORT_PATH, timeout);
-    if (result instanceof JsonCallResult.Response(int status, byte[] body)
+    if (result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body)
         && status == HttpStatus.OK_200) {
       try {
         return Optional.of(Json.read(body, EngineReport.class));
@@ -47,7 +47,8 @@
   @Override
   public CommandResult send(Endpoint endpoint, EngineCommand command) {
     return switch (client.post(endpoint.address(), COMMANDS_PATH, command, timeout)) {
-      case JsonCallResult.Response(int status, byte[] ignored) -> resultOf(status);
+      case JsonCallResult.Response(int status, var ignoredHeaders, byte[] ignored) ->
+          resultOf(status);
       case JsonCallResult.OutcomeUnknown(String reason) -> new CommandResult.Unknown(reason);
       case JsonCallResult.NotSent(String reason, boolean ignored) ->
           new CommandResult.NotSent(reason);
--- a/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
@@ -14,6 +14,7 @@
 final class ConfigurationPoller {
   private static final Logger LOG = Logs.of("instance");
   private static final long RETRY_DELAY_MS = 300;
+  private static final int DEFAULT_MAXIMUM_BODY_BYTES = 4 << 20;
 
   private final ConfigurationSource source;
   private volatile RouteTable routes;
@@ -28,6 +29,18 @@
     return routes;
   }
 
+  /** Returns the version of the current configuration, or 0 before the first one was read. */
+  long version() {
+    RouteTable current = routes;
+    return current == null ? 0 : current.version();
+  }
+
+  /** Returns the maximum size of a caller's body, also before the first configuration was read. */
+  int maximumBodyBytes() {
+    RouteTable current = routes;
+    return current == null ? DEFAULT_MAXIMUM_BODY_BYTES : current.maximumBodyBytes();
+  }
+
   void start() {
     Thread.ofVirtual().name("configuration").start(this::pollLoop);
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -23,12 +23,14 @@
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.EndpointStatement;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.http.HttpAddresses;
 import org.magnoliavale.internal.http.HttpClients;
 import org.magnoliavale.internal.http.JsonClient;
 import org.magnoliavale.internal.limit.EndpointLimits;
+import org.magnoliavale.internal.limit.FleetView;
 import org.magnoliavale.internal.link.Membership;
 import org.magnoliavale.internal.link.PeerIdentity;
 import org.magnoliavale.internal.link.PeerLinks;
@@ -38,7 +40,6 @@
 import org.magnoliavale.internal.residency.DelayingExecutor;
 import org.magnoliavale.internal.residency.FleetDemand;
 import org.magnoliavale.internal.residency.ResidencyController;
-import org.magnoliavale.internal.route.RouteTable;
 
 /**
  * An instance on a platform: polls the operator's configuration and the endpoint directory,
@@ -57,7 +58,6 @@
 public final class GatewayInstance implements Service {
   private static final Logger LOG = Logs.of("instance");
   private static final int CONTROL_CONNECTIONS = 64;
-  private static final int DEFAULT_MAXIMUM_BODY_BYTES = 4 << 20;
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
   private static final Duration CONTROL_IDLE_TIMEOUT = Duration.ofSeconds(4);
 
@@ -76,7 +76,9 @@
   private final InstanceMetrics metrics = new InstanceMetrics();
   private final Membership membership;
   private final EndpointDepartures departures = new EndpointDepartures();
-  private final EndpointLimits limits;
+  private final EndpointLimits limits = new EndpointLimits(this::fleet);
+  private final EndpointStatements statements =
+      new EndpointStatements(limits, departures, System::nanoTime);
   private final EndpointPool endpoints;
   private final DirectoryPoller directory;
   private final CallRegistry calls;
@@ -105,11 +107,10 @@
         transport.createClient(
             "control", CONTROL_CONNECTIONS, CONNECT_TIMEOUT, CONTROL_IDLE_TIMEOUT);
     endpointClient = transport.createEndpointClient(CONNECT_TIMEOUT);
-    adapters = factory.create(JsonClient.of(controlClient), settings);
+    adapters = factory.create(JsonClient.of(controlClient), settings, this::heardByControl);
     configuration = new ConfigurationPoller(adapters.configuration());
     membership = new Membership(PEER_EXPIRY);
     registry = createRegistry();
-    limits = createLimits();
     endpoints =
         new EndpointPool(
             settings.dataCentre(), this::liveInstanceCount, departures, limits, new Random());
@@ -146,7 +147,11 @@
         lease, residency.changeLog(), calls::endpointsChanged, this::onDemandChanged);
     callerHandler =
         new GatewayHandler(
-            calls, adapters.protocol(), this::maximumBodyBytes, () -> stopping, ticks::wake);
+            calls,
+            adapters.protocol(),
+            configuration::maximumBodyBytes,
+            () -> stopping,
+            ticks::wake);
     servers =
         new GatewayServers(
             settings, transport, callerHandler, new ReadinessHandler(this::isReady), metrics);
@@ -158,10 +163,9 @@
     return new GatewayInstance(settings, factory);
   }
 
-  private EndpointLimits createLimits() {
-    FleetMembers members =
-        new FleetMembers(settings.instanceId(), membership, registry::lastInstances);
-    return new EndpointLimits(members::view);
+  private FleetView fleet(long nowNanos) {
+    return FleetMembers.view(
+        settings.instanceId(), membership.peers(nowNanos), registry.lastInstances());
   }
 
   private PeerLinks createLinks(String incarnation) {
@@ -179,7 +183,7 @@
         adapters.protocol(),
         new JettyEndpointConnector(endpointClient),
         endpoints,
-        limits,
+        statements,
         retryBudget,
         demand,
         crashDetector,
@@ -233,7 +237,7 @@
         .register("requests_in_progress", (Gauge<Integer>) callerHandler::requestsInProgress);
     metrics.registry().register("instances", (Gauge<Integer>) this::liveInstanceCount);
     metrics.registry().register("link_bytes_sent", (Gauge<Long>) links::bytesSent);
-    metrics.registry().register("configuration_version", (Gauge<Long>) this::configurationVersion);
+    metrics.registry().register("configuration_version", (Gauge<Long>) configuration::version);
   }
 
   private EndpointProbe createProbe() {
@@ -249,16 +253,6 @@
     return membership.instanceCount(System.nanoTime());
   }
 
-  private long configurationVersion() {
-    RouteTable table = configuration.routes();
-    return table == null ? 0 : table.version();
-  }
-
-  private int maximumBodyBytes() {
-    RouteTable table = configuration.routes();
-    return table == null ? DEFAULT_MAXIMUM_BODY_BYTES : table.maximumBodyBytes();
-  }
-
   private boolean isReady() {
     return configuration.routes() != null && directory.isLoaded() && !stopping;
   }
@@ -298,6 +292,10 @@
         settings.storeAddress());
   }
 
+  private void heardByControl(EndpointIdentity endpoint, EndpointStatement statement) {
+    statements.heard(endpoint, statement, System.nanoTime() - CONTROL_IDLE_TIMEOUT.toNanos());
+  }
+
   private void directoryChanged(Collection<DirectoryEntry> entries) {
     long now = System.nanoTime();
     endpoints.update(entries, now);
@@ -324,7 +322,7 @@
     calls.tick();
     peerState.applyLocalState();
     residency.tick();
-    if (lease.consumeSurrendered() || limits.takeNews()) {
+    if (lease.consumeSurrendered() | statements.takeNews()) {
       links.sendHeartbeatsNow();
     }
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/PlatformAdapters.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PlatformAdapters.java
@@ -2,7 +2,9 @@
 
 import org.magnoliavale.internal.call.CallProtocol;
 import org.magnoliavale.internal.directory.DirectorySource;
+import org.magnoliavale.internal.http.JsonClient;
 import org.magnoliavale.internal.platform.Table;
+import org.magnoliavale.internal.residency.ControlStatementListener;
 import org.magnoliavale.internal.residency.EndpointControl;
 import org.magnoliavale.internal.route.ConfigurationSource;
 
@@ -27,8 +29,9 @@
      * Returns adapters for the platform at the settings' address.
      *
      * @param client client for short requests to the platform
+     * @param listener receives what endpoints say of themselves in answers to the control
      */
     PlatformAdapters create(
-        org.magnoliavale.internal.http.JsonClient client, GatewaySettings settings);
+        JsonClient client, GatewaySettings settings, ControlStatementListener listener);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/http/JsonCallResult.java
+++ b/src/main/java/org/magnoliavale/internal/http/JsonCallResult.java
@@ -1,9 +1,11 @@
 package org.magnoliavale.internal.http;
 
+import org.eclipse.jetty.http.HttpFields;
+
 /** The result of a JSON call. */
 public sealed interface JsonCallResult {
   /** A complete response was received, with any status. */
-  record Response(int status, byte[] body) implements JsonCallResult {}
+  record Response(int status, HttpFields headers, byte[] body) implements JsonCallResult {}
 
   /** Sending had started, but no complete response was received; the outcome is unknown. */
   record OutcomeUnknown(String reason) implements JsonCallResult {}
--- a/src/main/java/org/magnoliavale/internal/http/JsonClient.java
+++ b/src/main/java/org/magnoliavale/internal/http/JsonClient.java
@@ -80,7 +80,8 @@
     try {
       CompletableFuture<ContentResponse> pending = new CompletableResponseListener(request).send();
       ContentResponse response = pending.get(limitMs, TimeUnit.MILLISECONDS);
-      return new JsonCallResult.Response(response.getStatus(), response.getContent());
+      return new JsonCallResult.Response(
+          response.getStatus(), response.getHeaders(), response.getContent());
     } catch (InterruptedException e) {
       request.abort(e);
       Thread.currentThread().interrupt();
--- a/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
+++ b/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
@@ -12,6 +12,7 @@
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.collection.BoundedMap;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.LimitStatement;
 import org.magnoliavale.internal.logging.Logs;
 
 /**
@@ -75,7 +76,7 @@
         switch (statement) {
           case LimitStatement.Limited(double rate) -> OptionalDouble.of(rate);
           case LimitStatement.Unlimited() -> OptionalDouble.empty();
-          case LimitStatement.Unreadable() -> known(endpoint, EndpointLimit::limit);
+          case LimitStatement.Unknown() -> known(endpoint, EndpointLimit::limit);
         };
     if (limit.isEmpty() && !limits.containsKey(endpoint)) {
       return;
@@ -100,9 +101,7 @@
   private void changed(EndpointIdentity endpoint, EndpointLimit limit, long nowNanos) {
     LOG.infof(
         "Endpoint limit changed. endpoint=%s requests-per-second=%s heard-here=%s",
-        endpoint,
-        limit.isInForce() ? limit.limit().getAsDouble() : "-",
-        limit.isHeardHere());
+        endpoint, limit.isInForce() ? limit.limit().getAsDouble() : "-", limit.isHeardHere());
     limit.updateShare(fleet.apply(nowNanos), nowNanos);
   }
 
--- a/src/main/java/org/magnoliavale/internal/limit/LimitShare.java
+++ b/src/main/java/org/magnoliavale/internal/limit/LimitShare.java
@@ -24,9 +24,7 @@
   private record Candidate(String instance, double score) {}
 
   private static final Comparator<Candidate> BEST_FIRST =
-      Comparator.comparingDouble(Candidate::score)
-          .reversed()
-          .thenComparing(Candidate::instance);
+      Comparator.comparingDouble(Candidate::score).reversed().thenComparing(Candidate::instance);
 
   private LimitShare() {}
 
--- a/src/main/java/org/magnoliavale/internal/platform/HttpPlatform.java
+++ b/src/main/java/org/magnoliavale/internal/platform/HttpPlatform.java
@@ -53,7 +53,8 @@
   @Override
   public Optional<List<ListedInstance>> read() {
     return switch (client.get(address, "/instances", timeout)) {
-      case JsonCallResult.Response(int status, byte[] body) when status == HttpStatus.OK_200 ->
+      case JsonCallResult.Response(int status, var ignoredHeaders, byte[] body)
+          when status == HttpStatus.OK_200 ->
           parseInstances(body);
       case JsonCallResult.Response ignored -> Optional.empty();
       case JsonCallResult.OutcomeUnknown ignored -> Optional.empty();
@@ -63,7 +64,8 @@
 
   private static TableResult toResult(JsonCallResult result) {
     return switch (result) {
-      case JsonCallResult.Response(int status, byte[] body) -> parseResult(status, body);
+      case JsonCallResult.Response(int status, var ignoredHeaders, byte[] body) ->
+          parseResult(status, body);
       case JsonCallResult.OutcomeUnknown(String reason) -> new TableResult.OutcomeUnknown(reason);
       case JsonCallResult.NotSent(String reason, boolean ignored) ->
           new TableResult.Unavailable(reason);
--- a/src/main/java/org/magnoliavale/platform/PlatformAdapterFactory.java
+++ b/src/main/java/org/magnoliavale/platform/PlatformAdapterFactory.java
@@ -4,6 +4,7 @@
 import org.magnoliavale.internal.gateway.GatewaySettings;
 import org.magnoliavale.internal.gateway.PlatformAdapters;
 import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.residency.ControlStatementListener;
 
 /** Creates the adapters for the users' platform. */
 public final class PlatformAdapterFactory {
@@ -21,13 +22,14 @@
   private PlatformAdapterFactory() {}
 
   /** Returns the adapters for the platform whose store is at the settings' address. */
-  public static PlatformAdapters create(JsonClient client, GatewaySettings settings) {
+  public static PlatformAdapters create(
+      JsonClient client, GatewaySettings settings, ControlStatementListener listener) {
     StoreClient store = new StoreClient(client, settings.storeAddress(), STORE_TIMEOUT);
     return new PlatformAdapters(
         new StoreTable(store),
         new StoreConfigurationSource(store, CONFIGURATION_POLL_TIMEOUT),
         new StoreDirectorySource(store),
         new WorkerProtocol(),
-        new WorkerControl(client, WORKER_TIMEOUT));
+        new WorkerControl(client, WORKER_TIMEOUT, listener));
   }
 }
--- a/src/main/java/org/magnoliavale/platform/StoreClient.java
+++ b/src/main/java/org/magnoliavale/platform/StoreClient.java
@@ -64,7 +64,8 @@
     while (true) {
       String path = "/-/rows-get?table=" + encode(table) + "&part=&from=" + encode(next);
       JsonCallResult result = client.get(address, path, timeout);
-      if (!(result instanceof JsonCallResult.Response(int status, byte[] body)) || status != OK) {
+      if (!(result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body))
+          || status != OK) {
         return toFailure(result);
       }
       try {
@@ -126,7 +127,7 @@
   }
 
   private static Result toResult(JsonCallResult result) {
-    if (!(result instanceof JsonCallResult.Response(int status, byte[] body))) {
+    if (!(result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body))) {
       return toFailure(result);
     }
     try {
@@ -146,7 +147,7 @@
 
   private static Result toFailure(JsonCallResult result) {
     return switch (result) {
-      case JsonCallResult.Response(int status, byte[] ignored) ->
+      case JsonCallResult.Response(int status, var ignoredHeaders, byte[] ignored) ->
           new Result.Unavailable("HTTP status " + status);
       case JsonCallResult.NotSent(String reason, boolean ignored) -> new Result.Unavailable(reason);
       case JsonCallResult.OutcomeUnknown(String reason) -> new Result.OutcomeUnknown(reason);
--- a/src/main/java/org/magnoliavale/platform/WorkerControl.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerControl.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
@@ -14,6 +13,7 @@
 import org.magnoliavale.internal.http.JsonCallResult;
 import org.magnoliavale.internal.http.JsonClient;
 import org.magnoliavale.internal.json.Json;
+import org.magnoliavale.internal.residency.ControlStatementListener;
 import org.magnoliavale.internal.residency.EndpointCommand;
 import org.magnoliavale.internal.residency.EndpointCommandResult;
 import org.magnoliavale.internal.residency.EndpointControl;
@@ -30,10 +30,17 @@
 
   private final JsonClient client;
   private final Duration timeout;
+  private final ControlStatementListener listener;
 
-  WorkerControl(JsonClient client, Duration timeout) {
+  /**
+   * Returns a control.
+   *
+   * @param listener receives what workers say of themselves in their answers
+   */
+  WorkerControl(JsonClient client, Duration timeout, ControlStatementListener listener) {
     this.client = client;
     this.timeout = timeout;
+    this.listener = listener;
   }
 
   @Override
@@ -47,13 +54,12 @@
     body.put("expected-revision", command.expectedSequence());
     body.put("holder", command.holder());
     body.put("fencing-token", command.fencingToken());
-    JsonCallResult result =
-        client.send(
-            "POST", endpoint.address(), "/-/order", headers(endpoint), Json.bytes(body), timeout);
+    JsonCallResult result = send(endpoint, "POST", "/-/order", Json.bytes(body));
     return switch (result) {
       case JsonCallResult.NotSent ignored -> EndpointCommandResult.NOT_SENT;
       case JsonCallResult.OutcomeUnknown ignored -> EndpointCommandResult.UNKNOWN;
-      case JsonCallResult.Response(int status, byte[] ignored) -> toCommandResult(status);
+      case JsonCallResult.Response(int status, var ignoredHeaders, byte[] ignored) ->
+          toCommandResult(status);
     };
   }
 
@@ -77,20 +83,32 @@
   public boolean isDown(DirectoryEntry endpoint) {
     return switch (requestReport(endpoint)) {
       case JsonCallResult.NotSent(String ignored, boolean refused) -> refused;
-      case JsonCallResult.Response(int status, byte[] ignored) -> status == MISDIRECTED_REQUEST;
+      case JsonCallResult.Response(int status, var ignoredHeaders, byte[] ignored) ->
+          status == MISDIRECTED_REQUEST;
       case JsonCallResult.OutcomeUnknown ignored -> false;
     };
   }
 
   private JsonCallResult requestReport(DirectoryEntry endpoint) {
-    InetSocketAddress address = endpoint.address();
-    return client.send("GET", address, "/-/report", headers(endpoint), new byte[0], timeout);
+    return send(endpoint, "GET", "/-/report", new byte[0]);
+  }
+
+  private JsonCallResult send(DirectoryEntry endpoint, String method, String path, byte[] body) {
+    JsonCallResult result =
+        client.send(method, endpoint.address(), path, headers(endpoint), body, timeout);
+    // A 421 comes from another worker.
+    if (result instanceof JsonCallResult.Response(int status, var headers, byte[] ignored)
+        && status != MISDIRECTED_REQUEST) {
+      listener.heard(endpoint.identity(), WorkerStatements.decodeOfControl(headers));
+    }
+    return result;
   }
 
   @Override
   public Optional<EndpointReport> fetchReport(DirectoryEntry endpoint) {
     JsonCallResult result = requestReport(endpoint);
-    if (!(result instanceof JsonCallResult.Response(int status, byte[] body)) || status != 200) {
+    if (!(result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body))
+        || status != 200) {
       return Optional.empty();
     }
     try {
--- a/src/test/java/org/magnoliavale/ArchitectureTest.java
+++ b/src/test/java/org/magnoliavale/ArchitectureTest.java
@@ -28,6 +28,7 @@
             INTERNAL + "route..",
             INTERNAL + "directory..",
             INTERNAL + "dispatch..",
+            INTERNAL + "limit..",
             INTERNAL + "residency..")
         .should()
         .dependOnClassesThat()
@@ -53,6 +54,7 @@
             INTERNAL + "route..",
             INTERNAL + "directory..",
             INTERNAL + "dispatch..",
+            INTERNAL + "limit..",
             INTERNAL + "call..",
             INTERNAL + "residency..")
         .or()
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -12,6 +12,8 @@
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
+import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.EndpointStatement;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.dispatch.TestEntries;
@@ -37,9 +39,9 @@
           0, retryReserve, TimeUnit.SECONDS.toNanos(10), () -> 1, now - (long) 1e12);
   final ScriptedConnector connector = new ScriptedConnector();
   RecordingCaller caller = new RecordingCaller();
+  final EndpointDepartures departures = new EndpointDepartures();
   final EndpointLimits limits = EndpointLimits.ofSingleInstance();
-  final EndpointPool pool =
-      new EndpointPool("east", () -> 1, new EndpointDepartures(), limits, new Random(1));
+  final EndpointPool pool = new EndpointPool("east", () -> 1, departures, limits, new Random(1));
 
   final CrashDetector crashDetector =
       new CrashDetector(new CrashRegistry("self", () -> java.time.Instant.EPOCH), endpoint -> {});
@@ -65,7 +67,7 @@
                 TestProtocol.create(),
                 connector,
                 pool,
-                limits,
+                this::heard,
                 retryBudget,
                 new ArtifactDemand(() -> {}),
                 crashDetector,
@@ -76,6 +78,13 @@
             new Random(1));
   }
 
+  private void heard(EndpointIdentity endpoint, EndpointStatement statement, long sentNanos) {
+    limits.observe(endpoint, statement.limit(), sentNanos, now);
+    if (statement.leaving()) {
+      departures.observeLeaving(endpoint, now);
+    }
+  }
+
   private RouteTable createTable() {
     return RouteTable.of(
         1,
--- a/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
+++ b/src/test/java/org/magnoliavale/internal/directory/EndpointDirectoryTest.java
@@ -66,6 +66,34 @@
     }
   }
 
+  @Nested
+  class EndpointThatSaidThatItLeaves {
+    @Test
+    void isNotReadyThoughItsEntrySaysSo() {
+      read(TestEntries.entry("a", 4));
+      departures.observeLeaving(new EndpointIdentity("a", 1), nowNanos());
+      assertNoneAccepts(read(TestEntries.entry("a", 5)));
+      assertNoneAccepts(read(TestEntries.entry("a", 6)));
+    }
+
+    @Test
+    void isNotReadyThoughItDoesNotSayWhenItStarted() {
+      DirectoryEntry entry = TestEntries.withoutStartTime(TestEntries.entry("a", 4));
+      read(entry);
+      departures.observeLeaving(entry.identity(), nowNanos());
+      assertNoneAccepts(read(entry));
+      assertNoneAccepts(read(entry));
+    }
+
+    @Test
+    void isNotReadyAfterAnOutageOfTheStore() {
+      read(TestEntries.entry("a", 4));
+      departures.observeLeaving(new EndpointIdentity("a", 1), nowNanos());
+      directory.markUnavailable();
+      assertNoneAccepts(read(TestEntries.entry("a", 5)));
+    }
+  }
+
   @Nested
   class EndpointThatWasRemoved {
     @Test
--- a/src/test/java/org/magnoliavale/internal/gateway/FleetPeer.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/FleetPeer.java
@@ -14,6 +14,8 @@
 import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointDirectory;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.EndpointStatement;
+import org.magnoliavale.internal.directory.LimitStatement;
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
 import org.magnoliavale.internal.dispatch.EndpointChoice;
@@ -75,6 +77,17 @@
     return departures.takeNews();
   }
 
+  /** Hears an endpoint say that it leaves; returns whether peers are told at once. */
+  boolean hearLeaving(String endpointId) {
+    long now = nanoClock.getAsLong();
+    EndpointStatements statements = new EndpointStatements(limits, departures, nanoClock);
+    statements.heard(
+        new EndpointIdentity(endpointId, 1),
+        new EndpointStatement(LimitStatement.UNLIMITED, true),
+        now);
+    return statements.takeNews();
+  }
+
   /** Does what happens between two reads. */
   void awaitNextRead() {
     long now = nanoClock.getAsLong();
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -76,7 +76,7 @@
     instance =
         GatewayInstance.create(
             settings(),
-            (client, settings) ->
+            (client, settings, listener) ->
                 new PlatformAdapters(
                     new FakeTable(),
                     this::pollConfiguration,
--- a/src/test/java/org/magnoliavale/internal/gateway/LimitedFleet.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/LimitedFleet.java
@@ -123,7 +123,7 @@
       Membership membership = new Membership(Duration.ofMillis(PEER_EXPIRY_MS));
       limits =
           new EndpointLimits(
-              new FleetMembers(id, membership, () -> Optional.of(listedInstances()))::view);
+              now -> FleetMembers.view(id, membership.peers(now), Optional.of(listedInstances())));
       pool =
           new EndpointPool(
               "east",
@@ -160,7 +160,7 @@
                   TestProtocol.create(),
                   this::send,
                   pool,
-                  limits,
+                  new EndpointStatements(limits, departures, time::nanos),
                   new FleetRetryBudget(0.2, 50, TimeUnit.SECONDS.toNanos(10), instances::size, 0),
                   demand,
                   new CrashDetector(crashes, endpoint -> {}),
--- a/src/test/java/org/magnoliavale/internal/gateway/PeerStateExchangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/PeerStateExchangeTest.java
@@ -48,6 +48,18 @@
     assertThat(west.endpointsInUse()).containsExactly("b");
   }
 
+  @Test
+  void endpointThatHasToldAnInstanceThatItLeavesGetsNoRequestsFromItsPeers() {
+    east.read(TestEntries.entry("a", 4, "m"), TestEntries.entry("b", 4, "m"));
+    west.read(TestEntries.entry("a", 4, "m"), TestEntries.entry("b", 4, "m"));
+    assertThat(east.hearLeaving("a")).isTrue();
+    assertThat(east.endpointsInUse()).containsExactly("b");
+    east.tell(west);
+    assertThat(west.endpointsInUse()).containsExactly("b");
+    west.read(TestEntries.entry("a", 5, "m"), TestEntries.entry("b", 5, "m"));
+    assertThat(west.endpointsInUse()).containsExactly("b");
+  }
+
   @Test
   void endpointWhoseEntryNoInstanceHasSeenRemovedIsKeptAfterAnUnavailableStore() {
     for (FleetPeer peer : List.of(east, west)) {
--- a/src/test/java/org/magnoliavale/internal/limit/EndpointLimitsTest.java
+++ b/src/test/java/org/magnoliavale/internal/limit/EndpointLimitsTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.LimitStatement;
 
 class EndpointLimitsTest {
   private static final EndpointIdentity ENDPOINT = new EndpointIdentity("a", 1);
@@ -110,7 +111,7 @@
   void limitHoldsUntilAResponseNamesNone() {
     hear(LimitStatement.limited(2));
     advance(3_600_000);
-    hear(LimitStatement.UNREADABLE);
+    hear(LimitStatement.UNKNOWN);
     limits.allows(ENDPOINT, now);
     limits.take(ENDPOINT);
     assertThat(limits.allows(ENDPOINT, now)).isFalse();
@@ -121,7 +122,7 @@
 
   @Test
   void unreadableLimitOfAnUnlimitedEndpointChangesNothing() {
-    hear(LimitStatement.UNREADABLE);
+    hear(LimitStatement.UNKNOWN);
     assertThat(sendFor(100)).isEqualTo(10);
     assertThat(limits.takeNews()).isFalse();
   }
--- a/src/test/java/org/magnoliavale/platform/WorkerControlTest.java
+++ b/src/test/java/org/magnoliavale/platform/WorkerControlTest.java
@@ -13,12 +13,16 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.EndpointStatement;
+import org.magnoliavale.internal.directory.LimitStatement;
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.http.HttpClients;
 import org.magnoliavale.internal.http.JsonClient;
@@ -31,6 +35,7 @@
   private static final Duration TIMEOUT_OF_SILENT_WORKER = Duration.ofMillis(300);
 
   private final HttpClient client = HttpClients.create("test", 4, TIMEOUT, TIMEOUT);
+  private final Map<EndpointIdentity, EndpointStatement> heard = new ConcurrentHashMap<>();
   private ServerSocket worker;
 
   @BeforeEach
@@ -119,7 +124,8 @@
   }
 
   private boolean isDown(Duration timeout) {
-    return new WorkerControl(JsonClient.of(client), timeout).isDown(entry());
+    return new WorkerControl(JsonClient.of(client), timeout, (endpoint, statement) -> {})
+        .isDown(entry());
   }
 
   @Test
@@ -149,7 +155,7 @@
   @Test
   void lateCopyOfAnAnswerIsNoAnswerToTheNextOrder() {
     repeatFirstAnswerOfEachConnection("202 Accepted", "409 Conflict");
-    WorkerControl control = new WorkerControl(JsonClient.of(client), TIMEOUT);
+    WorkerControl control = new WorkerControl(JsonClient.of(client), TIMEOUT, heard::put);
     EndpointCommand load =
         new EndpointCommand(
             new EndpointIdentity("w", 1),
@@ -161,4 +167,33 @@
     assertThat(control.send(entry(), load)).isEqualTo(EndpointCommandResult.ACCEPTED);
     assertThat(control.send(entry(), load)).isEqualTo(EndpointCommandResult.CONFLICT);
   }
+
+  @Nested
+  class WhatAWorkerSaysOfItself {
+    private void report(String statusLineAndHeaders) {
+      answer(statusLineAndHeaders);
+      new WorkerControl(JsonClient.of(client), TIMEOUT, heard::put).fetchReport(entry());
+    }
+
+    @Test
+    void isHeardWithReports() {
+      report("200 OK\r\nServer-Leaving: 1\r\nServer-Limit: 2.5");
+      assertThat(heard)
+          .containsEntry(
+              entry().identity(), new EndpointStatement(LimitStatement.limited(2.5), true));
+    }
+
+    @Test
+    void liftsNoLimitWhereNoneIsNamed() {
+      report("200 OK");
+      assertThat(heard)
+          .containsEntry(entry().identity(), new EndpointStatement(LimitStatement.UNKNOWN, false));
+    }
+
+    @Test
+    void isNotHeardFromAnotherWorkerAtItsAddress() {
+      report("421 Misdirected Request\r\nServer-Leaving: 1");
+      assertThat(heard).isEmpty();
+    }
+  }
 }
--- a/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
+++ b/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
@@ -13,9 +13,9 @@
 import org.magnoliavale.internal.call.ForwardingContext;
 import org.magnoliavale.internal.call.ResponseHead;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.LimitStatement;
 import org.magnoliavale.internal.dispatch.PromptSegment;
 import org.magnoliavale.internal.dispatch.ReportedLoad;
-import org.magnoliavale.internal.limit.LimitStatement;
 
 class WorkerProtocolTest {
   private final WorkerProtocol protocol = new WorkerProtocol();
@@ -120,7 +120,7 @@
   class Limit {
     private LimitStatement limit(String value) {
       HttpFields headers = HttpFields.build().put("Server-Limit", value);
-      return protocol.parseResponse(200, headers).limit();
+      return protocol.parseResponse(200, headers).statement().limit();
     }
 
     @ParameterizedTest
@@ -141,12 +141,12 @@
     @ValueSource(
         strings = {"-1", "+2", "", "many", "NaN", "Infinity", "1e3", "0x1p3", "2d", "2, 3"})
     void thatIsNoDecimalNumberChangesNothing(String value) {
-      assertThat(limit(value)).isEqualTo(LimitStatement.UNREADABLE);
+      assertThat(limit(value)).isEqualTo(LimitStatement.UNKNOWN);
     }
 
     @Test
     void isLiftedByAnAnswerWithoutIt() {
-      assertThat(protocol.parseResponse(200, HttpFields.EMPTY).limit())
+      assertThat(protocol.parseResponse(200, HttpFields.EMPTY).statement().limit())
           .isEqualTo(LimitStatement.UNLIMITED);
     }
   }
