Leave an endpoint alone for the time that it asks for with 503

An endpoint that turns a call away with 503 may ask for nothing for so many seconds.

Cause: the third statement of an endpoint about itself that nobody decodes.

The time is decoded in platform/ (a decimal number, 60 s at most; dates, negative and other values are ignored) and kept beside the limits, since both say when an endpoint takes a request of this instance: first attempts, retries, the second round after all have refused and the tries beside a silent endpoint go through the same choice. What is under way stays. If no endpoint takes calls they are rejected at once with the time to the end of the first pause.

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -191,9 +191,9 @@
     switch (selection.choose(nowNanos)) {
       case EndpointChoice.Selected send -> send(send, nowNanos);
       case EndpointChoice.AwaitArtifact(Artifact artifact) -> awaitArtifact(artifact);
-      case EndpointChoice.LimitReached(Duration timeToNext) -> {
+      case EndpointChoice.Deferred(Duration timeToNext) -> {
         retryAfterDelay = RetryAfterDelay.atLeast(timeToNext);
-        handleUnavailable("limit reached at all endpoints", nowNanos);
+        handleUnavailable("no endpoint takes requests now", nowNanos);
       }
       case EndpointChoice.Unavailable(String reason) -> handleUnavailable(reason, nowNanos);
     }
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
@@ -19,11 +19,11 @@
   record AwaitArtifact(Artifact artifact) implements EndpointChoice {}
 
   /**
-   * The endpoints take no request of this instance now, because of the limits that they name.
+   * The endpoints have said that they take no request of this instance now.
    *
    * @param timeToNext time after which one of them may take one
    */
-  record LimitReached(Duration timeToNext) implements EndpointChoice {}
+  record Deferred(Duration timeToNext) implements EndpointChoice {}
 
   /** No endpoint of the service can accept the request. */
   record Unavailable(String reason) implements EndpointChoice {}
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -130,7 +130,7 @@
     eligible.forEach(state -> limits.recordWanted(state.entry().identity(), nowNanos));
     Optional<Duration> timeToNext = removeLimited(eligible, nowNanos);
     if (eligible.isEmpty()) {
-      return new EndpointChoice.LimitReached(timeToNext.orElse(Duration.ZERO));
+      return new EndpointChoice.Deferred(timeToNext.orElse(Duration.ZERO));
     }
     List<EndpointState> healthy = new ArrayList<>(eligible);
     healthy.removeIf(state -> !state.isHealthy(nowNanos));
@@ -170,7 +170,9 @@
             .filter(identity -> !limits.allows(identity, nowNanos))
             .toList();
     states.removeIf(state -> limited.contains(state.entry().identity()));
-    return limited.stream().map(limits::timeToNext).min(Comparator.naturalOrder());
+    return limited.stream()
+        .map(identity -> limits.timeToNext(identity, nowNanos))
+        .min(Comparator.naturalOrder());
   }
 
   private EndpointChoice.Selected select(
--- a/src/main/java/org/magnoliavale/internal/gateway/EndpointStatements.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/EndpointStatements.java
@@ -21,6 +21,9 @@
   public void heard(EndpointIdentity endpoint, EndpointStatement statement, long sentNanos) {
     long now = nanoClock.getAsLong();
     limits.observe(endpoint, statement.limit(), sentNanos, now);
+    if (statement.pause().isPositive()) {
+      limits.pause(endpoint, statement.pause(), now);
+    }
     if (statement.leaving()) {
       departures.observeLeaving(endpoint, now);
     }
--- a/src/main/java/org/magnoliavale/internal/limit/EndpointLimit.java
+++ b/src/main/java/org/magnoliavale/internal/limit/EndpointLimit.java
@@ -5,11 +5,15 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 
-/** What is known of one endpoint's limit, and this instance's share of it. Not thread-safe. */
+/**
+ * What is known of one endpoint's limit, this instance's share of it, and for how long the endpoint
+ * wants no request at all. Not thread-safe.
+ */
 final class EndpointLimit {
   /** Share of a limit that is parted evenly, so that instances without demand can start. */
   private static final double EVEN_SHARE = 0.1;
 
+  private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
   private static final long SHARE_VALIDITY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final String endpoint;
@@ -28,6 +32,7 @@
   private double knownDemand;
 
   private long announcedNanos;
+  private long pausedUntilNanos;
   private long shareNanos;
   private boolean shareOutdated = true;
 
@@ -35,6 +40,7 @@
     this.endpoint = endpoint;
     this.saved = new SavedRequests(nowNanos);
     this.announcedNanos = nowNanos;
+    this.pausedUntilNanos = nowNanos;
   }
 
   boolean isInForce() {
@@ -46,6 +52,11 @@
     return limit;
   }
 
+  /** Returns whether the endpoint has said anything of a limit. */
+  boolean isStated() {
+    return stated;
+  }
+
   /** Returns when the endpoint last said so. */
   long statedNanos() {
     return statedNanos;
@@ -123,7 +134,18 @@
   /** Returns whether a request may be sent to the endpoint. */
   boolean allows(FleetView fleet, long nowNanos) {
     updateShare(fleet, nowNanos);
-    return !isInForce() || saved.isAvailable(nowNanos);
+    return !isPaused(nowNanos) && (!isInForce() || saved.isAvailable(nowNanos));
+  }
+
+  private boolean isPaused(long nowNanos) {
+    return pausedUntilNanos - nowNanos > 0;
+  }
+
+  /** Allows no request until a time, if none is allowed until then already. */
+  void pauseUntil(long nanos) {
+    if (nanos - pausedUntilNanos > 0) {
+      pausedUntilNanos = nanos;
+    }
   }
 
   /** Computes this instance's share if the last one is out of date. */
@@ -167,7 +189,9 @@
   }
 
   /** Returns the time until this instance, or else any one, may send a request. */
-  double secondsToNext() {
-    return Math.min(saved.secondsToNext(), 1 / rate(limit));
+  double secondsToNext(long nowNanos) {
+    double pauseSeconds = Math.max(0, pausedUntilNanos - nowNanos) / NANOS_PER_SECOND;
+    double limitSeconds = isInForce() ? Math.min(saved.secondsToNext(), 1 / rate(limit)) : 0;
+    return Math.max(pauseSeconds, limitSeconds);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
+++ b/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
@@ -16,8 +16,8 @@
 import org.magnoliavale.internal.logging.Logs;
 
 /**
- * The limits that endpoints name in their responses, and this instance's share of each.
- * Thread-safe.
+ * The limits that endpoints name in their responses, this instance's share of each, and the pauses
+ * that endpoints ask this instance for. Thread-safe.
  *
  * <p>A limit is for all instances together and holds from the response that names it to one that
  * names none; peers are told both. It is parted by demand: an instance that has all the calls gets
@@ -78,7 +78,7 @@
           case LimitStatement.Unlimited() -> OptionalDouble.empty();
           case LimitStatement.Unknown() -> known(endpoint, EndpointLimit::limit);
         };
-    if (limit.isEmpty() && !limits.containsKey(endpoint)) {
+    if (limit.isEmpty() && !isStated(endpoint)) {
       return;
     }
     EndpointLimit known = limit(endpoint, nowNanos);
@@ -94,6 +94,11 @@
     return limit == null ? OptionalDouble.empty() : property.apply(limit);
   }
 
+  private boolean isStated(EndpointIdentity endpoint) {
+    EndpointLimit limit = limits.get(endpoint);
+    return limit != null && limit.isStated();
+  }
+
   private EndpointLimit limit(EndpointIdentity endpoint, long nowNanos) {
     return limits.computeIfAbsent(endpoint, id -> new EndpointLimit(id.toString(), nowNanos));
   }
@@ -105,10 +110,16 @@
     limit.updateShare(fleet.apply(nowNanos), nowNanos);
   }
 
+  /** Allows no request to an endpoint for a time; it has asked this instance alone for that. */
+  public synchronized void pause(EndpointIdentity endpoint, Duration time, long nowNanos) {
+    LOG.infof("Endpoint asks for a pause. endpoint=%s ms=%d", endpoint, time.toMillis());
+    limit(endpoint, nowNanos).pauseUntil(nowNanos + time.toNanos());
+  }
+
   /** Applies what an endpoint has said to a peer. */
   public synchronized void learn(Statement statement, long nowNanos) {
     EndpointIdentity endpoint = statement.endpoint();
-    if (statement.limit().isEmpty() && !limits.containsKey(endpoint)) {
+    if (statement.limit().isEmpty() && !isStated(endpoint)) {
       return;
     }
     EndpointLimit known = limit(endpoint, nowNanos);
@@ -158,9 +169,9 @@
   }
 
   /** Returns the time until an endpoint that allows no request now may allow one again. */
-  public synchronized Duration timeToNext(EndpointIdentity endpoint) {
+  public synchronized Duration timeToNext(EndpointIdentity endpoint, long nowNanos) {
     EndpointLimit limit = limits.get(endpoint);
-    double seconds = limit == null ? 0 : limit.secondsToNext();
+    double seconds = limit == null ? 0 : limit.secondsToNext(nowNanos);
     return Duration.ofMillis((long) (seconds * TimeUnit.SECONDS.toMillis(1)));
   }
 
--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -134,7 +134,7 @@
         contentType != null && contentType.startsWith("text/event-stream"),
         fromEndpoint.contains("Content-Encoding"),
         parseLoad(fromEndpoint.get(SERVER_LOAD)),
-        WorkerStatements.decode(fromEndpoint));
+        WorkerStatements.decode(status, fromEndpoint));
   }
 
   /** Parses a load header: running requests, waiting requests and slots, separated by commas. */
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -80,6 +80,9 @@
 
   private void heard(EndpointIdentity endpoint, EndpointStatement statement, long sentNanos) {
     limits.observe(endpoint, statement.limit(), sentNanos, now);
+    if (statement.pause().isPositive()) {
+      limits.pause(endpoint, statement.pause(), now);
+    }
     if (statement.leaving()) {
       departures.observeLeaving(endpoint, now);
     }
--- a/src/test/java/org/magnoliavale/internal/gateway/FleetPeer.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/FleetPeer.java
@@ -83,7 +83,7 @@
     EndpointStatements statements = new EndpointStatements(limits, departures, nanoClock);
     statements.heard(
         new EndpointIdentity(endpointId, 1),
-        new EndpointStatement(LimitStatement.UNLIMITED, true),
+        new EndpointStatement(LimitStatement.UNLIMITED, true, Duration.ZERO),
         now);
     return statements.takeNews();
   }
--- a/src/test/java/org/magnoliavale/internal/gateway/RawEndpoint.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/RawEndpoint.java
@@ -143,6 +143,11 @@
     return receivedRequests.poll(TIMEOUT_S, TimeUnit.SECONDS);
   }
 
+  /** Returns whether a request has been received that was not taken yet. */
+  boolean hasRequest() {
+    return !receivedRequests.isEmpty();
+  }
+
   private void accept() {
     try {
       while (true) {
--- a/src/test/java/org/magnoliavale/platform/WorkerControlTest.java
+++ b/src/test/java/org/magnoliavale/platform/WorkerControlTest.java
@@ -180,14 +180,17 @@
       report("200 OK\r\nServer-Leaving: 1\r\nServer-Limit: 2.5");
       assertThat(heard)
           .containsEntry(
-              entry().identity(), new EndpointStatement(LimitStatement.limited(2.5), true));
+              entry().identity(),
+              new EndpointStatement(LimitStatement.limited(2.5), true, Duration.ZERO));
     }
 
     @Test
     void liftsNoLimitWhereNoneIsNamed() {
       report("200 OK");
       assertThat(heard)
-          .containsEntry(entry().identity(), new EndpointStatement(LimitStatement.UNKNOWN, false));
+          .containsEntry(
+              entry().identity(),
+              new EndpointStatement(LimitStatement.UNKNOWN, false, Duration.ZERO));
     }
 
     @Test
--- a/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
+++ b/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
@@ -150,4 +150,37 @@
           .isEqualTo(LimitStatement.UNLIMITED);
     }
   }
+
+  @Nested
+  class Pause {
+    private Duration pause(int status, String value) {
+      HttpFields headers = HttpFields.build().put("Retry-After", value);
+      return protocol.parseResponse(status, headers).statement().pause();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+      "4, 4000",
+      "0.25, 250",
+      "0, 0",
+      "60, 60000",
+      "61, 60000",
+      "999999999999999999999999, 60000"
+    })
+    void isReadWithinItsBounds(String value, long milliseconds) {
+      assertThat(pause(503, value)).isEqualTo(Duration.ofMillis(milliseconds));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"-1", "", "soon", "NaN", "1e3", "Sun, 06 Dec 2026 08:00:00 GMT"})
+    void thatIsNoDecimalNumberIsIgnored(String value) {
+      assertThat(pause(503, value)).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {200, 429, 421, 500, 504})
+    void isAskedForWithStatus503Only(int status) {
+      assertThat(pause(status, "4")).isZero();
+    }
+  }
 }
