Keep from callers what endpoints say of themselves to instances

Server-Limit and Server-Leaving are words of endpoints to instances, like X-Server-Load; they were forwarded to callers, whom they tell of the inside of the fleet and who can't act on them. WorkerProtocolTest: two of four headers were forwarded before, none now.

--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -65,7 +65,7 @@
 
   /** Response headers of workers that are for instances and not forwarded to the caller. */
   private static final Set<String> INSTANCE_ONLY_HEADERS =
-      Set.of("x-server-load", "x-instance-id", "x-not-executed");
+      Set.of("x-server-load", "x-instance-id", "x-not-executed", "server-limit", "server-leaving");
 
   @Override
   public CallMetadata parseRequest(HttpFields fromCaller) {
--- a/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
+++ b/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
@@ -183,4 +183,13 @@
       assertThat(pause(status, "4")).isZero();
     }
   }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"Server-Limit", "Server-Leaving", "X-Server-Load", "X-Not-Executed"})
+  void whatWorkersTellInstancesDoesNotReachCallers(String name) {
+    HttpFields headers = HttpFields.build().put(name, "1").put("X-Response-Signature", "s");
+    HttpFields forwarded = protocol.responseHeaders(headers);
+    assertThat(forwarded.contains(name)).isFalse();
+    assertThat(forwarded.contains("X-Response-Signature")).isTrue();
+  }
 }
