Show when the store comes back from a copy, and every fence that is taken

Store-Era was read nowhere, and a lease that was lost and taken in one step left no line, so the log could not tell the hypotheses apart.

The header of every answer is decoded in platform/ (a whole number up to 32,767; anything else is ignored) as the generation of the store's contents. The lease has a line for each fence. The stand-in of the store can come back from a copy. Nothing acts on it yet.

--- a/src/main/java/org/magnoliavale/internal/document/DocumentStore.java
+++ b/src/main/java/org/magnoliavale/internal/document/DocumentStore.java
@@ -69,7 +69,7 @@
 
   /** Returns the accepted changes, oldest first. */
   public List<DocumentChange> history() {
-    if (!(table.scan(CHANGE) instanceof TableResult.Success(List<Row> rows))) {
+    if (!(table.scan(CHANGE) instanceof TableResult.Success(List<Row> rows, long ignored))) {
       throw unavailable();
     }
     return rows.stream().map(row -> parse(row, DocumentChange.class)).toList();
--- a/src/main/java/org/magnoliavale/internal/gateway/CommandLeaseManager.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/CommandLeaseManager.java
@@ -45,7 +45,7 @@
       new TickLoop(
           "lease", TICK_INTERVAL_MS, IDLE_TICK_INTERVAL_MS, this::needsFrequentTicks, this::step);
   private volatile boolean surrendered;
-  private boolean wasHeld;
+  private long lastFence;
   private long lastClockOffsetMs;
 
   /**
@@ -185,10 +185,16 @@
         call = leaseManager.callCompleted(result, monotonicMs());
       }
     }
-    boolean held = isHeld();
-    if (held != wasHeld) {
-      wasHeld = held;
-      LOG.infof("Command lease %s. fence=%d", held ? "taken" : "lost", fencingToken());
+    logChange(isHeld(), fencingToken());
+  }
+
+  /** Logs each fence under which the lease is taken, also when it is lost and taken in one step. */
+  private void logChange(boolean held, long fence) {
+    if (held && fence != lastFence) {
+      LOG.infof("Command lease taken. fence=%d", fence);
+    } else if (!held && lastFence != 0) {
+      LOG.infof("Command lease lost. fence=%d", lastFence);
     }
+    lastFence = held ? fence : 0;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -142,7 +142,7 @@
 
   private boolean applyRead(boolean wasAvailable) {
     return switch (source.read()) {
-      case DirectoryReadResult.Entries(List<DirectoryEntry> entries) -> {
+      case DirectoryReadResult.Entries(List<DirectoryEntry> entries, long ignored) -> {
         listener.accept(directory.update(entries, nanoClock.getAsLong()));
         loaded = true;
         if (!wasAvailable) {
--- a/src/main/java/org/magnoliavale/internal/platform/HttpPlatform.java
+++ b/src/main/java/org/magnoliavale/internal/platform/HttpPlatform.java
@@ -75,7 +75,7 @@
   private static TableResult parseResult(int status, byte[] body) {
     try {
       return switch (status) {
-        case HttpStatus.OK_200 -> new TableResult.Success(Json.read(body, Rows.class).rows());
+        case HttpStatus.OK_200 -> TableResult.Success.of(Json.read(body, Rows.class).rows());
         case HttpStatus.CONFLICT_409 ->
             new TableResult.ConditionFailed(Json.read(body, Rows.class).rows());
         case HttpStatus.TOO_MANY_REQUESTS_429, HttpStatus.SERVICE_UNAVAILABLE_503 ->
--- a/src/main/java/org/magnoliavale/internal/platform/Table.java
+++ b/src/main/java/org/magnoliavale/internal/platform/Table.java
@@ -12,4 +12,13 @@
 
   /** Reads all rows whose key starts with {@code prefix}. */
   TableResult scan(String prefix);
+
+  /**
+   * Returns the newest known generation of the table's contents. It grows each time the platform
+   * restores the table from a copy: writes since that copy are lost, although they were confirmed,
+   * and versions are given out again. Does not block.
+   */
+  default long generation() {
+    return 0;
+  }
 }
--- a/src/main/java/org/magnoliavale/internal/platform/TableResult.java
+++ b/src/main/java/org/magnoliavale/internal/platform/TableResult.java
@@ -5,13 +5,23 @@
 
 /** The result of a table call. */
 public sealed interface TableResult {
-  /** The call succeeded. Holds the rows read, or the rows written with their new versions. */
-  record Success(List<Row> rows) implements TableResult {
+  /**
+   * The call succeeded.
+   *
+   * @param rows the rows read, or the rows written with their new versions
+   * @param generation the generation of the table's contents, see {@link Table#generation}
+   */
+  record Success(List<Row> rows, long generation) implements TableResult {
     /** Copies the list. */
     public Success {
       rows = List.copyOf(rows);
     }
 
+    /** Returns the result of a table that never comes back from a copy. */
+    public static Success of(List<Row> rows) {
+      return new Success(rows, 0);
+    }
+
     /** Returns the row with the given key, if it exists. */
     public Optional<Row> row(String key) {
       return rows.stream()
--- a/src/main/java/org/magnoliavale/internal/standin/InMemoryTable.java
+++ b/src/main/java/org/magnoliavale/internal/standin/InMemoryTable.java
@@ -32,7 +32,7 @@
       return new TableResult.ConditionFailed(differing);
     }
     lastCommit++;
-    return new TableResult.Success(transaction.writes().stream().map(this::apply).toList());
+    return TableResult.Success.of(transaction.writes().stream().map(this::apply).toList());
   }
 
   private Row apply(Write write) {
@@ -47,7 +47,7 @@
 
   @Override
   public synchronized TableResult read(List<String> keys) {
-    return new TableResult.Success(keys.stream().map(rows::get).filter(Objects::nonNull).toList());
+    return TableResult.Success.of(keys.stream().map(rows::get).filter(Objects::nonNull).toList());
   }
 
   @Override
@@ -56,6 +56,6 @@
         rows.tailMap(prefix).values().stream()
             .takeWhile(row -> row.key().startsWith(prefix))
             .toList();
-    return new TableResult.Success(found);
+    return TableResult.Success.of(found);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/standin/PlatformStandIn.java
+++ b/src/main/java/org/magnoliavale/internal/standin/PlatformStandIn.java
@@ -174,7 +174,7 @@
 
     private void respond(TableResult result, Response response, Callback callback) {
       switch (result) {
-        case TableResult.Success(List<Row> rows) ->
+        case TableResult.Success(List<Row> rows, long ignored) ->
             write(HttpStatus.OK_200, rows, response, callback);
         case TableResult.ConditionFailed(List<Row> rows) ->
             write(HttpStatus.CONFLICT_409, rows, response, callback);
--- a/src/main/java/org/magnoliavale/platform/StoreClient.java
+++ b/src/main/java/org/magnoliavale/platform/StoreClient.java
@@ -24,8 +24,11 @@
 final class StoreClient {
   /** Result of a store request. */
   sealed interface Result {
-    /** The request succeeded; {@code newestVersion} is the newest version of any row. */
-    record Success(List<StoredRow> rows, long newestVersion) implements Result {}
+    /**
+     * The request succeeded; {@code newestVersion} is the newest version of any row, {@code
+     * generation} that of the store's contents, see {@link StoreGeneration}.
+     */
+    record Success(List<StoredRow> rows, long newestVersion, long generation) implements Result {}
 
     /** A condition of the transaction did not hold; {@code rows} are the current rows. */
     record ConditionFailed(List<StoredRow> rows) implements Result {}
@@ -50,6 +53,7 @@
   private final JsonClient client;
   private final InetSocketAddress address;
   private final Duration timeout;
+  private final StoreGeneration generation = new StoreGeneration();
 
   StoreClient(JsonClient client, InetSocketAddress address, Duration timeout) {
     this.client = client;
@@ -57,6 +61,11 @@
     this.timeout = timeout;
   }
 
+  /** Returns the newest generation of the store's contents that an answer has named. */
+  long generation() {
+    return generation.newest();
+  }
+
   /** Reads all rows with keys from {@code from} on, page by page. */
   Result readAll(String table, String from) {
     List<StoredRow> rows = new ArrayList<>();
@@ -64,15 +73,16 @@
     while (true) {
       String path = "/-/rows-get?table=" + encode(table) + "&part=&from=" + encode(next);
       JsonCallResult result = client.get(address, path, timeout);
-      if (!(result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body))
+      if (!(result instanceof JsonCallResult.Response(int status, var headers, byte[] body))
           || status != OK) {
         return toFailure(result);
       }
+      long answered = generation.observe(headers);
       try {
         JsonNode tree = Json.tree(body);
         rows.addAll(decodeRows(tree));
         if (!tree.path("has-more").asBoolean() || rows.isEmpty()) {
-          return new Result.Success(rows, tree.path("schema-version").asLong());
+          return new Result.Success(rows, tree.path("schema-version").asLong(), answered);
         }
       } catch (IOException e) {
         return new Result.OutcomeUnknown("malformed response");
@@ -126,15 +136,17 @@
         .put("key", key);
   }
 
-  private static Result toResult(JsonCallResult result) {
-    if (!(result instanceof JsonCallResult.Response(int status, var ignoredHeaders, byte[] body))) {
+  private Result toResult(JsonCallResult result) {
+    if (!(result instanceof JsonCallResult.Response(int status, var headers, byte[] body))) {
       return toFailure(result);
     }
+    long answered = generation.observe(headers);
     try {
       return switch (status) {
         case OK -> {
           JsonNode tree = Json.tree(body);
-          yield new Result.Success(decodeRows(tree), tree.path("schema-version").asLong());
+          yield new Result.Success(
+              decodeRows(tree), tree.path("schema-version").asLong(), answered);
         }
         case PRECONDITION_FAILED -> new Result.ConditionFailed(decodeRows(Json.tree(body)));
         case GONE -> new Result.HistoryUnavailable();
@@ -145,10 +157,12 @@
     }
   }
 
-  private static Result toFailure(JsonCallResult result) {
+  private Result toFailure(JsonCallResult result) {
     return switch (result) {
-      case JsonCallResult.Response(int status, var ignoredHeaders, byte[] ignored) ->
-          new Result.Unavailable("HTTP status " + status);
+      case JsonCallResult.Response(int status, var headers, byte[] ignored) -> {
+        generation.observe(headers);
+        yield new Result.Unavailable("HTTP status " + status);
+      }
       case JsonCallResult.NotSent(String reason, boolean ignored) -> new Result.Unavailable(reason);
       case JsonCallResult.OutcomeUnknown(String reason) -> new Result.OutcomeUnknown(reason);
     };
--- a/src/main/java/org/magnoliavale/platform/StoreConfigurationSource.java
+++ b/src/main/java/org/magnoliavale/platform/StoreConfigurationSource.java
@@ -30,7 +30,7 @@
             ? store.readAll(TABLE, KEY)
             : store.awaitChanges(TABLE, seenVersion, pollTimeout);
     return switch (result) {
-      case StoreClient.Result.Success(var rows, long newestVersion) -> {
+      case StoreClient.Result.Success(var rows, long newestVersion, long ignored) -> {
         seenVersion = newestVersion;
         yield toPollResult(rows);
       }
--- a/src/main/java/org/magnoliavale/platform/StoreDirectorySource.java
+++ b/src/main/java/org/magnoliavale/platform/StoreDirectorySource.java
@@ -41,8 +41,8 @@
   @Override
   public DirectoryReadResult read() {
     return switch (store.readAll(TABLE, "")) {
-      case StoreClient.Result.Success(var rows, long ignored) ->
-          new DirectoryReadResult.Entries(decodeEntries(rows));
+      case StoreClient.Result.Success(var rows, long ignored, long generation) ->
+          new DirectoryReadResult.Entries(decodeEntries(rows), generation);
       case StoreClient.Result.Unavailable(String reason) ->
           new DirectoryReadResult.Unavailable(reason);
       case StoreClient.Result.OutcomeUnknown(String reason) ->
--- a/src/main/java/org/magnoliavale/platform/StoreTable.java
+++ b/src/main/java/org/magnoliavale/platform/StoreTable.java
@@ -23,8 +23,8 @@
   @Override
   public TableResult commit(Transaction transaction) {
     return switch (store.apply(NAME, transaction)) {
-      case StoreClient.Result.Success(var ignored, long newestVersion) ->
-          toSuccess(transaction, newestVersion);
+      case StoreClient.Result.Success(var ignored, long newestVersion, long generation) ->
+          toSuccess(transaction, newestVersion, generation);
       case StoreClient.Result.ConditionFailed(var rows) ->
           new TableResult.ConditionFailed(toRows(rows));
       case StoreClient.Result.HistoryUnavailable() ->
@@ -36,7 +36,7 @@
   }
 
   /** Returns the written rows; every row of a transaction has the transaction's version. */
-  private static TableResult toSuccess(Transaction transaction, long version) {
+  private static TableResult toSuccess(Transaction transaction, long version, long generation) {
     List<Row> rows = new ArrayList<>();
     for (Write write : transaction.writes()) {
       rows.add(
@@ -44,7 +44,7 @@
               ? Row.absent(write.key())
               : new Row(write.key(), version, write.value()));
     }
-    return new TableResult.Success(rows);
+    return new TableResult.Success(rows, generation);
   }
 
   @Override
@@ -60,8 +60,8 @@
   private TableResult readFrom(
       String from, java.util.function.Predicate<StoreClient.StoredRow> filter) {
     return switch (store.readAll(NAME, from)) {
-      case StoreClient.Result.Success(var rows, long ignored) ->
-          new TableResult.Success(toRows(rows.stream().filter(filter).toList()));
+      case StoreClient.Result.Success(var rows, long ignored, long generation) ->
+          new TableResult.Success(toRows(rows.stream().filter(filter).toList()), generation);
       case StoreClient.Result.Unavailable(String reason) -> new TableResult.Unavailable(reason);
       case StoreClient.Result.OutcomeUnknown(String reason) -> new TableResult.Unavailable(reason);
       case StoreClient.Result.ConditionFailed(var ignored) ->
@@ -71,6 +71,11 @@
     };
   }
 
+  @Override
+  public long generation() {
+    return store.generation();
+  }
+
   private static List<Row> toRows(List<StoreClient.StoredRow> stored) {
     return stored.stream()
         .map(
--- a/src/main/java/org/magnoliavale/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/magnoliavale/platform/standin/StoreStandIn.java
@@ -28,7 +28,8 @@
 
 /**
  * In-memory stand-in for the platform's store: rows in tables, conditional transactions, ranges and
- * a feed of changes. It keeps the whole history and ignores parts, limits and objects. Thread-safe.
+ * a feed of changes. It keeps the whole history, can come back from a copy, and ignores parts,
+ * limits and objects. Thread-safe.
  */
 public final class StoreStandIn implements Service {
   private record RowId(String table, String key) implements Comparable<RowId> {
@@ -76,13 +77,26 @@
     }
 
     private void send(Response response, Callback callback, Answer answer) {
+      response.getHeaders().put(ERA, answer.era());
       HttpResponses.write(
           response, callback, answer.status(), "application/json", Json.bytes(answer.body()));
     }
   }
 
-  private record Answer(int status, ObjectNode body) {}
+  private record Answer(int status, ObjectNode body, long era) {}
 
+  /** The contents of a store at one moment. */
+  public static final class Copy {
+    private final TreeMap<RowId, Row> rows;
+    private final long newestVersion;
+
+    private Copy(TreeMap<RowId, Row> rows, long newestVersion) {
+      this.rows = new TreeMap<>(rows);
+      this.newestVersion = newestVersion;
+    }
+  }
+
+  private static final String ERA = "Store-Era";
   private static final long FEED_CHECK_INTERVAL_MS = 50;
   private static final int MAXIMUM_BODY_BYTES = 1 << 20;
   private static final int MAXIMUM_HEADER_BYTES = 16_384;
@@ -92,6 +106,7 @@
   private final AtomicLong calls = new AtomicLong();
   private final Server server;
   private long newestVersion;
+  private long era = 1;
   private volatile int port;
 
   /** Returns a store that will listen on {@code address}; it is empty and not started. */
@@ -128,6 +143,20 @@
     notifyAll();
   }
 
+  /** Returns a copy of the contents. */
+  public synchronized Copy copy() {
+    return new Copy(rows, newestVersion);
+  }
+
+  /** Comes back from a copy: what was written since is gone, and versions are given out again. */
+  public synchronized void restore(Copy copy) {
+    rows.clear();
+    rows.putAll(copy.rows);
+    newestVersion = copy.newestVersion;
+    era++;
+    notifyAll();
+  }
+
   private void put(String table, String key, String value) {
     rows.put(new RowId(table, key), new Row(value, newestVersion));
   }
@@ -146,6 +175,9 @@
 
   private synchronized Answer awaitChanges(String table, long after, long waitMs)
       throws InterruptedException {
+    if (after > newestVersion) {
+      return answer(HttpStatus.GONE_410, List.of());
+    }
     List<ObjectNode> changed = changesAfter(table, after);
     long waitedMs = 0;
     while (changed.isEmpty() && waitedMs < waitMs) {
@@ -176,7 +208,7 @@
       }
     }
     if (!differing.isEmpty()) {
-      return new Answer(HttpStatus.PRECONDITION_FAILED_412, rowsAnswer(differing).body());
+      return answer(HttpStatus.PRECONDITION_FAILED_412, differing);
     }
     newestVersion++;
     for (JsonNode write : transaction.path("writes")) {
@@ -190,12 +222,16 @@
   }
 
   private Answer rowsAnswer(List<ObjectNode> found) {
+    return answer(HttpStatus.OK_200, found);
+  }
+
+  private Answer answer(int status, List<ObjectNode> found) {
     ObjectNode body = JsonNodeFactory.instance.objectNode();
     ArrayNode list = body.putArray("rows");
     found.forEach(list::add);
     body.put("has-more", false);
     body.put("schema-version", newestVersion);
-    return new Answer(HttpStatus.OK_200, body);
+    return new Answer(status, body, era);
   }
 
   private static ObjectNode toJson(RowId id, Row row) {
--- a/src/test/java/org/magnoliavale/internal/gateway/FakeTable.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/FakeTable.java
@@ -14,6 +14,7 @@
 final class FakeTable implements Table {
   private final TreeMap<String, Row> rows = new TreeMap<>();
   private long version;
+  private long generation = 1;
 
   @Override
   public synchronized TableResult commit(Transaction transaction) {
@@ -34,17 +35,39 @@
         written.add(row);
       }
     }
-    return new TableResult.Success(written);
+    return new TableResult.Success(written, generation);
   }
 
   @Override
   public synchronized TableResult read(List<String> keys) {
-    return new TableResult.Success(keys.stream().filter(rows::containsKey).map(rows::get).toList());
+    return new TableResult.Success(
+        keys.stream().filter(rows::containsKey).map(rows::get).toList(), generation);
   }
 
   @Override
   public synchronized TableResult scan(String prefix) {
     return new TableResult.Success(
-        rows.values().stream().filter(row -> row.key().startsWith(prefix)).toList());
+        rows.values().stream().filter(row -> row.key().startsWith(prefix)).toList(), generation);
+  }
+
+  @Override
+  public synchronized long generation() {
+    return generation;
+  }
+
+  /** Returns a copy of the contents. */
+  synchronized FakeTable copy() {
+    FakeTable copy = new FakeTable();
+    copy.rows.putAll(rows);
+    copy.version = version;
+    return copy;
+  }
+
+  /** Restores the contents from a copy, so that versions are given out again. */
+  synchronized void restore(FakeTable copy) {
+    rows.clear();
+    rows.putAll(copy.rows);
+    version = copy.version;
+    generation++;
   }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -80,7 +80,7 @@
                 new PlatformAdapters(
                     new FakeTable(),
                     this::pollConfiguration,
-                    () -> new DirectoryReadResult.Entries(entries()),
+                    () -> new DirectoryReadResult.Entries(entries(), 0),
                     TestProtocol.create(),
                     new RejectingEndpointControl()));
     instance.start();
--- a/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
@@ -35,7 +35,7 @@
               if (reads.incrementAndGet() == 1) {
                 throw new IllegalStateException("expected by the test");
               }
-              return new DirectoryReadResult.Entries(List.of());
+              return new DirectoryReadResult.Entries(List.of(), 0);
             },
             new EndpointDepartures(),
             () -> true,
@@ -56,9 +56,9 @@
     Deque<DirectoryReadResult> results =
         new ArrayDeque<>(
             List.of(
-                new DirectoryReadResult.Entries(List.of(TestEntries.entry("a", 4))),
+                new DirectoryReadResult.Entries(List.of(TestEntries.entry("a", 4)), 0),
                 new DirectoryReadResult.Unavailable("expected by the test"),
-                new DirectoryReadResult.Entries(List.of())));
+                new DirectoryReadResult.Entries(List.of(), 0)));
     List<Collection<DirectoryEntry>> applied = new ArrayList<>();
     EndpointDepartures departures = new EndpointDepartures();
     DirectoryPoller poller =
--- a/src/test/java/org/magnoliavale/platform/StoreClientTest.java
+++ b/src/test/java/org/magnoliavale/platform/StoreClientTest.java
@@ -4,8 +4,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliavale.internal.platform.Transaction;
 
 /** Runs the client of the platform's store against its stand-in. */
@@ -93,4 +96,40 @@
       assertThat(writer).isNotNull();
     }
   }
+
+  @Nested
+  class Generation {
+    private final StoreGeneration generation = new StoreGeneration();
+
+    private long observe(String value) {
+      return generation.observe(HttpFields.build().put("Store-Era", value));
+    }
+
+    @Test
+    void isThatOfTheAnswers() {
+      write("a", "1");
+      long before = client.generation();
+      assertThat(((StoreClient.Result.Success) client.readAll(TABLE, "")).generation())
+          .isEqualTo(before);
+      store.restore(store.copy());
+      assertThat(((StoreClient.Result.Success) client.readAll(TABLE, "")).generation())
+          .isEqualTo(before + 1);
+      assertThat(client.generation()).isEqualTo(before + 1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"-1", "", "x", "1.5", "99999999999999999999", "32768", "0"})
+    void thatCannotBeReadIsIgnored(String value) {
+      observe("7");
+      assertThat(observe(value)).isEqualTo(7);
+      assertThat(generation.newest()).isEqualTo(7);
+    }
+
+    @Test
+    void ofALateAnswerDoesNotReplaceANewerOne() {
+      observe("7");
+      assertThat(observe("6")).isEqualTo(6);
+      assertThat(generation.newest()).isEqualTo(7);
+    }
+  }
 }
