Count an endpoint with more calls than it takes as saturated

A model or adapter that only endpoints with a limit hold had calls rejected for as long as the limit holds, while other endpoints had room: placement saw no reason for a further replica, since such an endpoint is not busy.

saturation() is 1 now while all instances together want more than an endpoint takes. Test: endpointThatTakesFewerRequestsThanThereAreIsSaturated, fails without it.

--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -348,8 +348,14 @@
     }
   }
 
-  /** Returns how much requests slow each other down, from 0 (not at all) to 1 (all of them). */
+  /**
+   * Returns how much requests slow each other down, from 0 (not at all) to 1 (all of them); 1 also
+   * for an endpoint that takes fewer than there are.
+   */
   public synchronized double saturation(EndpointIdentity identity, long nowNanos) {
+    if (limits.isExceeded(identity)) {
+      return 1;
+    }
     EndpointState state = endpoints.get(identity);
     return state == null ? 0 : state.saturation(nowNanos);
   }
--- a/src/main/java/org/magnoliavale/internal/limit/EndpointLimit.java
+++ b/src/main/java/org/magnoliavale/internal/limit/EndpointLimit.java
@@ -174,6 +174,12 @@
     return LimitShare.of(endpoint, reachableLimit, fleet.self(), demand);
   }
 
+  /** Returns whether all instances together would send more than the limit. */
+  boolean isExceeded() {
+    double peers = peerDemand.values().stream().mapToDouble(Double::doubleValue).sum();
+    return isInForce() && announcedDemand + peers > rate(limit);
+  }
+
   /** Takes a request that is allowed. */
   void take() {
     if (isInForce()) {
--- a/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
+++ b/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
@@ -152,6 +152,12 @@
     return limit == null || limit.allows(fleet.apply(nowNanos), nowNanos);
   }
 
+  /** Returns whether an endpoint has a limit, and calls ask for more than that. */
+  public synchronized boolean isExceeded(EndpointIdentity endpoint) {
+    EndpointLimit limit = limits.get(endpoint);
+    return limit != null && limit.isExceeded();
+  }
+
   /** Takes a request that is allowed. */
   public synchronized void take(EndpointIdentity endpoint) {
     EndpointLimit limit = limits.get(endpoint);
--- a/src/test/java/org/magnoliavale/internal/dispatch/EndpointPoolTest.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/EndpointPoolTest.java
@@ -13,6 +13,7 @@
 import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointDepartures.Departure;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.LimitStatement;
 import org.magnoliavale.internal.limit.EndpointLimits;
 
 class EndpointPoolTest {
@@ -158,6 +159,20 @@
     }
   }
 
+  /** Guards against models that are only where calls are turned away. */
+  @Test
+  void endpointThatTakesFewerRequestsThanThereAreIsSaturated() {
+    list(TestEntries.entry("a", 1, "m"));
+    EndpointIdentity a = new EndpointIdentity("a", 1);
+    limits.observe(a, LimitStatement.limited(2), now, now);
+    assertThat(pool.saturation(a, now)).isZero();
+    for (int i = 0; i < 100; i++) {
+      choose("m");
+      advance(50);
+    }
+    assertThat(pool.saturation(a, now)).isEqualTo(1);
+  }
+
   @Test
   void requestsStayWithinThisInstancesShareOfConnections() {
     list(TestEntries.entry("a", 1, "m"));
--- a/src/test/java/org/magnoliavale/internal/limit/EndpointLimitsTest.java
+++ b/src/test/java/org/magnoliavale/internal/limit/EndpointLimitsTest.java
@@ -224,4 +224,22 @@
     assertThat(limits.allows(ENDPOINT, now)).isTrue();
     assertThat(limits.statements(now)).isEmpty();
   }
+
+  @Nested
+  class ExceededLimit {
+    @Test
+    void isThatOfAnEndpointForWhichAllInstancesHaveMoreCalls() {
+      fleet = new FleetView("i1", Set.of("i2"), 0, true, NEWS_NANOS);
+      hear(LimitStatement.limited(4));
+      assertThat(limits.isExceeded(ENDPOINT)).isFalse();
+      limits.learnDemand("i2", List.of(new EndpointLimits.Demand(ENDPOINT, 4.1)));
+      assertThat(limits.isExceeded(ENDPOINT)).isTrue();
+      hear(LimitStatement.limited(5));
+      assertThat(limits.isExceeded(ENDPOINT)).isFalse();
+      sendFor(5_000);
+      assertThat(limits.isExceeded(ENDPOINT)).isTrue();
+      hear(LimitStatement.UNLIMITED);
+      assertThat(limits.isExceeded(ENDPOINT)).isFalse();
+    }
+  }
 }
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.document.DocumentText;
+import org.magnoliavale.internal.link.protocol.EndpointLimit;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
 
@@ -136,7 +137,11 @@
           RelayedHeartbeat.newBuilder()
               .setInstance("a")
               .setAgeMs(ageMs)
-              .setHeartbeat(Heartbeat.newBuilder().setNumber(1).setDirectoryReadMs(9_000))
+              .setHeartbeat(
+                  Heartbeat.newBuilder()
+                      .setNumber(1)
+                      .setDirectoryReadMs(9_000)
+                      .addLimits(EndpointLimit.newBuilder().setEndpoint("e").setAgeMs(40)))
               .build();
       exchange.relayed("relay", List.of(relayed));
     }
@@ -152,6 +157,12 @@
       relay(1_001);
       assertThat(applied).singleElement().returns(0L, Heartbeat::getDirectoryReadMs);
     }
+
+    @Test
+    void addsItsAgeToThatOfLimits() {
+      relay(1_500);
+      assertThat(applied.getFirst().getLimits(0).getAgeMs()).isEqualTo(1_540);
+    }
   }
 
   private static final class Silent implements PeerState {
