Lift a limit only by the answer to a request that has run

An endpoint in need names its limit in its answers; a refusal that does not name one would have lifted it until the next answer, and let a burst through. An endpoint without limit or pause no longer asks for the fleet's view.

--- a/src/main/java/org/magnoliavale/internal/limit/EndpointLimit.java
+++ b/src/main/java/org/magnoliavale/internal/limit/EndpointLimit.java
@@ -131,6 +131,11 @@
     return announcedDemand;
   }
 
+  /** Returns whether any number of requests may be sent to the endpoint. */
+  boolean allowsAll(long nowNanos) {
+    return !isInForce() && !isPaused(nowNanos);
+  }
+
   /** Returns whether a request may be sent to the endpoint. */
   boolean allows(FleetView fleet, long nowNanos) {
     updateShare(fleet, nowNanos);
--- a/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
+++ b/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
@@ -149,7 +149,9 @@
   /** Returns whether a request may be sent to an endpoint. */
   public synchronized boolean allows(EndpointIdentity endpoint, long nowNanos) {
     EndpointLimit limit = limits.get(endpoint);
-    return limit == null || limit.allows(fleet.apply(nowNanos), nowNanos);
+    return limit == null
+        || limit.allowsAll(nowNanos)
+        || limit.allows(fleet.apply(nowNanos), nowNanos);
   }
 
   /** Returns whether an endpoint has a limit, and calls ask for more than that. */
--- a/src/main/java/org/magnoliavale/platform/WorkerControl.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerControl.java
@@ -99,7 +99,7 @@
     // A 421 comes from another worker.
     if (result instanceof JsonCallResult.Response(int status, var headers, byte[] ignored)
         && status != MISDIRECTED_REQUEST) {
-      listener.heard(endpoint.identity(), WorkerStatements.decodeOfControl(status, headers));
+      listener.heard(endpoint.identity(), WorkerStatements.decodeOther(status, headers));
     }
     return result;
   }
--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -134,7 +134,9 @@
         contentType != null && contentType.startsWith("text/event-stream"),
         fromEndpoint.contains("Content-Encoding"),
         parseLoad(fromEndpoint.get(SERVER_LOAD)),
-        WorkerStatements.decode(status, fromEndpoint));
+        notExecuted
+            ? WorkerStatements.decodeOther(status, fromEndpoint)
+            : WorkerStatements.decode(status, fromEndpoint));
   }
 
   /** Parses a load header: running requests, waiting requests and slots, separated by commas. */
--- a/src/main/java/org/magnoliavale/platform/WorkerStatements.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerStatements.java
@@ -34,7 +34,7 @@
 
   private WorkerStatements() {}
 
-  /** Returns what an answer says of its worker. */
+  /** Returns what the answer to a request that the worker has run says. */
   static EndpointStatement decode(int status, HttpFields headers) {
     String leaving = headers.get(LEAVING);
     return new EndpointStatement(
@@ -43,8 +43,11 @@
         status == SERVICE_UNAVAILABLE ? pause(headers) : Duration.ZERO);
   }
 
-  /** Returns what an answer to a command or about a report says; it need not name the limit. */
-  static EndpointStatement decodeOfControl(int status, HttpFields headers) {
+  /**
+   * Returns what any other answer says: to a request that was turned away, to a command or with a
+   * report. It need not name a limit that is in force.
+   */
+  static EndpointStatement decodeOther(int status, HttpFields headers) {
     EndpointStatement statement = decode(status, headers);
     return headers.contains(LIMIT)
         ? statement
--- a/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
+++ b/src/test/java/org/magnoliavale/platform/WorkerProtocolTest.java
@@ -144,6 +144,14 @@
       assertThat(limit(value)).isEqualTo(LimitStatement.UNKNOWN);
     }
 
+    @ParameterizedTest
+    @CsvSource({"503, X-Not-Executed", "429, X-Not-Executed", "421, X-Other"})
+    void isNotLiftedByAnAnswerThatTurnsARequestAway(int status, String header) {
+      HttpFields headers = HttpFields.build().put(header, "1");
+      assertThat(protocol.parseResponse(status, headers).statement().limit())
+          .isEqualTo(LimitStatement.UNKNOWN);
+    }
+
     @Test
     void isLiftedByAnAnswerWithoutIt() {
       assertThat(protocol.parseResponse(200, HttpFields.EMPTY).statement().limit())
