--- a/src/test/java/org/magnoliavale/soak/InstanceProcess.java
+++ b/src/test/java/org/magnoliavale/soak/InstanceProcess.java
@@ -100,6 +100,11 @@
     throw new IOException("an instance did not start: " + Files.readString(log));
   }
 
+  /** Returns the file with the output of the process. */
+  Path log() {
+    return log;
+  }
+
   int callerPort() {
     return callerPort;
   }
--- a/src/test/java/org/magnoliavale/soak/Play.java
+++ b/src/test/java/org/magnoliavale/soak/Play.java
@@ -35,7 +35,7 @@
         instances.add(new InstanceProcess(folder, index, deployment.storePort()));
       }
       for (int index = 0; index < INSTANCES; index++) {
-        awaitReady(index, instances.get(index));
+        awaitReady(clock, index, instances.get(index));
       }
       return stopOne(deployment, instances);
     } finally {
@@ -67,7 +67,8 @@
     return new Result(stop, exchanges, deployment.runs(), deployment.refusals());
   }
 
-  private void awaitReady(int index, InstanceProcess instance) throws IOException {
+  /** Waits until an instance serves requests of both services. */
+  static void awaitReady(PlayClock clock, int index, InstanceProcess instance) throws IOException {
     long limit = clock.now() + READY_TIMEOUT_MS;
     while (clock.now() < limit && instance.isAlive()) {
       try (Caller caller = new Caller(clock)) {
--- a/src/test/java/org/magnoliavale/soak/SoakDeployment.java
+++ b/src/test/java/org/magnoliavale/soak/SoakDeployment.java
@@ -35,6 +35,10 @@
     return store.port();
   }
 
+  List<SoakWorker> plain() {
+    return plain;
+  }
+
   List<SoakWorker> engines() {
     return engines;
   }
--- a/src/test/java/org/magnoliavale/soak/SoakWorker.java
+++ b/src/test/java/org/magnoliavale/soak/SoakWorker.java
@@ -32,7 +32,10 @@
   private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
   private final Set<RunInProgress> runsInProgress = ConcurrentHashMap.newKeySet();
   private final Queue<Refusal> refusals = new ConcurrentLinkedQueue<>();
+  private final Queue<Long> arrivals = new ConcurrentLinkedQueue<>();
   private final Queue<Socket> connections = new ConcurrentLinkedQueue<>();
+  private volatile String statement = "";
+  private volatile String refusal = "";
   private volatile long pausedUntil;
   private volatile long fullFrom = Long.MAX_VALUE;
   private volatile long fullUntil = Long.MAX_VALUE;
@@ -63,6 +66,21 @@
     return refusals;
   }
 
+  /** Returns when requests of callers arrived, whether they were run or refused. */
+  List<Long> arrivals() {
+    return List.copyOf(arrivals);
+  }
+
+  /** Adds a header line to all answers from now on; an empty one says nothing any more. */
+  void say(String headerLine) {
+    statement = headerLine.isEmpty() ? "" : headerLine + "\r\n";
+  }
+
+  /** Refuses all requests with a header line from now on; an empty one ends that. */
+  void refuse(String headerLine) {
+    refusal = headerLine.isEmpty() ? "" : headerLine + "\r\n";
+  }
+
   /** Writes nothing for some time, and goes on after it. */
   void pause(long milliseconds) {
     pausedUntil = clock.now() + milliseconds;
@@ -114,13 +132,21 @@
   private void answer(HttpMessage request, OutputStream out) throws IOException {
     String path = request.startLine().split(" ")[1];
     if (path.equals("/-/report")) {
-      WorkerMessages.write(out, 200, "", WorkerDescription.report(reportedRunning()));
+      WorkerMessages.write(out, 200, statement, WorkerDescription.report(reportedRunning()));
     } else if (path.startsWith("/-/")) {
-      WorkerMessages.write(out, 200, "", "{}");
-    } else if (isFullAt(clock.now()) || !slots.tryAcquire()) {
+      WorkerMessages.write(out, 200, statement, "{}");
+    } else {
+      arrivals.add(clock.now());
+      answerCall(request, path, out);
+    }
+  }
+
+  private void answerCall(HttpMessage request, String path, OutputStream out) throws IOException {
+    String refusalLine = refusal;
+    if (!refusalLine.isEmpty() || isFullAt(clock.now()) || !slots.tryAcquire()) {
       refusals.add(new Refusal(request.header("x-request-attempt-id"), name, clock.now()));
-      WorkerMessages.write(
-          out, 503, WorkerMessages.echo(request) + "X-Not-Executed: 1\r\n", "full");
+      String headers = WorkerMessages.echo(request) + "X-Not-Executed: 1\r\n" + refusalLine;
+      WorkerMessages.write(out, 503, headers + statement, "full");
     } else {
       try {
         run(request, WorkerMessages.parameters(path), out);
@@ -142,7 +168,8 @@
     runsInProgress.add(run);
     boolean whole = false;
     try {
-      String headers = WorkerMessages.echo(request) + "X-Response-Signature: " + name + "\r\n";
+      String headers =
+          WorkerMessages.echo(request) + "X-Response-Signature: " + name + "\r\n" + statement;
       if (!query.containsKey("events")) {
         PlayClock.sleep(query.getOrDefault("work", 0));
         awaitEndOfPause();
