Play a store that is restored from a copy beside the stop of a process

RESTORED_STORE is a new disruption of the soak: the store takes a copy, the operator changes the configuration, and the store comes back from the copy around the stop of an instance.

--- a/src/test/java/org/magnoliavale/soak/AnswersCutOffAroundStopTest.java
+++ b/src/test/java/org/magnoliavale/soak/AnswersCutOffAroundStopTest.java
@@ -45,6 +45,20 @@
     }
   }
 
+  @Nested
+  class RestoredStore {
+    static Stream<Arguments> plays() {
+      return AnswersCutOffAroundStopTest.plays(Disruption.RESTORED_STORE);
+    }
+
+    /** Guards against requests that are lost when the store comes back from a copy. */
+    @ParameterizedTest
+    @MethodSource("plays")
+    void losesNoAcceptedRequest(Disruption disruption, int seed) throws Exception {
+      assertThat(play(disruption, seed).lost()).isEmpty();
+    }
+  }
+
   @Nested
   class FullEndpoints {
     static Stream<Arguments> plays() {
--- a/src/test/java/org/magnoliavale/soak/Disruption.java
+++ b/src/test/java/org/magnoliavale/soak/Disruption.java
@@ -12,6 +12,7 @@
   CONFIGURATIONS,
   PAUSES,
   PAUSES_AND_FULL_WORKERS,
+  RESTORED_STORE,
 
   /** Holds the process up as a busy machine may; the rules excuse a freeze, so no test plays it. */
   LATE_SIGNAL;
@@ -49,6 +50,14 @@
         }
       }
       case PAUSES, PAUSES_AND_FULL_WORKERS -> pauseWorkers(clock, random, stop, deployment);
+      case RESTORED_STORE -> {
+        clock.sleepUntil(stop - random.nextInt(1_000, 4_000));
+        deployment.copyStore();
+        clock.sleepUntil(stop - 500);
+        deployment.changeConfiguration();
+        clock.sleepUntil(stop + random.nextInt(-400, 3_000));
+        deployment.restoreStore();
+      }
       case LATE_SIGNAL -> {
         clock.sleepUntil(stop - 100);
         instance.signal("STOP");
--- a/src/test/java/org/magnoliavale/soak/SoakDeployment.java
+++ b/src/test/java/org/magnoliavale/soak/SoakDeployment.java
@@ -19,6 +19,7 @@
   private final List<SoakWorker> plain = new ArrayList<>();
   private final List<SoakWorker> engines = new ArrayList<>();
   private final Thread heartbeats;
+  private StoreStandIn.Copy copy;
   private int version;
 
   SoakDeployment(PlayClock clock) throws IOException {
@@ -76,6 +77,18 @@
     store.write("op", "config", configuration.getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Takes a copy of the store. */
+  void copyStore() {
+    copy = store.copy();
+  }
+
+  /** Brings the store back from its copy; the operator and the workers write theirs again. */
+  void restoreStore() {
+    store.restore(copy);
+    version--;
+    changeConfiguration();
+  }
+
   private static String route(String prefix, Kind kind) {
     return """
         {"name":"route%s","host":"%s","prefix":"%s","kind":"%s","resumable":%b,"service":"%s",
