Let an answer that need not name a limit say nothing of it

A refusal or report without Server-Limit restated the limit that was known, so it counted as later than another instance's news that the limit has ended, and was told on to peers as heard. Found in reading the change. responseThatNeedNotNameALimitDoesNotProlongIt fails before, passes now.

--- a/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
+++ b/src/main/java/org/magnoliavale/internal/limit/EndpointLimits.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import java.util.function.LongFunction;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.collection.BoundedMap;
@@ -72,26 +71,25 @@
    */
   public synchronized void observe(
       EndpointIdentity endpoint, LimitStatement statement, long sentNanos, long nowNanos) {
-    OptionalDouble limit =
-        switch (statement) {
-          case LimitStatement.Limited(double rate) -> OptionalDouble.of(rate);
-          case LimitStatement.Unlimited() -> OptionalDouble.empty();
-          case LimitStatement.Unknown() -> known(endpoint, EndpointLimit::limit);
-        };
-    if (limit.isEmpty() && !isStated(endpoint)) {
-      return;
-    }
-    EndpointLimit known = limit(endpoint, nowNanos);
-    if (known.heard(limit, sentNanos, nowNanos)) {
-      changed(endpoint, known, nowNanos);
-      unannounced = true;
+    switch (statement) {
+      case LimitStatement.Limited(double rate) ->
+          heard(endpoint, OptionalDouble.of(rate), sentNanos, nowNanos);
+      case LimitStatement.Unlimited() -> {
+        if (isStated(endpoint)) {
+          heard(endpoint, OptionalDouble.empty(), sentNanos, nowNanos);
+        }
+      }
+      case LimitStatement.Unknown() -> {}
     }
   }
 
-  private OptionalDouble known(
-      EndpointIdentity endpoint, Function<EndpointLimit, OptionalDouble> property) {
-    EndpointLimit limit = limits.get(endpoint);
-    return limit == null ? OptionalDouble.empty() : property.apply(limit);
+  private void heard(
+      EndpointIdentity endpoint, OptionalDouble newLimit, long sentNanos, long nowNanos) {
+    EndpointLimit limit = limit(endpoint, nowNanos);
+    if (limit.heard(newLimit, sentNanos, nowNanos)) {
+      changed(endpoint, limit, nowNanos);
+      unannounced = true;
+    }
   }
 
   private boolean isStated(EndpointIdentity endpoint) {
--- a/src/test/java/org/magnoliavale/internal/limit/EndpointLimitsTest.java
+++ b/src/test/java/org/magnoliavale/internal/limit/EndpointLimitsTest.java
@@ -127,6 +127,18 @@
     assertThat(limits.takeNews()).isFalse();
   }
 
+  @Test
+  void responseThatNeedNotNameALimitDoesNotProlongIt() {
+    hear(LimitStatement.limited(2));
+    advance(1_000);
+    hear(LimitStatement.UNKNOWN);
+    limits.learn(
+        new EndpointLimits.Statement(
+            ENDPOINT, OptionalDouble.empty(), TimeUnit.MILLISECONDS.toNanos(500)),
+        now);
+    assertThat(sendFor(100)).isEqualTo(10);
+  }
+
   @Nested
   class Fleet {
     @Test
