Let no stream to an HTTP/1.0 caller look complete when the instance ends

What callers saw: a stream to a caller of HTTP/1.0 has no chunks and ends with its connection. When the server stopped or the process ended within it, Jetty or the system closed the connection in an orderly way, and the part that had come looked like a whole stream.

Cause: only an abort made its close a reset, just before it closed. Every other end of the connection was an orderly one.

What changed: the connection is set to be reset at the begin of such a response, whoever ends it, and set back when all of it has been taken by the system and only the last, empty write is missing.

Ruled out: HTTP/1.1 callers, also with "Connection: close" or during a stop, get chunks since. Data that a late reader has not read when the response ends is not lost: isWholeForACallerThatReadsLate passes before and after.

Evidence: before the change, GatewayInstanceTest. streamWithoutChunksDoesNotAppearCompleteIfTheInstanceEnds and ResponseThatEndsWithItsConnectionTest. doesNotLookCompleteIfTheServerStopsWithinIt failed (the answers looked complete); with it they pass, as do CutStreamTest and GatewayInstanceTest. The fixture halts its instance once, since a test may have halted it.

--- a/src/main/java/org/magnoliavale/internal/gateway/JettyResponseWriter.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyResponseWriter.java
@@ -1,24 +1,18 @@
 package org.magnoliavale.internal.gateway;
 
-import java.io.IOException;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpHeaderValue;
-import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
-import org.jboss.logging.Logger;
 import org.magnoliavale.internal.call.CallerResponse;
-import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.http.StreamFraming;
 
 /**
  * Writes the response of one request through Jetty's server. The first of {@link #respond}, {@link
@@ -33,8 +27,6 @@
     }
   }
 
-  private static final Logger LOG = Logs.of("caller");
-
   private final Request request;
   private final Response response;
   private final Callback callback;
@@ -81,14 +73,7 @@
   @Override
   public void begin(int status, HttpFields headers) {
     setStatusAndHeaders(status, headers);
-    if (understandsChunks()) {
-      // Without it, a response on a connection that is to be closed would end with that close.
-      response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
-    }
-  }
-
-  private boolean understandsChunks() {
-    return request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1;
+    StreamFraming.begin(response);
   }
 
   private void setStatusAndHeaders(int status, HttpFields headers) {
@@ -110,6 +95,7 @@
   @Override
   public void finish() {
     if (markCompleted()) {
+      StreamFraming.complete(response);
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
   }
@@ -118,25 +104,11 @@
   public void abort() {
     if (markCompleted()) {
       EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-      if (!understandsChunks()) {
-        closeWithReset(endPoint);
-      }
       endPoint.close();
       callback.failed(new Aborted());
     }
   }
 
-  /** Lets the coming close be a reset; an orderly one would end the response as complete. */
-  private static void closeWithReset(EndPoint endPoint) {
-    if (endPoint.getTransport() instanceof SocketChannel channel) {
-      try {
-        channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-      } catch (IOException e) {
-        LOG.debugf("Connection could not be reset. reason=%s", e);
-      }
-    }
-  }
-
   private boolean markCompleted() {
     CallerDisconnectMonitor activeMonitor;
     synchronized (this) {
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -52,6 +52,7 @@
   private volatile RouteTable configuration = configuration(1, BODY_LIMIT_BYTES, standardRoutes());
   RawEndpoint endpoint;
   GatewayInstance instance;
+  private boolean halted;
 
   private static final class RejectingEndpointControl implements EndpointControl {
     @Override
@@ -89,10 +90,18 @@
 
   @AfterEach
   void stop() throws Exception {
-    instance.halt();
+    halt();
     endpoint.close();
   }
 
+  /** Halts the instance; does nothing if it was halted before. */
+  void halt() {
+    if (!halted) {
+      halted = true;
+      instance.halt();
+    }
+  }
+
   private static GatewaySettings settings() {
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     Duration second = Duration.ofSeconds(1);
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
@@ -1,10 +1,13 @@
 package org.magnoliavale.internal.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.fail;
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -210,6 +213,22 @@
     }
   }
 
+  /** Guards against a response that looks complete because the instance ends within it. */
+  @Test
+  void streamWithoutChunksDoesNotAppearCompleteIfTheInstanceEnds() throws Exception {
+    try (Socket caller = connect()) {
+      String head = "GET /stream/x HTTP/1.0\r\nHost: menus.example\r\nX-Request-Attempt-Id: id-1";
+      caller.getOutputStream().write((head + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+      RawEndpoint.ReceivedRequest received = endpoint.nextRequest();
+      received.beginStream();
+      received.sendChunk(EVENT);
+      assertThat(readUntil(caller, EVENT)).contains(EVENT);
+      halt();
+      assertThatThrownBy(() -> readUntil(caller, "nothing more"))
+          .isInstanceOf(SocketException.class);
+    }
+  }
+
   /** Returns when responses announce that their connections end. */
   private void awaitStopping() throws Exception {
     for (int i = 0; i < MAXIMUM_CHECKS; i++) {
