Abort a stream of which a write has failed

What callers saw: an HTTP/1.0 caller that read nothing until the idle timeout lost the rest of its stream, and the part that the system had taken then ended in an orderly way, as a whole stream does.

Cause: a failed write counted as written, so that the stream went on to its finish, which let the connection end in order.

What changed: the response writer remembers a failed write and aborts where it would finish.

Ruled out: HTTP/1.1 callers lack the last chunk, before the change too.

Evidence: ResponseThatEndsWithItsConnectionTest. doesNotLookCompleteIfAWriteHasFailed failed for HTTP/1.0 (1 of 2 cases: the answer looked complete) and passed for HTTP/1.1 before; both pass now.

--- a/src/main/java/org/magnoliavale/internal/gateway/JettyResponseWriter.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyResponseWriter.java
@@ -16,7 +16,8 @@
 
 /**
  * Writes the response of one request through Jetty's server. The first of {@link #respond}, {@link
- * #finish} and {@link #abort} completes the response; later calls of these have no effect.
+ * #finish} and {@link #abort} completes the response; later calls of these have no effect. A
+ * response of which a write has failed is aborted by {@link #finish}.
  */
 final class JettyResponseWriter implements CallerResponse {
   private static final class Aborted extends Exception implements QuietException {
@@ -33,6 +34,7 @@
   private final BooleanSupplier closeConnection;
   private CallerDisconnectMonitor disconnectMonitor;
   private boolean completed;
+  private volatile boolean writeFailed;
 
   /**
    * Returns the response writer of a request.
@@ -88,13 +90,21 @@
 
   @Override
   public void write(ByteBuffer bytes, Runnable written) {
-    // A write fails if the caller has disconnected, which the monitor or a later write reports.
-    response.write(false, bytes, Callback.from(written, ignored -> written.run()));
+    // A write fails if the caller has disconnected, which the monitor or a later write reports, or
+    // if it reads nothing for long.
+    response.write(false, bytes, Callback.from(written, ignored -> writeFailed(written)));
+  }
+
+  private void writeFailed(Runnable written) {
+    writeFailed = true;
+    written.run();
   }
 
   @Override
   public void finish() {
-    if (markCompleted()) {
+    if (writeFailed) {
+      abort();
+    } else if (markCompleted()) {
       StreamFraming.complete(response);
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
--- a/src/test/java/org/magnoliavale/internal/gateway/ResponseThatEndsWithItsConnectionTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/ResponseThatEndsWithItsConnectionTest.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliavale.internal.http.HttpServers;
 
 /** A response without length or chunks, to a caller of HTTP/1.0, on real sockets. */
@@ -45,6 +47,7 @@
   private volatile int pieces = 1;
   private volatile int pieceBytes = SMALL_PIECE_BYTES;
   private volatile boolean finishes = true;
+  private String version = "HTTP/1.0";
 
   /** Writes its pieces one after the other and then finishes the response, if it is to. */
   private final class PieceHandler extends Handler.Abstract.NonBlocking {
@@ -85,7 +88,7 @@
         new InetSocketAddress(InetAddress.getLoopbackAddress(), HttpServers.start(server)));
     caller
         .getOutputStream()
-        .write("GET / HTTP/1.0\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        .write(("GET / " + version + "\r\nHost: h\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
   }
 
   @AfterEach
@@ -121,4 +124,16 @@
     HttpServers.stop(server);
     assertThat(readAnswer().complete()).isFalse();
   }
+
+  /** Guards against a response that is finished although a write of it has failed. */
+  @ParameterizedTest
+  @ValueSource(strings = {"HTTP/1.0", "HTTP/1.1"})
+  void doesNotLookCompleteIfAWriteHasFailed(String version) throws Exception {
+    this.version = version;
+    pieces = LARGE_PIECES;
+    pieceBytes = LARGE_PIECE_BYTES;
+    request(SHORT);
+    await(completed);
+    assertThat(readAnswer().complete()).isFalse();
+  }
 }
