Let no broken stream of serve look complete on a closing connection

What callers saw: on `serve`, a stream to an HTTP/1.0 caller, or to one that had asked for "Connection: close", ended as a complete response when the server stopped, the process ended, or an internal error broke it off.

Cause: Jetty frames a response of unknown length by the end of a connection that is to be closed, and each of these ends was an orderly one.

What changed: `serve` frames its streams as `gateway` does: chunks for HTTP/1.1, and for HTTP/1.0 a connection that is reset unless the stream came to its end.

Ruled out: an endpoint that breaks off is told by an error event before the stream ends, as before.

--- a/src/main/java/org/magnoliavale/internal/traffic/EventStreamForwarder.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/EventStreamForwarder.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.server.Response;
 import org.magnoliavale.MagnoliavaleException;
 import org.magnoliavale.internal.http.Problems;
+import org.magnoliavale.internal.http.StreamFraming;
 
 /**
  * Forwards a stream of server-sent events to a caller. It keeps the id of the last forwarded event,
@@ -102,7 +103,9 @@
 
   /** Completes the response. */
   void close() throws IOException {
-    output().close();
+    OutputStream whole = output();
+    StreamFraming.complete(response);
+    whole.close();
   }
 
   /**
@@ -147,6 +150,7 @@
       response.setStatus(HttpStatus.OK_200);
       response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
       response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
+      StreamFraming.begin(response);
       output = Content.Sink.asOutputStream(response);
     }
     return output;
--- a/src/test/java/org/magnoliavale/internal/traffic/ScriptedSender.java
+++ b/src/test/java/org/magnoliavale/internal/traffic/ScriptedSender.java
@@ -39,7 +39,11 @@
   }
 
   static AttemptResult response(int status, String body) {
-    return new AttemptResult.Responded(new Response(status, stream(body)));
+    return response(status, stream(body));
+  }
+
+  static AttemptResult response(int status, InputStream content) {
+    return new AttemptResult.Responded(new Response(status, content));
   }
 
   /** Returns a response whose connection is lost after {@code body}. */
