Bound every number from outside where it is decoded

Callers with X-Time-Remaining: (they wait without a limit) got 500: Duration.toNanos throws beyond 292 years, in the step that sends the call.

A value without a version (empty, null, {}) is no configuration: the first one was installed and answered 404 to everything, not 503; - peers: number and age of crashes (2^31 crashes were 2^31 strings on the link's thread), age of a relayed heartbeat and of limits, time of reads, rates and waiting calls of artifacts, rates of limits. Checked and left: the directory's numbers, the store's generation and the settings file have bounds; versions and event ids are only compared; cold-remaining-ms isn't read. The deadline compares durations before it converts the shorter one to nanoseconds.

--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -73,9 +73,11 @@
    * Returns the deadline: the earlier of the route's timeout and the time that the caller waits.
    */
   long deadlineNanos() {
-    long routeNanos = route.timeout().toNanos();
-    long callerNanos = metadata.timeRemaining().map(time -> time.toNanos()).orElse(routeNanos);
-    return request.arrivedNanos() + Math.min(routeNanos, callerNanos);
+    Duration routeTime = route.timeout();
+    Duration callerTime = metadata.timeRemaining().orElse(routeTime);
+    // Compared before the conversion: a time of a caller may be too long for nanoseconds.
+    Duration time = callerTime.compareTo(routeTime) < 0 ? callerTime : routeTime;
+    return request.arrivedNanos() + (time.isNegative() ? 0 : time.toNanos());
   }
 
   /** Returns the time until the deadline, 0 if it has passed. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -221,7 +221,7 @@
     for (EndpointState state : candidates) {
       double delay = expectedDelayMs(state, criteria, nowNanos);
       delay *= 1 + RANDOM_FACTOR * random.nextDouble();
-      if (delay < bestDelay) {
+      if (best == null || delay < bestDelay) {
         best = state;
         bestDelay = delay;
       }
--- a/src/main/java/org/magnoliavale/internal/gateway/LimitExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/LimitExchange.java
@@ -19,6 +19,9 @@
   /** Longest time since a statement that is believed; it also bounds what a peer may send. */
   private static final long MAXIMUM_AGE_MS = TimeUnit.DAYS.toMillis(1);
 
+  /** Highest rate that is believed, in requests a second. */
+  private static final double MAXIMUM_RATE = 1_000_000_000;
+
   /** Adds what endpoints have said to this instance, and how much it would send to them. */
   void addTo(Heartbeat.Builder heartbeat, long nowNanos) {
     for (EndpointLimits.Statement statement : limits.statements(nowNanos)) {
@@ -63,7 +66,7 @@
   }
 
   private static boolean isRate(double value) {
-    return Double.isFinite(value) && value >= 0;
+    return value >= 0 && value <= MAXIMUM_RATE;
   }
 
   private static boolean isAge(long milliseconds) {
--- a/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
@@ -39,6 +39,14 @@
   /** Time without a heartbeat from the lease holder after which the lease row is read again. */
   private static final long LEASE_HOLDER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_100);
 
+  /** Longest time without a failed read that a peer is believed. */
+  private static final long MAXIMUM_READ_TIME_MS = TimeUnit.DAYS.toMillis(1);
+
+  /** Most requests a second, and most waiting requests, that a peer may state for an artifact. */
+  private static final double MAXIMUM_RATE = 1_000_000;
+
+  private static final int MAXIMUM_WAITING = 1_000_000;
+
   private final String localInstanceId;
   private final Membership membership;
   private final CrashRegistry crashes;
@@ -185,7 +193,10 @@
     for (var use : heartbeat.getUsesList()) {
       uses.put(
           Artifact.parse(use.getArtifact()),
-          new ArtifactUse(use.getRequestsPerSecond(), use.getWaiting(), use.getPatient()));
+          new ArtifactUse(
+              boundedRate(use.getRequestsPerSecond()),
+              Math.clamp(use.getWaiting(), 0, MAXIMUM_WAITING),
+              use.getPatient()));
       hasWaiting |= use.getWaiting() > 0;
     }
     fleetDemand.update(instance, uses, now);
@@ -210,8 +221,13 @@
     }
   }
 
+  private static double boundedRate(double perSecond) {
+    return Double.isNaN(perSecond) ? 0 : Math.clamp(perSecond, 0, MAXIMUM_RATE);
+  }
+
   private void applyDepartures(Heartbeat heartbeat, long now) {
-    departures.continuity().learn(heartbeat.getDirectoryReadMs(), now);
+    long readMs = Math.clamp(heartbeat.getDirectoryReadMs(), 0, MAXIMUM_READ_TIME_MS);
+    departures.continuity().learn(readMs, now);
     for (String draining : heartbeat.getDrainingEndpointsList()) {
       departures.learn(
           new Departure(EndpointIdentity.parse(draining), EndpointDepartures.DRAINING), now);
--- a/src/main/java/org/magnoliavale/internal/link/CrashRecords.java
+++ b/src/main/java/org/magnoliavale/internal/link/CrashRecords.java
@@ -4,12 +4,18 @@
 import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.containment.CrashCount;
 import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.link.protocol.CrashRecord;
 
 /** Converts crash counts to and from the messages of the links. */
 public final class CrashRecords {
+  /** Most crashes that a message may state without their names; far fewer block a request. */
+  private static final int MAXIMUM_UNNAMED_CRASHES = 100;
+
+  private static final long MAXIMUM_AGE_MS = TimeUnit.DAYS.toMillis(1);
+
   private CrashRecords() {}
 
   /** Returns the message for a count. */
@@ -30,11 +36,15 @@
    */
   public static CrashCount toCount(String instance, CrashRecord record) {
     Set<String> crashes = new HashSet<>(record.getIncarnationsList());
-    for (int unnamed = crashes.size(); unnamed < record.getCrashes(); unnamed++) {
+    int count = Math.min(record.getCrashes(), MAXIMUM_UNNAMED_CRASHES);
+    for (int unnamed = crashes.size(); unnamed < count; unnamed++) {
       crashes.add(instance + "#" + unnamed);
     }
     String fingerprint = HexFormat.of().formatHex(record.getFingerprint().toByteArray());
     return new CrashCount(
-        new Fingerprint(fingerprint), crashes, record.getAgeMs(), record.getLifted());
+        new Fingerprint(fingerprint),
+        crashes,
+        Math.clamp(record.getAgeMs(), 0, MAXIMUM_AGE_MS),
+        record.getLifted());
   }
 }
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -119,10 +119,15 @@
     if (ageMs > MAXIMUM_READ_STATE_AGE_MS) {
       aged.clearDirectoryReadMs();
     }
-    aged.getLimitsBuilderList().forEach(limit -> limit.setAgeMs(limit.getAgeMs() + ageMs));
+    aged.getLimitsBuilderList().forEach(limit -> limit.setAgeMs(agedMs(limit.getAgeMs(), ageMs)));
     return aged.build();
   }
 
+  /** An age that is too high stays so, and does not become negative. */
+  private static long agedMs(long statedMs, long ageMs) {
+    return statedMs > Long.MAX_VALUE - ageMs ? Long.MAX_VALUE : statedMs + ageMs;
+  }
+
   private static boolean isWaiting(Heartbeat heartbeat) {
     return heartbeat.getUsesList().stream().anyMatch(use -> use.getWaiting() > 0);
   }
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
@@ -61,7 +61,7 @@
    */
   boolean accept(
       String origin, Heartbeat heartbeat, String receivedFrom, long ageMs, long nowNanos) {
-    if (origin.equals(self) || ageMs > EXPIRY_MS) {
+    if (origin.equals(self) || ageMs < 0 || ageMs > EXPIRY_MS) {
       return false;
     }
     Known known = newest.get(origin);
--- a/src/main/java/org/magnoliavale/internal/route/Route.java
+++ b/src/main/java/org/magnoliavale/internal/route/Route.java
@@ -30,14 +30,20 @@
     Duration targetLatency,
     List<WeightedService> services) {
   /** Longest timeout; a longer one stands for none, and may be too long to count in nanoseconds. */
-  private static final Duration MAXIMUM_TIMEOUT = Duration.ofDays(1);
+  public static final Duration MAXIMUM_TIMEOUT = Duration.ofDays(1);
 
-  /** Copies the services and shortens a timeout that is too long. */
+  /** Copies the services and bounds the times. */
   public Route {
-    timeout = timeout.compareTo(MAXIMUM_TIMEOUT) < 0 ? timeout : MAXIMUM_TIMEOUT;
+    timeout = bounded(timeout);
+    targetLatency = bounded(targetLatency);
     services = List.copyOf(services);
   }
 
+  private static Duration bounded(Duration time) {
+    Duration notNegative = time.isNegative() ? Duration.ZERO : time;
+    return notNegative.compareTo(MAXIMUM_TIMEOUT) < 0 ? notNegative : MAXIMUM_TIMEOUT;
+  }
+
   /** Returns whether a call may be retried after an attempt that may have been executed. */
   public boolean isRetryable() {
     return kind == CallKind.IDEMPOTENT || kind == CallKind.STREAM && resumable;
--- a/src/main/java/org/magnoliavale/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/magnoliavale/platform/ConfigurationDecoder.java
@@ -23,19 +23,42 @@
 final class ConfigurationDecoder {
   private static final int DEFAULT_BODY_BYTES = 4 << 20;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
+  private static final long MAXIMUM_TIME_MS = Route.MAXIMUM_TIMEOUT.toMillis();
+  private static final int UNLIMITED_BODY_BYTES = -1;
+  private static final int MAXIMUM_PRIORITY = 1_000;
+  private static final int MAXIMUM_ATTEMPTS = 1_000;
+
+  /** Largest weight, number or size that an entry may state; far beyond any real one. */
+  private static final double MAXIMUM_AMOUNT = 1e12;
+
+  private static final int MAXIMUM_COUNT = 1_000_000;
 
   private ConfigurationDecoder() {}
 
-  /** Decodes a configuration without validating it; the store accepts only valid ones. */
+  /**
+   * Decodes a configuration without validating it; the store accepts only valid ones. Numbers are
+   * bounded, and those that are missing or no numbers have their defaults.
+   *
+   * @throws IOException if it is no configuration, or has no version
+   */
   static RouteTable decode(byte[] bytes) throws IOException {
     JsonNode tree = Json.tree(bytes);
+    JsonNode version = tree.path("version");
+    if (!version.isIntegralNumber() || !version.canConvertToLong()) {
+      throw new IOException("no configuration with a version");
+    }
     try {
       List<Route> routes = new ArrayList<>();
       tree.path("routes").forEach(route -> routes.add(decodeRoute(route)));
       List<ServiceSpecification> services = new ArrayList<>();
       tree.path("services").forEach(service -> services.add(decodeService(service)));
-      int maximumBodyBytes = tree.path("limits").path("body-bytes").asInt(DEFAULT_BODY_BYTES);
-      return RouteTable.of(tree.path("version").asLong(), routes, services, maximumBodyBytes);
+      int maximumBodyBytes =
+          BoundedNumbers.whole(
+              tree.path("limits").path("body-bytes"),
+              UNLIMITED_BODY_BYTES,
+              Integer.MAX_VALUE,
+              DEFAULT_BODY_BYTES);
+      return RouteTable.of(version.asLong(), routes, services, maximumBodyBytes);
     } catch (IllegalArgumentException e) {
       throw new IOException(e.getMessage(), e);
     }
@@ -48,13 +71,25 @@
         route.path("prefix").asText(),
         decodeKind(route.path("kind").asText()),
         route.path("resumable").asBoolean(),
-        route.path("priority").asInt(),
-        Math.max(1, route.path("attempts").asInt(1)),
-        Duration.ofMillis(route.path("timeout-ms").asLong()),
-        Duration.ofMillis(route.path("target-latency-ms").asLong()),
+        BoundedNumbers.whole(route.path("priority"), 0, MAXIMUM_PRIORITY, 0),
+        BoundedNumbers.whole(route.path("attempts"), 1, MAXIMUM_ATTEMPTS, 1),
+        decodeMilliseconds(route.path("timeout-ms")),
+        decodeMilliseconds(route.path("target-latency-ms")),
         decodeWeightedServices(route));
   }
 
+  private static Duration decodeMilliseconds(JsonNode node) {
+    return Duration.ofMillis((long) BoundedNumbers.decimal(node, 0, MAXIMUM_TIME_MS, 0));
+  }
+
+  private static double decodeAmount(JsonNode node) {
+    return BoundedNumbers.decimal(node, 0, MAXIMUM_AMOUNT, 0);
+  }
+
+  private static int decodeCount(JsonNode node) {
+    return BoundedNumbers.whole(node, 0, MAXIMUM_COUNT, 0);
+  }
+
   private static CallKind decodeKind(String name) {
     return switch (name) {
       case "safe" -> CallKind.IDEMPOTENT;
@@ -70,7 +105,7 @@
       weightedServices.add(
           new WeightedService(
               new ServiceId(weightedService.path("service").asText()),
-              weightedService.path("weight").asDouble()));
+              decodeAmount(weightedService.path("weight"))));
     }
     if (weightedServices.isEmpty()) {
       weightedServices.add(new WeightedService(new ServiceId(route.path("service").asText()), 1));
@@ -82,7 +117,8 @@
     JsonNode engine = service.path("engine");
     return new ServiceSpecification(
         new ServiceId(service.path("name").asText()),
-        service.path("connection-limit").asInt(Integer.MAX_VALUE),
+        BoundedNumbers.whole(
+            service.path("connection-limit"), 1, Integer.MAX_VALUE, Integer.MAX_VALUE),
         engine.isObject() ? Optional.of(decodeEngine(engine)) : Optional.empty());
   }
 
@@ -94,24 +130,26 @@
           name,
           new ModelSpecification(
               name,
-              model.path("weights-mb").asDouble(),
+              decodeAmount(model.path("weights-mb")),
               decodeDuration(model, "load-s", "load-s"),
               decodeDuration(model, "disk-s", "load-s"),
               decodeDuration(model, "warm-s", "load-s"),
-              model.path("adapters").asInt(),
-              model.path("adapter-mb").asDouble()));
+              decodeCount(model.path("adapters")),
+              decodeAmount(model.path("adapter-mb"))));
     }
     return new EngineSpecification(
-        engine.path("slots").asInt(),
-        engine.path("kv-cache-tokens").asLong(),
-        engine.path("weights-mb").asDouble(),
-        engine.path("adapter-slots").asInt(),
-        engine.path("loads-per-s").asDouble(),
+        decodeCount(engine.path("slots")),
+        (long) decodeAmount(engine.path("kv-cache-tokens")),
+        decodeAmount(engine.path("weights-mb")),
+        decodeCount(engine.path("adapter-slots")),
+        decodeAmount(engine.path("loads-per-s")),
         models);
   }
 
   private static Duration decodeDuration(JsonNode node, String key, String fallbackKey) {
-    double seconds = node.path(key).asDouble(node.path(fallbackKey).asDouble());
+    double maximumSeconds = MAXIMUM_TIME_MS / MILLISECONDS_PER_SECOND;
+    double fallback = BoundedNumbers.decimal(node.path(fallbackKey), 0, maximumSeconds, 0);
+    double seconds = BoundedNumbers.decimal(node.path(key), 0, maximumSeconds, fallback);
     return Duration.ofMillis((long) (seconds * MILLISECONDS_PER_SECOND));
   }
 }
--- a/src/main/java/org/magnoliavale/platform/WorkerControl.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerControl.java
@@ -115,7 +115,7 @@
       JsonNode tree = Json.tree(body);
       Set<String> coming = new HashSet<>();
       for (JsonNode name : tree.path("coming")) {
-        coming.add(name.asText().split("@")[0]);
+        coming.add(name.asText().split("@", 2)[0]);
       }
       return Optional.of(
           new EndpointReport(
@@ -124,7 +124,8 @@
               tree.path("sequence").asLong(),
               tree.path("born").asLong(),
               coming));
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException e) {
+      // Whatever a worker reports, its next report is asked for again.
       return Optional.empty();
     }
   }
--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.internal.call.CallMetadata;
@@ -34,6 +35,17 @@
 
   private static final int MISDIRECTED_REQUEST = 421;
 
+  /** Longest time that a caller is taken to wait; any route ends its calls sooner. */
+  private static final long MAXIMUM_TIME_REMAINING_MS = TimeUnit.DAYS.toMillis(1);
+
+  /** Most tokens that a part of a request is taken to have. */
+  private static final long MAXIMUM_TOKENS = 10_000_000;
+
+  private static final int LOAD_VALUES = 3;
+
+  /** Most requests or slots that a worker is taken to report. */
+  private static final long MAXIMUM_REPORTED_REQUESTS = 1_000_000;
+
   /** Hop-by-hop headers, which are not forwarded. */
   private static final Set<String> HOP_BY_HOP_HEADERS =
       Set.of(
@@ -72,8 +84,9 @@
     String id = fromCaller.get(ATTEMPT_ID);
     return new CallMetadata(
         id == null ? "" : id,
-        parseNumber(fromCaller.get(TIME_REMAINING)).map(Duration::ofMillis),
-        parseNumber(fromCaller.get(LAST_EVENT_ID)),
+        BoundedNumbers.whole(fromCaller.get(TIME_REMAINING), 0, MAXIMUM_TIME_REMAINING_MS)
+            .map(Duration::ofMillis),
+        parseEventId(fromCaller.get(LAST_EVENT_ID)),
         parseGeneration(fromCaller));
   }
 
@@ -84,8 +97,8 @@
     }
     String counts = headers.get(TOKEN_COUNTS);
     String[] numbers = counts == null ? new String[0] : counts.split(",");
-    int prompt = numbers.length > 0 ? parseNumber(numbers[0]).orElse(0L).intValue() : 0;
-    int output = numbers.length > 1 ? parseNumber(numbers[1]).orElse(0L).intValue() : 0;
+    int prompt = numbers.length > 0 ? parseTokens(numbers[0]) : 0;
+    int output = numbers.length > 1 ? parseTokens(numbers[1]) : 0;
     return Optional.of(
         new GenerationRequest(
             Artifact.parse(model),
@@ -102,13 +115,17 @@
     for (String part : prefix.split(",")) {
       int colon = part.indexOf(':');
       if (colon > 0) {
-        int tokens = parseNumber(part.substring(colon + 1)).orElse(0L).intValue();
+        int tokens = parseTokens(part.substring(colon + 1));
         parts.add(new PromptSegment(part.substring(0, colon).strip(), tokens));
       }
     }
     return parts;
   }
 
+  private static int parseTokens(String text) {
+    return BoundedNumbers.whole(text, 0, MAXIMUM_TOKENS).orElse(0L).intValue();
+  }
+
   @Override
   public HttpFields requestHeaders(HttpFields fromCaller, ForwardingContext forwarding) {
     HttpFields.Mutable headers = endToEnd(fromCaller, RESERVED_HEADERS);
@@ -145,22 +162,23 @@
       return Optional.empty();
     }
     String[] parts = value.split(",");
-    if (parts.length < 3) {
+    if (parts.length < LOAD_VALUES) {
       return Optional.empty();
     }
-    return parseNumber(parts[0])
-        .flatMap(
-            running ->
-                parseNumber(parts[1])
-                    .flatMap(
-                        waiting ->
-                            parseNumber(parts[2])
-                                .map(
-                                    slots ->
-                                        new ReportedLoad(
-                                            running.intValue(),
-                                            waiting.intValue(),
-                                            slots.intValue()))));
+    List<Integer> counts = new ArrayList<>();
+    for (int i = 0; i < LOAD_VALUES; i++) {
+      parseCount(parts[i]).ifPresent(counts::add);
+    }
+    return counts.size() < LOAD_VALUES
+        ? Optional.empty()
+        : Optional.of(new ReportedLoad(counts.get(0), counts.get(1), counts.get(2)));
+  }
+
+  /** Returns the number of requests or slots in a load header; empty if it is negative. */
+  private static Optional<Integer> parseCount(String text) {
+    return BoundedNumbers.whole(text, -1, MAXIMUM_REPORTED_REQUESTS)
+        .filter(count -> count >= 0)
+        .map(Long::intValue);
   }
 
   @Override
@@ -200,7 +218,8 @@
     return names;
   }
 
-  private static Optional<Long> parseNumber(String text) {
+  /** Parses an id, which has no bounds: events are only compared by it. */
+  private static Optional<Long> parseEventId(String text) {
     if (text == null) {
       return Optional.empty();
     }
