Keep a read at a slow endpoint until another endpoint has begun to answer it

What callers saw: 502 on a safe request, with time left, although its endpoint was sound. It had fallen silent for a second while the others were full.

Cause: an idempotent call without a response head after twice the target latency was cancelled at its endpoint if that one had sent anything to anybody in the last 900 ms, and sent to another endpoint. If that one refused it, broke off or was not reached, and the route allowed no more, the call ended with 502. An endpoint that has just begun to pause looks the same as a slow one.

Ruled out: a change of the configuration as the cause.

Why it works: the attempt is kept beside the one at the other endpoint, as at a silent endpoint, and the first one that makes progress is kept. No more endpoints are asked than the route allows, and each one takes a retry from the budget as before; a slow endpoint may work a little longer on a request that another one answers.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -94,10 +94,10 @@
   }
 
   /**
-   * Sends the call to another endpoint as well if this one is silent, and instead if an idempotent
-   * call gets no response head in time. Silence alone is no reason: with few attempts at an
-   * endpoint, a slow one looks like one that has failed. And it never ends an attempt, since a
-   * sound endpoint may pause and go on.
+   * Sends the call to another endpoint as well if this one is silent, or if an idempotent call gets
+   * no response head in time. Silence alone is no reason: with few attempts at an endpoint, a slow
+   * one looks like one that has failed. And it never ends an attempt, since a sound endpoint may
+   * pause and go on.
    */
   void tick(long nowNanos) {
     long limit = call.plan().silenceTimeoutNanos();
@@ -111,9 +111,9 @@
     boolean endpointSilent =
         pool().isUnresponsive(identity(), nowNanos) || !pool().isAvailable(identity());
     if ((noHead || noEvent) && endpointSilent) {
-      call.otherEndpoints().trySilent(this, nowNanos);
+      call.otherEndpoints().tryOther(this, "silent", nowNanos);
     } else if (noHead && call.plan().route().kind() == CallKind.IDEMPOTENT) {
-      call.otherEndpoints().replaceSlow(this, nowNanos);
+      call.otherEndpoints().tryOther(this, "slow", nowNanos);
     }
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/AttemptsInProgress.java
+++ b/src/main/java/org/magnoliavale/internal/call/AttemptsInProgress.java
@@ -4,24 +4,24 @@
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
 
 /**
- * The attempts of a call that have not ended: one, or two while an attempt at a silent endpoint is
- * kept beside one at another endpoint. The first of the two that makes progress is kept, and an
- * endpoint that only paused loses nothing if the other one does not take the call. Guarded by its
- * call.
+ * The attempts of a call that have not ended: one, or two while an attempt at a silent or slow
+ * endpoint is kept beside one at another endpoint. The first of the two that makes progress is
+ * kept, and an endpoint that only paused loses nothing if the other one does not take the call.
+ * Guarded by its call.
  */
 final class AttemptsInProgress {
   private Optional<Attempt> latest = Optional.empty();
-  private Optional<Attempt> silent = Optional.empty();
+  private Optional<Attempt> earlier = Optional.empty();
 
   /** Adds the only attempt in progress. */
   void add(Attempt attempt) {
     latest = Optional.of(attempt);
-    silent = Optional.empty();
+    earlier = Optional.empty();
   }
 
-  /** Adds an attempt beside the one in progress, whose endpoint is silent. */
-  void addBesideSilent(Attempt attempt) {
-    silent = latest;
+  /** Adds an attempt beside the one in progress, whose endpoint is silent or slow. */
+  void addBeside(Attempt attempt) {
+    earlier = latest;
     latest = Optional.of(attempt);
   }
 
@@ -30,16 +30,16 @@
     return latest;
   }
 
-  /** Returns whether a silent attempt is kept beside another one. */
+  /** Returns whether an earlier attempt is kept beside another one. */
   boolean isPair() {
-    return silent.isPresent();
+    return earlier.isPresent();
   }
 
   /** Removes an attempt that has ended; returns whether another one goes on. */
   boolean removeEnded(Attempt ended) {
     Optional<Attempt> other = other(ended);
     latest = other;
-    silent = Optional.empty();
+    earlier = Optional.empty();
     return other.isPresent();
   }
 
@@ -55,14 +55,14 @@
   }
 
   private Optional<Attempt> other(Attempt attempt) {
-    return silent.isEmpty() || silent.get() != attempt ? silent : latest;
+    return earlier.isEmpty() || earlier.get() != attempt ? earlier : latest;
   }
 
   /** Cancels all attempts in progress. */
   void cancel(AttemptOutcome outcome, long nowNanos) {
     latest.ifPresent(attempt -> attempt.cancel(outcome, nowNanos));
-    silent.ifPresent(attempt -> attempt.cancel(outcome, nowNanos));
+    earlier.ifPresent(attempt -> attempt.cancel(outcome, nowNanos));
     latest = Optional.empty();
-    silent = Optional.empty();
+    earlier = Optional.empty();
   }
 }
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -21,8 +21,8 @@
  *
  * <p>A non-idempotent request is retried only after the endpoint stated that it did not execute it,
  * or when no byte of it was sent. A resumable stream continues at another endpoint after the last
- * complete event that was forwarded to the caller; an attempt at a silent endpoint is kept until
- * another one has begun to answer.
+ * complete event that was forwarded to the caller; an attempt at a silent or slow endpoint is kept
+ * until another one has begun to answer.
  *
  * <p>A call that has certainly not been executed is rejected with status 503 and Retry-After; one
  * that may have been executed ends with the endpoint's own error response, with 502, or with 504 at
@@ -200,7 +200,7 @@
   }
 
   /** Sends the call to an endpoint; no other attempt is in progress. */
-  void send(EndpointChoice.Selected choice, long nowNanos) {
+  private void send(EndpointChoice.Selected choice, long nowNanos) {
     artifactWait.stop();
     state = State.SENT;
     Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
@@ -208,10 +208,10 @@
     send(attempt, choice, nowNanos);
   }
 
-  /** Sends the call to an endpoint beside its attempt in progress at a silent one. */
-  void sendBesideSilent(EndpointChoice.Selected choice, long nowNanos) {
+  /** Sends the call to an endpoint beside its attempt in progress at a silent or slow one. */
+  void sendBeside(EndpointChoice.Selected choice, long nowNanos) {
     Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
-    attempts.addBesideSilent(attempt);
+    attempts.addBeside(attempt);
     send(attempt, choice, nowNanos);
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/OtherEndpointTries.java
+++ b/src/main/java/org/magnoliavale/internal/call/OtherEndpointTries.java
@@ -8,14 +8,13 @@
 /**
  * Tries other endpoints for a call while its endpoint is silent or slow. Guarded by its call.
  *
- * <p>A silent endpoint may only pause. Its attempt is kept beside the one at another endpoint until
- * either of them makes progress, so a call loses nothing if the other endpoint does not take it. An
- * attempt at a slow endpoint is given up at once, since both would load endpoints that are slow
- * because of their load.
+ * <p>A silent endpoint may only pause, and a slow one may be about to answer. Its attempt is kept
+ * beside the one at another endpoint until either of them makes progress, so a call loses nothing
+ * if the other endpoint does not take it.
  */
 final class OtherEndpointTries {
-  /** Minimum time between two tries beside a silent endpoint. */
-  private static final long SILENT_RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+  /** Minimum time between two tries beside an attempt in progress. */
+  private static final long RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
   private final Call call;
   private final AttemptsInProgress attempts;
@@ -36,48 +35,35 @@
 
   /**
    * Sends the call to another endpoint as well, if one can take it now and a retry is allowed. Of
-   * two silent attempts the newer one is dropped if the call may be sent to a third endpoint.
+   * two attempts in progress the newer one is dropped if the call may be sent to a third endpoint.
+   *
+   * @param reason what is wrong with the attempt in progress
    */
-  void trySilent(Attempt silent, long nowNanos) {
-    if (nowNanos - lastTryNanos < SILENT_RETRY_INTERVAL_NANOS) {
+  void tryOther(Attempt inProgress, String reason, long nowNanos) {
+    if (nowNanos - lastTryNanos < RETRY_INTERVAL_NANOS) {
       return;
     }
     if (attempts.isPair()) {
-      dropNewer(silent, nowNanos);
+      dropNewer(inProgress, reason, nowNanos);
       return;
     }
-    choose(silent, nowNanos)
+    choose(inProgress, nowNanos)
         .ifPresent(
             choice -> {
               lastTryNanos = nowNanos;
-              call.logRetry(silent, "silent");
-              call.sendBesideSilent(choice, nowNanos);
+              call.logRetry(inProgress, reason);
+              call.sendBeside(choice, nowNanos);
             });
   }
 
-  private void dropNewer(Attempt newer, long nowNanos) {
+  private void dropNewer(Attempt newer, String reason, long nowNanos) {
     if (retries.allowsRetryInPlaceOfPair(call.hasResponseStarted(), nowNanos)) {
       newer.cancel(AttemptOutcome.FAILED, nowNanos);
-      call.recordPossibleExecution(newer, "silent", nowNanos);
+      call.recordPossibleExecution(newer, reason, nowNanos);
       attempts.removeEnded(newer);
     }
   }
 
-  /** Sends the call to another endpoint instead, if one can take it now and a retry is allowed. */
-  void replaceSlow(Attempt slow, long nowNanos) {
-    if (attempts.isPair()) {
-      return;
-    }
-    choose(slow, nowNanos)
-        .ifPresent(
-            choice -> {
-              slow.cancel(AttemptOutcome.FAILED, nowNanos);
-              call.recordPossibleExecution(slow, "slow", nowNanos);
-              call.logRetry(slow, "slow");
-              call.send(choice, nowNanos);
-            });
-  }
-
   private Optional<EndpointChoice.Selected> choose(Attempt inProgress, long nowNanos) {
     if (!retries.allowsRetryInPlaceOfAttempt(call.hasResponseStarted(), nowNanos)) {
       return Optional.empty();
