Send an endpoint's own error on when a retry leads nowhere

What callers saw: 502 on a safe request that its endpoint had answered with 500, in time and whole. The answer was thrown away before it was known whether another endpoint would take the request.

Cause: Attempt.finishBuffered gave the response up as soon as the number of attempts, the time and the retry budget allowed a retry. If then no other endpoint was there, had a free connection, took the call, or answered it, the call ended with 502 (or 504) of our own. Javadoc of Call says that such a call ends with the endpoint's own error.

Ruled out: a loss of the endpoint's answer on its way. The trace shows "Retrying reason=status 500" and "Failed reason=no endpoint available" within 1 ms of it.

Why it works: the error is kept beside the retry, and takes the place of a failure of our own.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -283,14 +283,20 @@
       failAfterSend("response ended before its body", now);
       return;
     }
-    ByteBuffer content = body.takeAll();
-    AttemptOutcome result =
-        responseHead.isServerError() ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED;
-    close(result, now);
-    if (responseHead.isServerError() && retryServerError(now)) {
+    EndpointAnswer answer =
+        new EndpointAnswer(
+            responseHead.status(),
+            call.context().protocol().responseHeaders(responseHeaders),
+            body.takeAll());
+    boolean error = responseHead.isServerError();
+    boolean unprovenPromise = responseHead.tellsNotExecuted();
+    close(error ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED, now);
+    if (error && !unprovenPromise && body.isSmall()) {
+      call.keepError(answer);
+    }
+    if (error && retryServerError(now)) {
       return;
     }
-    boolean unprovenPromise = responseHead.tellsNotExecuted();
     if (call.hasResponseStarted() || unprovenPromise) {
       endWithoutAnswer("endpoint answered with status " + responseHead.status(), now);
       return;
@@ -298,8 +304,7 @@
     if (responseHead.isSuccess()) {
       call.context().crashDetector().answered(call.plan().crashKeys(), now);
     }
-    call.respond(
-        responseHead.status(), call.context().protocol().responseHeaders(responseHeaders), content);
+    call.respond(answer);
   }
 
   private void endWithoutAnswer(String reason, long now) {
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -1,11 +1,9 @@
 package org.magnoliavale.internal.call;
 
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
@@ -55,6 +53,9 @@
   private Optional<Long> lastEvent;
   private String lastFailure = "";
 
+  /** The last small error response of an endpoint, which is sent on if nothing better comes. */
+  private Optional<EndpointAnswer> keptError = Optional.empty();
+
   /**
    * Start of the wait for an endpoint: arrival, or the last failed attempt that may have been
    * executed.
@@ -325,8 +326,13 @@
   }
 
   /** Ends the call with the endpoint's complete response. */
-  void respond(int status, HttpFields headers, ByteBuffer body) {
-    completion.respond(status, headers, body);
+  void respond(EndpointAnswer answer) {
+    completion.respond(answer);
+  }
+
+  /** Keeps an endpoint's error response for the case that no retry leads to another one. */
+  void keepError(EndpointAnswer answer) {
+    keptError = Optional.of(answer);
   }
 
   /** Ends the call after the last event of a stream. */
@@ -366,9 +372,11 @@
     completion.reject(code, reason, retries.refusals(), delay, nowNanos);
   }
 
-  /** Ends a call that may have been executed. */
+  /** Ends a call that may have been executed, with an endpoint's own error if there was one. */
   void fail(ErrorCode code, String reason) {
-    completion.fail(code, reason, retries.possibleExecutions(), lastFailure);
+    keptError.ifPresentOrElse(
+        completion::respond,
+        () -> completion.fail(code, reason, retries.possibleExecutions(), lastFailure));
   }
 
   /** Aborts a response that has started but cannot be completed. */
--- a/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
@@ -1,9 +1,7 @@
 package org.magnoliavale.internal.call;
 
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
-import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
 
@@ -28,11 +26,11 @@
   }
 
   /** Ends the call with the endpoint's complete response. */
-  void respond(int status, HttpFields headers, ByteBuffer body) {
+  void respond(EndpointAnswer answer) {
     context.metrics().answered().inc();
-    log.answered(status, body.remaining());
+    log.answered(answer.status(), answer.body().remaining());
     end.run();
-    caller.respond(status, headers, body);
+    caller.respond(answer.status(), answer.headers(), answer.body());
   }
 
   /** Ends the call after the last event of a stream. */
--- a/src/main/java/org/magnoliavale/internal/call/ResponseBody.java
+++ b/src/main/java/org/magnoliavale/internal/call/ResponseBody.java
@@ -28,6 +28,11 @@
     return size;
   }
 
+  /** Returns whether the body takes no room from the memory of all, so that it may be kept. */
+  boolean isSmall() {
+    return size <= SMALL_BYTES;
+  }
+
   /** Appends received bytes; returns false if there is no room for them. */
   boolean append(ByteBuffer bytes) {
     int added = bytes.remaining();
