Say in the log how an endpoint's answer and its connection ended

The incident of the streams that end as complete could not be traced: "Stream ended" and "Retrying … reason=EofException" don't tell how the answer was framed, whether its request had been sent, or whether a read, a write or the instance itself ended the connection.

A new line, "Attempt ended", tells this for each attempt that broke off and for each answer that ends with its connection, with the text of the exceptions. No answer is judged differently.

The debug line "Attempt failed." of Attempt goes; the new line says more.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -5,14 +5,12 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
-import org.jboss.logging.Logger;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
-import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.route.CallKind;
 
 /**
@@ -22,8 +20,6 @@
  * full, so that a truncated response never reaches the caller.
  */
 final class Attempt implements AttemptListener {
-  private static final Logger LOG = Logs.of("call");
-
   /**
    * Time without data within a resumable stream after which another endpoint is asked as well, if
    * this one is unresponsive, in milliseconds.
@@ -228,6 +224,15 @@
     demand.run();
   }
 
+  @Override
+  public void onEnd(AttemptEnd end) {
+    synchronized (call) {
+      if (!closed && end.isLogged()) {
+        new CallLog(call.plan()).attemptEnded(identity(), end);
+      }
+    }
+  }
+
   @Override
   public void onCompleted() {
     synchronized (call) {
@@ -380,7 +385,6 @@
     if (call.retryIfAllowed(this, reason, now)) {
       return;
     }
-    LOG.debugf("Attempt failed. request=%s endpoint=%s", call.plan().attemptId(), identity());
     if (call.hasResponseStarted()) {
       call.abortResponse(reason);
     } else {
--- a/src/main/java/org/magnoliavale/internal/call/AttemptListener.java
+++ b/src/main/java/org/magnoliavale/internal/call/AttemptListener.java
@@ -17,6 +17,9 @@
    */
   void onContent(ByteBuffer bytes, Runnable demand);
 
+  /** Called with what is known about the end, just before the last event. */
+  void onEnd(AttemptEnd end);
+
   /** Called when the response is complete. */
   void onCompleted();
 
--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.call;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.EndpointIdentity;
@@ -48,6 +49,19 @@
         text(lastEvent));
   }
 
+  void attemptEnded(EndpointIdentity endpoint, AttemptEnd end) {
+    LOG.infof(
+        "Attempt ended. request=%s endpoint=%s status=%d framing=%s request-sent=%s connection=%s"
+            + " failure=%s",
+        plan.attemptId(),
+        endpoint,
+        end.status(),
+        end.framing().name().toLowerCase(Locale.ROOT),
+        end.requestSent(),
+        end.connection(),
+        end.failure().isEmpty() ? "-" : end.failure());
+  }
+
   void keptOneOfTwo(EndpointIdentity kept, EndpointIdentity cancelled) {
     LOG.infof(
         "Kept one of two attempts. request=%s kept=%s cancelled=%s",
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
@@ -11,12 +11,14 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
+import org.magnoliavale.internal.call.AttemptEnd;
 import org.magnoliavale.internal.call.AttemptFailure;
 import org.magnoliavale.internal.call.AttemptListener;
 import org.magnoliavale.internal.call.ConnectionUse;
 import org.magnoliavale.internal.call.EndpointConnector;
 import org.magnoliavale.internal.call.OutgoingRequest;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.http.ConnectionEnd;
 
 /**
  * Sends attempts with Jetty's client. Connections are pooled by endpoint incarnation, so a pooled
@@ -60,6 +62,16 @@
       listener.onResponseHead(response.getStatus(), HttpFields.build(response.getHeaders()));
     }
 
+    private AttemptEnd end(Result result, String failure) {
+      return new AttemptEnd(
+          result.getResponse().getStatus(),
+          AttemptEnd.Framing.of(
+              result.getResponse().getStatus(), result.getResponse().getHeaders()),
+          requestSent,
+          ConnectionEnd.of(result.getRequest()).toString(),
+          failure);
+    }
+
     void onResponseReceived(Response response) {
       if (!requestSent) {
         // The endpoint responded before it had read the whole request. It would read the next
@@ -72,10 +84,12 @@
     @Override
     public void onComplete(Result result) {
       if (result.isSucceeded() || earlyResponse) {
+        listener.onEnd(end(result, ""));
         listener.onCompleted();
         return;
       }
       Throwable cause = result.getFailure();
+      listener.onEnd(end(result, cause.toString()));
       boolean notSent = !requestStarted || cause instanceof ConnectException;
       listener.onFailed(
           notSent ? AttemptFailure.NOT_SENT : AttemptFailure.LOST,
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
@@ -14,8 +14,8 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.magnoliavale.internal.http.BoundedTransport;
+import org.magnoliavale.internal.http.EndCheckingConnector;
 import org.magnoliavale.internal.http.HttpClients;
-import org.magnoliavale.internal.http.ResetDetectingConnector;
 
 /**
  * Creates Jetty servers and clients that share one small thread pool and one scheduler. Handlers
@@ -100,7 +100,7 @@
   }
 
   private HttpClient createClient(String name) {
-    ClientConnector connector = new ResetDetectingConnector();
+    ClientConnector connector = new EndCheckingConnector();
     connector.setSelectors(1);
     connector.setExecutor(threads);
     connector.setScheduler(scheduler);
--- a/src/main/java/org/magnoliavale/internal/http/BoundedTransport.java
+++ b/src/main/java/org/magnoliavale/internal/http/BoundedTransport.java
@@ -88,6 +88,14 @@
       super(connection);
     }
 
+    @Override
+    public boolean associate(HttpExchange exchange) {
+      if (getHttpConnection().getEndPoint() instanceof EndCheckingEndPoint connection) {
+        ConnectionEnd.remember(exchange.getRequest(), connection);
+      }
+      return super.associate(exchange);
+    }
+
     @Override
     protected HttpReceiverOverHTTP newHttpReceiver() {
       return new BoundedReceiver(this);
--- a/src/main/java/org/magnoliavale/internal/http/HttpClients.java
+++ b/src/main/java/org/magnoliavale/internal/http/HttpClients.java
@@ -15,7 +15,7 @@
   /** Returns a client that is not started yet. */
   public static HttpClient create(
       String name, int maximumConnections, Duration connectTimeout, Duration idleTimeout) {
-    ClientConnector connector = new ResetDetectingConnector();
+    ClientConnector connector = new EndCheckingConnector();
     connector.setSelectors(1);
     connector.setConnectTimeout(connectTimeout);
     QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS);
--- a/src/test/java/org/magnoliavale/internal/gateway/ResetDetectionTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/ResetDetectionTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.magnoliavale.internal.call.AttemptEnd;
 import org.magnoliavale.internal.call.AttemptFailure;
 import org.magnoliavale.internal.call.AttemptListener;
 import org.magnoliavale.internal.call.ConnectionUse;
@@ -102,6 +103,9 @@
                 demand.run();
               }
 
+              @Override
+              public void onEnd(AttemptEnd end) {}
+
               @Override
               public void onCompleted() {
                 outcome.complete("completed");
