Take only an orderly close for the end of an answer that ends with its connection

The endpoint had answered without length and chunks while the instance was still sending it the request.

Cause: the system reports a reset once, to the first read or write that asks. When a write of the request took it, the next read found an end, the client's second read (which was to find resets) found an end as well, and the answer counted as whole. Jetty's connection also turned every other failure of a read, and a close by this side, into an end.

Fix: the client's connection reads from its channel itself. It reports an end only if no read and no write has failed before and this side has not begun to close; everything else throws. A lock around each write closes the gap between the system call that takes the error and the note of it. That end is remembered, so what fails afterwards doesn't change it. A write that fails after an orderly close that was not read yet makes the answer broken off; the errors don't tell this from a reset on every system (in the Javadoc).

Ruled out by green tests before the change: a reset that a read takes (all framings, pooled and own connections); at the connector, an answer that is read while the client or its selector stops, after an idle timeout, and after a cancel; an idle connection that is reset or closed and stays in the pool.

--- a/src/main/java/org/magnoliavale/internal/http/EndCheckingEndPoint.java
+++ b/src/main/java/org/magnoliavale/internal/http/EndCheckingEndPoint.java
@@ -4,19 +4,36 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.locks.ReentrantLock;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * A client connection that distinguishes a connection reset from an orderly close, and remembers
- * how it ended.
+ * A client connection that reports an end of the stream only if the server has closed the
+ * connection in an orderly way, and remembers how it ended.
  *
- * <p>Jetty's own connections report a reset as the end of the stream, so a response without a
- * content length that is truncated by a reset would look complete.
+ * <p>A response that states neither a length nor chunks ends with its connection, so any other end
+ * that is taken for an orderly one makes a truncated response look complete. Jetty's own
+ * connections report every failure of a read as the end. A failure is not even certain to reach a
+ * read: the operating system reports it once, to the first read or write that asks, and a read
+ * after that finds an end. So an end counts only if no read and no write has failed before it, and
+ * this side has not begun to close the connection. Any other end throws an exception.
+ *
+ * <p>A write also fails after the server has closed the connection in an orderly way. What failed
+ * first doesn't tell on every system whether a reset came before that close, so such an end counts
+ * only if it was read before the write failed.
  */
 final class EndCheckingEndPoint extends SocketChannelEndPoint {
-  private final ByteBuffer probe = ByteBuffer.allocate(1);
+  private static final int END_OF_STREAM = -1;
+
+  /**
+   * Held during each write until its failure is noted, since a read may find an end as soon as the
+   * write has taken the error. Writes never block.
+   */
+  private final ReentrantLock lock = new ReentrantLock();
+
   private ConnectionEnd end = ConnectionEnd.NONE;
 
   EndCheckingEndPoint(
@@ -25,47 +42,78 @@
   }
 
   /** Returns how the connection has ended, as far as reads and writes have shown it. */
-  synchronized ConnectionEnd end() {
-    return end;
+  ConnectionEnd end() {
+    lock.lock();
+    try {
+      return end;
+    } finally {
+      lock.unlock();
+    }
   }
 
-  private synchronized void ended(ConnectionEnd.Kind kind, String failure) {
-    if (end.kind() == ConnectionEnd.Kind.NONE) {
-      end = new ConnectionEnd(kind, failure);
+  /** Notes an end unless there was one before; returns the first one. */
+  private ConnectionEnd note(ConnectionEnd.Kind kind, String failure) {
+    lock.lock();
+    try {
+      if (end.kind() == ConnectionEnd.Kind.NONE) {
+        end = new ConnectionEnd(kind, failure);
+      }
+      return end;
+    } finally {
+      lock.unlock();
     }
   }
 
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
-    int filled = super.fill(buffer);
-    if (filled < 0) {
-      probe();
+    if (end().kind() == ConnectionEnd.Kind.ORDERLY) {
+      return END_OF_STREAM;
+    }
+    int filled = read(buffer);
+    if (filled > 0) {
+      notIdle();
+    } else if (filled < 0) {
+      checkEnd();
+      shutdownInput();
     }
     return filled;
   }
 
-  private void probe() throws IOException {
-    if (!getChannel().isOpen()) {
-      ended(ConnectionEnd.Kind.CLOSED_HERE, "");
-      return;
-    }
+  private int read(ByteBuffer buffer) throws IOException {
+    int position = BufferUtil.flipToFill(buffer);
     try {
-      // Further reads throw on a reset channel and return -1 on a channel closed by the peer.
-      getChannel().read(probe);
-      ended(ConnectionEnd.Kind.ORDERLY, "");
+      return getChannel().read(buffer);
     } catch (IOException e) {
-      ended(ConnectionEnd.Kind.READ_FAILED, e.toString());
+      note(
+          isOpen() ? ConnectionEnd.Kind.READ_FAILED : ConnectionEnd.Kind.CLOSED_HERE, e.toString());
       throw e;
+    } finally {
+      BufferUtil.flipToFlush(buffer, position);
+    }
+  }
+
+  /** Throws an exception unless the end that a read has found is the server's orderly close. */
+  private void checkEnd() throws IOException {
+    boolean closedHere = isOutputShutdown() || !isOpen();
+    ConnectionEnd first =
+        note(closedHere ? ConnectionEnd.Kind.CLOSED_HERE : ConnectionEnd.Kind.ORDERLY, "");
+    if (first.kind() != ConnectionEnd.Kind.ORDERLY) {
+      throw new IOException("connection did not end in an orderly way: " + first);
     }
   }
 
   @Override
   public boolean flush(ByteBuffer... buffers) throws IOException {
+    lock.lock();
     try {
       return super.flush(buffers);
     } catch (IOException e) {
-      ended(ConnectionEnd.Kind.WRITE_FAILED, e.toString());
+      note(
+          isOpen() ? ConnectionEnd.Kind.WRITE_FAILED : ConnectionEnd.Kind.CLOSED_HERE,
+          e.toString());
       throw e;
+    } finally {
+      lock.unlock();
     }
   }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/RawEndpoint.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/RawEndpoint.java
@@ -128,6 +128,7 @@
 
   private final ServerSocket server;
   private final BlockingQueue<ReceivedRequest> receivedRequests = new LinkedBlockingQueue<>();
+  private volatile boolean readsBodies = true;
 
   RawEndpoint() throws IOException {
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -138,6 +139,11 @@
     return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
   }
 
+  /** Makes the endpoint read only the head of each request, and nothing after it. */
+  void leaveBodiesUnread() {
+    readsBodies = false;
+  }
+
   /** Waits for the next request; returns null after the timeout. */
   ReceivedRequest nextRequest() throws InterruptedException {
     return receivedRequests.poll(TIMEOUT_S, TimeUnit.SECONDS);
@@ -166,6 +172,10 @@
       InputStream input = socket.getInputStream();
       while (true) {
         ReceivedRequest request = new ReceivedRequest(socket, readHead(input), closed);
+        if (!readsBodies) {
+          receivedRequests.add(request);
+          return;
+        }
         String length = request.header("Content-Length");
         input.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
         receivedRequests.add(request);
