Keep what a caller sends before it has its answers

What callers saw: of requests that come at once on a connection some got neither an answer nor a refusal, and some ran with a body in which bytes of their own were missing and bytes of the next request stood at the end.

Cause: while a request is handled, CallerDisconnectMonitor read from the connection to notice that the caller leaves, and gave what it had read to Jetty's connection with onUpgradeTo. That appends to the request buffer as far as there is room (BufferUtil.append) and says nothing of the rest, which was lost. It also stopped watching once any byte had come, so that a caller who had sent a part of the next request and left was not noticed.

Ruled out: the server of `serve`, which has no such monitor. Requests that fit the buffer and a cut into two writes at each byte passed before, too. Not the cause either: a next request that comes in the moment in which the answer before it ends (4 connections, 1,000 exchanges each, one or two outstanding: passed before).

Why it works: the connection itself (LookAheadEndPoint) holds what was read ahead, at most 8 KiB, and its `fill` gives these bytes first. Nothing is put into a buffer that another one owns. Once 8 KiB are held, the rest stays in the socket, and a caller's leaving isn't noticed until the server reads on. As the selector doesn't know of bytes that have left the socket, the connection wakes its reader itself (LookAheadEndPointTest; it fails without that).

--- a/src/main/java/org/magnoliavale/internal/gateway/CallerDisconnectMonitor.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/CallerDisconnectMonitor.java
@@ -1,25 +1,21 @@
 package org.magnoliavale.internal.gateway;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.Connection;
-import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
 /**
  * Detects that a caller closes its connection while its request is being handled.
  *
  * <p>Under HTTP/1.1 Jetty does not read from a connection while a request is handled, so a
- * disconnect would go unnoticed. This class reads from the connection instead. Bytes of a pipelined
- * request are passed on to the server's connection. Monitoring must be stopped before the response
- * is completed, because Jetty then reads from the connection again.
+ * disconnect would go unnoticed. This class reads ahead instead. What it reads of pipelined
+ * requests is held for the server; once the connection holds as much as it may, a disconnect is no
+ * longer detected. Monitoring must be stopped before the response is completed, because Jetty then
+ * reads from the connection again.
  *
  * <p>Callbacks run on Jetty's I/O threads and must not block.
  */
 final class CallerDisconnectMonitor implements Callback {
-  private static final int BUFFER_BYTES = 1_024;
-
   private static final class MonitoringStopped extends Exception {
     private static final long serialVersionUID = 1L;
 
@@ -28,15 +24,12 @@
     }
   }
 
-  private final AbstractEndPoint endPoint;
-  private final Connection connection;
+  private final LookAheadEndPoint endPoint;
   private final Runnable onDisconnect;
   private boolean done;
 
-  private CallerDisconnectMonitor(
-      AbstractEndPoint endPoint, Connection connection, Runnable onDisconnect) {
+  private CallerDisconnectMonitor(LookAheadEndPoint endPoint, Runnable onDisconnect) {
     this.endPoint = endPoint;
-    this.connection = connection;
     this.onDisconnect = onDisconnect;
   }
 
@@ -45,10 +38,9 @@
    * connection.
    */
   static CallerDisconnectMonitor start(Connection connection, Runnable onDisconnect) {
-    AbstractEndPoint endPoint = (AbstractEndPoint) connection.getEndPoint();
-    CallerDisconnectMonitor monitor =
-        new CallerDisconnectMonitor(endPoint, connection, onDisconnect);
-    endPoint.tryFillInterested(monitor);
+    LookAheadEndPoint endPoint = (LookAheadEndPoint) connection.getEndPoint();
+    CallerDisconnectMonitor monitor = new CallerDisconnectMonitor(endPoint, onDisconnect);
+    endPoint.awaitMore(monitor);
     return monitor;
   }
 
@@ -72,17 +64,22 @@
 
   @Override
   public void succeeded() {
-    boolean closed = false;
     synchronized (this) {
       if (done) {
         return;
       }
-      closed = readAndDetectClose();
-      done = closed;
-    }
-    if (closed) {
-      onDisconnect.run();
+      switch (lookAhead()) {
+        case OPEN -> {
+          endPoint.awaitMore(this);
+          return;
+        }
+        case FULL -> {
+          return;
+        }
+        case CLOSED -> done = true;
+      }
     }
+    onDisconnect.run();
   }
 
   @Override
@@ -96,25 +93,12 @@
     onDisconnect.run();
   }
 
-  /** Reads the available bytes; returns true if the connection is closed. */
-  private boolean readAndDetectClose() {
-    ByteBuffer buffer = BufferUtil.allocate(BUFFER_BYTES);
-    int count;
+  private LookAheadEndPoint.LookAhead lookAhead() {
     try {
-      count = endPoint.fill(buffer);
+      return endPoint.lookAhead();
     } catch (IOException e) {
       // A connection reset is handled as a close.
-      return true;
-    }
-    if (count < 0) {
-      return true;
-    }
-    if (count > 0) {
-      // Pipelined request. A later close is detected when the server reads that request.
-      ((Connection.UpgradeTo) connection).onUpgradeTo(buffer);
-      return false;
+      return LookAheadEndPoint.LookAhead.CLOSED;
     }
-    endPoint.tryFillInterested(this);
-    return false;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
@@ -10,7 +10,6 @@
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.magnoliavale.internal.http.BoundedTransport;
@@ -60,9 +59,8 @@
     configuration.setRequestHeaderSize(MAXIMUM_HEADER_BYTES);
     // Paths are forwarded unchanged; the endpoint interprets them.
     configuration.setUriCompliance(UriCompliance.UNSAFE);
-    ServerConnector connector =
-        new ServerConnector(
-            server, null, null, null, 0, 1, new HttpConnectionFactory(configuration));
+    CallerConnector connector =
+        new CallerConnector(server, new HttpConnectionFactory(configuration));
     connector.setHost(address.getAddress().getHostAddress());
     connector.setPort(address.getPort());
     connector.setIdleTimeout(CALLER_IDLE_TIMEOUT.toMillis());
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -122,7 +122,7 @@
         "warn");
   }
 
-  /** Returns the number of endpoints; all listen on the address of {@link #endpoint}. */
+  /** Returns the number of endpoints; all listen on {@link #endpointAddress}. */
   int endpointCount() {
     return 1;
   }
@@ -178,6 +178,11 @@
     assertThat(awaitMetric(line)).contains(line);
   }
 
+  /** Returns the address of all endpoints. */
+  InetSocketAddress endpointAddress() {
+    return endpoint.address();
+  }
+
   private List<DirectoryEntry> entries() {
     return IntStream.rangeClosed(1, endpointCount()).mapToObj(this::entry).toList();
   }
@@ -186,7 +191,7 @@
     return new DirectoryEntry(
         new EndpointIdentity("i-" + number, 1),
         SERVICE,
-        endpoint.address(),
+        endpointAddress(),
         "east",
         false,
         8,
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayInstanceTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Runs a complete instance between plain caller sockets and a raw endpoint. */
 class GatewayInstanceTest extends GatewayFixture {
@@ -59,6 +61,34 @@
       assertThat(received).isNotNull();
       assertThat(received.awaitClose()).isTrue();
     }
+
+    /** Guards against an attempt that goes on because its caller sent more before it left. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 30, 300, 4_000})
+    void cancelsAttemptOfCallerThatHasSentMore(int bytes) throws Exception {
+      RawEndpoint.ReceivedRequest received;
+      try (Socket caller = connect()) {
+        send(caller, "/stream/x", "id-1");
+        received = endpoint.nextRequest();
+        String next = "GET /stream/y HTTP/1.1\r\nHost: menus.example\r\nX-Next: ";
+        String more = (next + "a".repeat(bytes)).substring(0, bytes);
+        caller.getOutputStream().write(more.getBytes(StandardCharsets.US_ASCII));
+      }
+      assertThat(received.awaitClose()).isTrue();
+    }
+
+    @Test
+    void cancelsAttemptOfCallerThatHasSentMoreAtOnce() throws Exception {
+      RawEndpoint.ReceivedRequest received;
+      try (Socket caller = connect()) {
+        String head = " HTTP/1.1\r\nHost: menus.example\r\n\r\n";
+        String both = "GET /stream/x" + head + "GET /stream/y" + head;
+        caller.getOutputStream().write(both.getBytes(StandardCharsets.US_ASCII));
+        received = endpoint.nextRequest();
+      }
+      assertThat(received.awaitClose()).isTrue();
+      assertThat(endpoint.hasRequest()).isFalse();
+    }
   }
 
   @Test
