Send path and query to an endpoint as they came

What callers saw: a request for //a/b ran as /b where a route has the prefix /, and one with a malformed escape in its query (?% or ?%zz) was answered 502 without being sent.

Cause: the target went through Request.path of Jetty's client, which parses it as a URI reference. Two slashes at the beginning introduce a host there, which is dropped; the parameters of a query are decoded, which throws.

Ruled out: the server side. It gives the target as it came, also for the absolute form, dots, escapes, `;`, `|` and empty queries; and it refuses with 400 paths that leave the root, or hold a NUL, as before.

Why it works: VerbatimRequest keeps path and query as they are and parses nothing. It names no URI, as some targets are none; cookies are the only use of it, and the client keeps none.

--- a/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
@@ -110,12 +110,8 @@
   public Handle send(OutgoingRequest outgoing, AttemptListener listener) {
     Exchange exchange = new Exchange(listener);
     Request request =
-        client
-            .newRequest(
-                outgoing.endpoint().address().getAddress().getHostAddress(),
-                outgoing.endpoint().address().getPort())
+        new VerbatimRequest(client, outgoing.endpoint().address(), outgoing.pathQuery())
             .method(outgoing.method())
-            .path(outgoing.pathQuery())
             .tag(new PoolKey(outgoing.endpoint().identity(), outgoing.connection()))
             .idleTimeout(IDLE_TIMEOUT_S, TimeUnit.SECONDS)
             .headers(fields -> fields.add(outgoing.headers()));
