Refuse a target with a fragment instead of dropping the fragment

What callers saw: a request for /a#b ran as /a, and one for /a?b#c as /a?b.

Cause: a target holds no fragment in HTTP; the lenient parsing of targets, which is there so that paths are forwarded unchanged, let one pass and kept it apart from path and query, which alone are forwarded.

Evidence: the two cases of RequestTargetTest failed before ("/a" and "/a?b" at the endpoint) and pass now; their like (/a#, //a#b) are new with the fix.

Why it works: the server refuses such a target with 400 before a call begins. All other targets are taken as before.

--- a/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
@@ -26,6 +26,13 @@
   private static final int ACCEPT_QUEUE_SIZE = 1_024;
   private static final int MAXIMUM_HEADER_BYTES = 32 * 1_024;
 
+  /**
+   * Paths and queries are forwarded unchanged, and the endpoint interprets them. A fragment is part
+   * of neither.
+   */
+  private static final UriCompliance FORWARDED_TARGETS =
+      UriCompliance.UNSAFE.without("FORWARDED", UriCompliance.Violation.FRAGMENT);
+
   /**
    * Idle timeout of caller connections; longer than callers keep an idle connection open, whatever
    * the configuration says.
@@ -57,8 +64,7 @@
     configuration.setSendServerVersion(false);
     configuration.setSendDateHeader(false);
     configuration.setRequestHeaderSize(MAXIMUM_HEADER_BYTES);
-    // Paths are forwarded unchanged; the endpoint interprets them.
-    configuration.setUriCompliance(UriCompliance.UNSAFE);
+    configuration.setUriCompliance(FORWARDED_TARGETS);
     CallerConnector connector =
         new CallerConnector(server, new HttpConnectionFactory(configuration));
     connector.setHost(address.getAddress().getHostAddress());
--- a/src/test/java/org/magnoliavale/internal/gateway/RequestTargetTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/RequestTargetTest.java
@@ -204,7 +204,19 @@
 
   /** What is no target of a request to a server is refused; it runs nowhere. */
   @ParameterizedTest
-  @ValueSource(strings = {"*", "a/b", "/%zz", "/a%", "//%zz/a", "http://other.example/a"})
+  @ValueSource(
+      strings = {
+        "*",
+        "a/b",
+        "/a#b",
+        "/a?b#c",
+        "/a#",
+        "//a#b",
+        "/%zz",
+        "/a%",
+        "//%zz/a",
+        "http://other.example/a"
+      })
   void isNeverForwardedAsAnotherOne(String target) throws Exception {
     assertThat(forwarded("POST", target))
         .satisfiesAnyOf(
