Answer a request whatever step of it throws, and go on with the others

Callers whose request had a body got neither an answer nor a refusal if a step threw before the call was registered (the exception ended in the future of the body), if the answer's headers could not be built, or if the refusal itself could not: the response was marked as completed and never written. An exception when an answer arrives left the call without an attempt until its deadline; one when an attempt was cancelled turned a 504 into a 500. An exception in the question how soon the next tick is due ended the tick loop, and with it all time limits, for good; one in the wait for the next read of the directory ended these reads.

Each step is contained where it begins: - GatewayHandler: reading, the body's end, start of the call; answers 500, or closes the connection of a response that has begun; - ContainedAttempt: head, content, end and failure of an attempt, end of a write; of two attempts only the one that threw ends, and counts as one that may have run; else the call ends with 500 or is broken off; - Call.end: ended before anything else; CallCompletion answers even if the end throws; JettyResponseWriter closes if a response cannot be written; - periodic loops: tick (calls, local state, engines, heartbeats: one does not end the others), lease, directory (reads, waits, engines beside endpoints); the configuration's poll and the instance list were contained before; exchanges with engines, where an exception left the endpoint "in use" so that it got no command any more. An exception is counted (calls_failed_unexpectedly, steps_failed_unexpectedly) and logged at most once a second.

Ruled out as a way to this: tick and change of endpoints of other calls (contained before, CallExceptionTest).

ContainedEndpointControlTest has no run before, the class is new; that the tick goes on with its other parts is by reading only. Tests construct TickLoop and CommandLeaseManager with the new argument; none is weaker.

An AssertionError of a check within a call's step is contained, too, so CallFixture now fails each test in which calls_failed_unexpectedly isn't 0 at the end, unless the test throws on purpose.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -30,6 +30,7 @@
   private static final int MISDIRECTED = 421;
 
   private final Call call;
+  private final ContainedAttempt contained;
   private final DirectoryEntry endpoint;
   private final long sentNanos;
   private final EventSplitter events;
@@ -53,6 +54,7 @@
 
   Attempt(Call call, DirectoryEntry endpoint, long sentNanos, Optional<Long> resumedAfter) {
     this.call = call;
+    this.contained = new ContainedAttempt(call, this);
     this.endpoint = endpoint;
     this.sentNanos = sentNanos;
     this.lastActivityNanos = sentNanos;
@@ -74,7 +76,7 @@
   }
 
   void send(OutgoingRequest request) {
-    EndpointConnector.Handle sent = call.context().connector().send(request, this);
+    EndpointConnector.Handle sent = call.context().connector().send(request, contained);
     if (closed) {
       // The attempt failed before send returned; the connection of this handle is already closed.
       return;
@@ -85,7 +87,7 @@
   /** Closes the attempt and its connection. */
   void cancel(AttemptOutcome result, long nowNanos) {
     if (close(result, nowNanos) && handle != null) {
-      handle.cancel();
+      contained.close(handle);
     }
   }
 
@@ -197,7 +199,7 @@
     }
     call.eventForwarded(events.lastId());
     writing = true;
-    call.caller().write(completeEvents, () -> writeCompleted(demand));
+    call.caller().write(completeEvents, contained.step("write", () -> writeCompleted(demand)));
   }
 
   private void recordEventGap() {
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -154,17 +154,22 @@
   }
 
   /**
-   * Ends the call after an unexpected exception in one of its steps; an attempt that goes on beside
-   * the one that was to be made is kept.
+   * Ends the call after an unexpected exception in one of its steps, or of two attempts only the
+   * one that the step belongs to, by default the newer one.
    */
-  synchronized void failedUnexpectedly(long nowNanos) {
+  synchronized void failedUnexpectedly(Throwable failure, String step, Optional<Attempt> source) {
+    context.metrics().failures().record(failure, log.failedUnexpectedly(step));
+    if (state == State.ENDED) {
+      return;
+    }
     if (attempts.isPair()) {
-      Attempt newer = attempts.latest().orElseThrow();
-      newer.cancel(AttemptOutcome.INCONCLUSIVE, nowNanos);
-      attempts.removeEnded(newer);
-    } else if (state != State.ENDED && responseStarted) {
+      Attempt ended = source.or(attempts::latest).orElseThrow();
+      ended.cancel(AttemptOutcome.INCONCLUSIVE, now());
+      attempts.removeEnded(ended);
+      recordPossibleExecution(ended, INTERNAL_ERROR, now());
+    } else if (responseStarted) {
       abortResponse(INTERNAL_ERROR);
-    } else if (state != State.ENDED) {
+    } else {
       fail(ErrorCode.INTERNAL, INTERNAL_ERROR);
     }
   }
@@ -385,10 +390,11 @@
   }
 
   private void end() {
-    artifactWait.stop();
-    attempts.cancel(AttemptOutcome.INCONCLUSIVE, now());
+    // First: whatever the steps below meet, the call has ended and is answered.
     state = State.ENDED;
     onEnd.accept(this);
+    artifactWait.stop();
+    attempts.cancel(AttemptOutcome.INCONCLUSIVE, now());
   }
 
   long now() {
--- a/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
@@ -29,16 +29,14 @@
   void respond(EndpointAnswer answer) {
     context.metrics().answered().inc();
     log.answered(answer.status(), answer.body().remaining());
-    end.run();
-    caller.respond(answer.status(), answer.headers(), answer.body());
+    endWith(() -> caller.respond(answer.status(), answer.headers(), answer.body()));
   }
 
   /** Ends the call after the last event of a stream. */
   void completeStream(Optional<Long> lastEvent) {
     context.metrics().answered().inc();
     log.streamEnded(lastEvent);
-    end.run();
-    caller.finish();
+    endWith(caller::finish);
   }
 
   /** Ends a call that has not been executed; its caller may retry after {@code delay}. */
@@ -60,21 +58,29 @@
   void abort(String reason, String lastFailure, Optional<Long> lastEvent) {
     context.metrics().failed().inc();
     log.responseAborted(reason, lastFailure, lastEvent, context.nanoClock().getAsLong());
-    end.run();
-    caller.abort();
+    endWith(caller::abort);
   }
 
   /** Ends a call whose caller has disconnected. */
   void abandon(int possibleExecutions, boolean responseStarted) {
     log.callerDisconnected(possibleExecutions, responseStarted);
     context.metrics().abandoned().inc();
-    end.run();
-    caller.abort();
+    endWith(caller::abort);
   }
 
   private void respondWithProblem(ErrorCode status, MagnoliavaleException problem) {
-    end.run();
-    LocalResponses.sendProblem(
-        context.protocol(), plan.attemptId(), caller, status.httpStatus(), problem);
+    endWith(
+        () ->
+            LocalResponses.sendProblem(
+                context.protocol(), plan.attemptId(), caller, status.httpStatus(), problem));
+  }
+
+  /** Ends the call and then completes the caller's response, also if the former throws. */
+  private void endWith(Runnable answer) {
+    try {
+      end.run();
+    } finally {
+      answer.run();
+    }
   }
 }
--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -33,6 +33,11 @@
         timeRemaining.toMillis());
   }
 
+  /** Returns the message about an unexpected exception, which is logged at a bounded rate. */
+  String failedUnexpectedly(String step) {
+    return "Call failed unexpectedly. request=" + plan.attemptId() + " step=" + step;
+  }
+
   void waitingForArtifact(Artifact artifact) {
     LOG.infof("Waiting for artifact. request=%s artifact=%s", plan.attemptId(), artifact);
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallMetadata.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallMetadata.java
@@ -16,4 +16,9 @@
     String attemptId,
     Optional<Duration> timeRemaining,
     Optional<Long> lastEventId,
-    Optional<GenerationRequest> generation) {}
+    Optional<GenerationRequest> generation) {
+  /** Returns the metadata of a request whose headers could not be parsed. */
+  public static CallMetadata unknown() {
+    return new CallMetadata("", Optional.empty(), Optional.empty(), Optional.empty());
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/call/CallMetrics.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallMetrics.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Timer;
+import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.metrics.InstanceMetrics;
+import org.magnoliavale.internal.metrics.UnexpectedFailures;
 
 /** Counters of the outcomes of calls, and a timer of the first byte of each response. */
 public final class CallMetrics {
@@ -12,6 +14,7 @@
   private final Counter retried;
   private final Counter abandoned;
   private final Timer firstByte;
+  private final UnexpectedFailures failures;
 
   /** Registers the metrics in {@code metrics}. */
   public CallMetrics(InstanceMetrics metrics) {
@@ -21,6 +24,8 @@
     retried = metrics.counter("calls_repeated");
     abandoned = metrics.counter("calls_abandoned");
     firstByte = metrics.timer("call_first_byte");
+    failures =
+        new UnexpectedFailures(metrics.counter("calls_failed_unexpectedly"), Logs.of("call"));
   }
 
   Counter answered() {
@@ -46,4 +51,9 @@
   Timer firstByte() {
     return firstByte;
   }
+
+  /** Returns what counts and logs the exceptions in steps of calls. */
+  UnexpectedFailures failures() {
+    return failures;
+  }
 }
--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -12,6 +12,7 @@
 import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.metrics.UnexpectedFailures;
 import org.magnoliavale.internal.route.Route;
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.route.ServiceSpecification;
@@ -45,11 +46,12 @@
    * @return the action to run when the caller disconnects
    */
   public Runnable begin(CallRequest request, CallerResponse caller) {
-    CallMetadata metadata = context.protocol().parseRequest(request.headers());
+    CallMetadata metadata = CallMetadata.unknown();
     try {
+      metadata = context.protocol().parseRequest(request.headers());
       return begin(request, metadata, caller);
     } catch (RuntimeException | Error e) {
-      LOG.errorf(e, "Call could not be started. request=%s", metadata.attemptId());
+      failures().record(e, "Call could not be started. request=" + metadata.attemptId());
       reject(metadata, caller, ErrorCode.INTERNAL, INTERNAL_ERROR);
       return () -> {};
     }
@@ -87,7 +89,8 @@
     }
     long now = context.nanoClock().getAsLong();
     runContained(call, started -> started.start(now));
-    return () -> call.callerDisconnected(context.nanoClock().getAsLong());
+    return () ->
+        runContained(call, left -> left.callerDisconnected(context.nanoClock().getAsLong()));
   }
 
   private Call newCall(
@@ -171,8 +174,10 @@
     try {
       event.accept(call);
     } catch (RuntimeException | Error e) {
-      LOG.errorf(e, "Call failed unexpectedly. request=%s", call.plan().attemptId());
-      call.failedUnexpectedly(context.nanoClock().getAsLong());
+      failures()
+          .contain(
+              "Call could not be ended.",
+              () -> call.failedUnexpectedly(e, "step", Optional.empty()));
     }
   }
 
@@ -182,6 +187,11 @@
     forEachCall(call -> call.logUnfinished(now));
   }
 
+  /** Returns what counts and logs the exceptions in steps of calls. */
+  public UnexpectedFailures failures() {
+    return context.metrics().failures();
+  }
+
   /** Returns the number of calls in progress. */
   public int size() {
     return calls.size();
--- a/src/main/java/org/magnoliavale/internal/call/GracefulDrain.java
+++ b/src/main/java/org/magnoliavale/internal/call/GracefulDrain.java
@@ -87,6 +87,15 @@
     await(startNanos, end);
   }
 
+  /** Waits for some milliseconds, or until the thread is interrupted. */
+  public static void sleep(long milliseconds) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(milliseconds);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void logPhase(String phase, long startNanos) {
     LOG.infof(
         "%s calls=%d requests=%d stopping-ms=%d",
--- a/src/main/java/org/magnoliavale/internal/call/LocalResponses.java
+++ b/src/main/java/org/magnoliavale/internal/call/LocalResponses.java
@@ -12,18 +12,33 @@
 
   private LocalResponses() {}
 
-  /** Sends a problem document; {@code status} may be less specific than the problem's own code. */
+  /**
+   * Sends a problem document, or closes the connection if that cannot be built; {@code status} may
+   * be less specific than the problem's own code.
+   */
   static void sendProblem(
       CallProtocol protocol,
       String attemptId,
       CallerResponse caller,
       int status,
       MagnoliavaleException problem) {
+    HttpFields headers;
+    ByteBuffer body;
+    try {
+      headers = headers(protocol.localResponseHeaders(attemptId), problem);
+      body = ByteBuffer.wrap(Problems.body(problem));
+    } catch (RuntimeException | Error e) {
+      caller.abort();
+      throw e;
+    }
+    caller.respond(status, headers, body);
+  }
+
+  private static HttpFields headers(HttpFields local, MagnoliavaleException problem) {
     HttpFields.Mutable headers =
-        HttpFields.build(protocol.localResponseHeaders(attemptId))
-            .put("Content-Type", "application/problem+json");
+        HttpFields.build(local).put("Content-Type", "application/problem+json");
     problem.retryAfter().ifPresent(delay -> headers.put("Retry-After", seconds(delay)));
-    caller.respond(status, headers, ByteBuffer.wrap(Problems.body(problem)));
+    return headers;
   }
 
   private static String seconds(Duration delay) {
--- a/src/main/java/org/magnoliavale/internal/gateway/CommandLeaseManager.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/CommandLeaseManager.java
@@ -9,6 +9,7 @@
 import org.magnoliavale.internal.lease.LeaseManager;
 import org.magnoliavale.internal.lease.LeaseTimes;
 import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.metrics.UnexpectedFailures;
 import org.magnoliavale.internal.platform.Table;
 import org.magnoliavale.internal.platform.TableCall;
 import org.magnoliavale.internal.platform.TableResult;
@@ -41,9 +42,7 @@
   private final LeaseManager leaseManager;
   private final Table table;
   private final BooleanSupplier holderAlive;
-  private final TickLoop ticks =
-      new TickLoop(
-          "lease", TICK_INTERVAL_MS, IDLE_TICK_INTERVAL_MS, this::needsFrequentTicks, this::step);
+  private final TickLoop ticks;
   private volatile boolean surrendered;
   private long lastFence;
   private long lastClockOffsetMs;
@@ -54,22 +53,39 @@
    * @param incarnation name and incarnation of this instance
    * @param leaseDuration time for which others wait for a silent holder
    * @param holderAlive whether the holder is heard
+   * @param failures records exceptions in the periodic task
    */
   static CommandLeaseManager of(
-      String incarnation, Duration leaseDuration, Table table, BooleanSupplier holderAlive) {
+      String incarnation,
+      Duration leaseDuration,
+      Table table,
+      BooleanSupplier holderAlive,
+      UnexpectedFailures failures) {
     LeaseTimes times = LeaseTimes.of(leaseDuration, CLOCK_DRIFT);
     LeaseManager leaseManager =
         new LeaseManager("orders", incarnation, times, new Random())
             .reclaimingOwnLease()
             .withActingLimit(RENEWAL_TIMEOUT_MS);
-    return new CommandLeaseManager(leaseManager, table, holderAlive);
+    return new CommandLeaseManager(leaseManager, table, holderAlive, failures);
   }
 
-  CommandLeaseManager(LeaseManager leaseManager, Table table, BooleanSupplier holderAlive) {
+  CommandLeaseManager(
+      LeaseManager leaseManager,
+      Table table,
+      BooleanSupplier holderAlive,
+      UnexpectedFailures failures) {
     this.leaseManager = leaseManager;
     this.table = table;
     this.holderAlive = holderAlive;
     this.lastClockOffsetMs = wallClockOffsetMs();
+    this.ticks =
+        new TickLoop(
+            "lease",
+            TICK_INTERVAL_MS,
+            IDLE_TICK_INTERVAL_MS,
+            this::needsFrequentTicks,
+            this::step,
+            failures);
   }
 
   private static long monotonicMs() {
--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -93,7 +93,7 @@
         long startNanos = nanoClock.getAsLong();
         available = readOnce(available);
         if (available) {
-          waitForNextRead();
+          waitContained();
         } else {
           TimeUnit.MILLISECONDS.sleep(failureDelayMs(startNanos, nanoClock.getAsLong()));
         }
@@ -103,6 +103,16 @@
     }
   }
 
+  /** Waits for the next read; an exception of what decides when it is due ends no loop. */
+  private void waitContained() throws InterruptedException {
+    try {
+      waitForNextRead();
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "The next read of the endpoint directory is due at a time that is not known.");
+      TimeUnit.MILLISECONDS.sleep(FAILED_INTERVAL_MS);
+    }
+  }
+
   /** Returns the time from the end of a failed read to the next one. */
   static long failureDelayMs(long startNanos, long endNanos) {
     long durationMs = TimeUnit.NANOSECONDS.toMillis(endNanos - startNanos);
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayHandler.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayHandler.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jboss.logging.Logger;
 import org.magnoliavale.ErrorCode;
+import org.magnoliavale.internal.call.CallMetadata;
 import org.magnoliavale.internal.call.CallProtocol;
 import org.magnoliavale.internal.call.CallRegistry;
 import org.magnoliavale.internal.call.CallRequest;
@@ -53,24 +54,47 @@
     Callback counted = Callback.from(callback, requestsInProgress::decrementAndGet);
     JettyResponseWriter writer =
         new JettyResponseWriter(request, response, counted, closeConnection);
+    contain(writer, () -> read(request, writer, arrivalNanos));
+    return true;
+  }
+
+  private void read(Request request, JettyResponseWriter writer, long arrivalNanos) {
     if (request.getLength() == 0 || !hasBody(request)) {
       startCall(request, NO_BODY, writer, arrivalNanos);
-      return true;
+      return;
     }
     long limit = bodyLimit();
     // One byte more than the limit shows that the body is longer.
     Content.Source.asByteArrayAsync(new TruncatedContent(request, limit + 1), -1)
         .whenComplete(
-            (body, failure) -> {
-              if (failure != null) {
-                rejectUnreadable(request, writer, failure);
-              } else if (body.length > limit) {
-                rejectTooLarge(request, writer);
-              } else {
-                startCall(request, body, writer, arrivalNanos);
-              }
-            });
-    return true;
+            (body, failure) ->
+                contain(
+                    writer,
+                    () -> {
+                      if (failure != null) {
+                        rejectUnreadable(request, writer, failure);
+                      } else if (body.length > limit) {
+                        rejectTooLarge(request, writer);
+                      } else {
+                        startCall(request, body, writer, arrivalNanos);
+                      }
+                    }));
+  }
+
+  /**
+   * Runs a step of a request; an exception is counted, and the request is answered all the same.
+   */
+  private void contain(JettyResponseWriter writer, Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error e) {
+      calls.failures().record(e, "Request could not be handled.");
+      if (writer.isBegun()) {
+        writer.abort();
+      } else {
+        calls.reject(CallMetadata.unknown(), writer, ErrorCode.INTERNAL, "internal error");
+      }
+    }
   }
 
   /** Returns the number of requests whose responses are not written completely. */
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -1,6 +1,5 @@
 package org.magnoliavale.internal.gateway;
 
-import com.codahale.metrics.Gauge;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
@@ -36,6 +35,7 @@
 import org.magnoliavale.internal.link.PeerLinks;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.metrics.InstanceMetrics;
+import org.magnoliavale.internal.metrics.UnexpectedFailures;
 import org.magnoliavale.internal.platform.ListedInstance;
 import org.magnoliavale.internal.residency.DelayingExecutor;
 import org.magnoliavale.internal.residency.FleetDemand;
@@ -74,6 +74,8 @@
   private final HttpClient endpointClient;
   private final JettyTransport transport = new JettyTransport();
   private final InstanceMetrics metrics = new InstanceMetrics();
+  private final UnexpectedFailures failures =
+      new UnexpectedFailures(metrics.counter("steps_failed_unexpectedly"), LOG);
   private final Membership membership;
   private final EndpointDepartures departures = new EndpointDepartures();
   private final EndpointLimits limits = new EndpointLimits(this::fleet);
@@ -93,7 +95,12 @@
   private final ConfigurationPoller configuration;
   private final TickLoop ticks =
       new TickLoop(
-          "tick", TICK_INTERVAL_MS, IDLE_TICK_INTERVAL_MS, this::needsFrequentTicks, this::tick);
+          "tick",
+          TICK_INTERVAL_MS,
+          IDLE_TICK_INTERVAL_MS,
+          this::needsFrequentTicks,
+          this::tick,
+          failures);
   private final DelayingExecutor commandExecutor = DelayingExecutor.onVirtualThreads();
   private volatile Duration gracePeriod;
   private volatile boolean stopping;
@@ -107,7 +114,10 @@
         transport.createClient(
             "control", CONTROL_CONNECTIONS, CONNECT_TIMEOUT, CONTROL_IDLE_TIMEOUT);
     endpointClient = transport.createEndpointClient(CONNECT_TIMEOUT);
-    adapters = factory.create(JsonClient.of(controlClient), settings, this::heardByControl);
+    adapters =
+        factory
+            .create(JsonClient.of(controlClient), settings, this::heardByControl)
+            .containing(failures);
     configuration = new ConfigurationPoller(adapters.configuration());
     membership = new Membership(PEER_EXPIRY);
     registry = createRegistry();
@@ -130,9 +140,7 @@
             departures,
             limits,
             System::nanoTime);
-    lease =
-        CommandLeaseManager.of(
-            incarnation, settings.leaseDuration(), adapters.table(), peerState::isLeaseHolderAlive);
+    lease = createLease(incarnation);
     residency = createResidencyController(fleetDemand);
     directory =
         new DirectoryPoller(
@@ -168,6 +176,15 @@
         settings.instanceId(), membership.peers(nowNanos), registry.lastInstances());
   }
 
+  private CommandLeaseManager createLease(String incarnation) {
+    return CommandLeaseManager.of(
+        incarnation,
+        settings.leaseDuration(),
+        adapters.table(),
+        peerState::isLeaseHolderAlive,
+        failures);
+  }
+
   private PeerLinks createLinks(String incarnation) {
     return new PeerLinks(
         settings.peers(),
@@ -209,16 +226,12 @@
   }
 
   private InstanceRegistry createRegistry() {
+    String id = settings.instanceId();
     return new InstanceRegistry(
-        adapters.table(), settings.instanceId(), this::listedInstance, System::nanoTime);
-  }
-
-  private ListedInstance listedInstance() {
-    return new ListedInstance(
-        settings.instanceId(),
-        HttpAddresses.format(links.address()),
-        "live",
-        settings.dataCentre());
+        adapters.table(),
+        id,
+        () -> ListedInstance.live(id, HttpAddresses.format(links.address()), settings.dataCentre()),
+        System::nanoTime);
   }
 
   private FleetRetryBudget createRetryBudget() {
@@ -231,22 +244,20 @@
   }
 
   private void registerMetrics() {
-    metrics.registry().register("calls_in_progress", (Gauge<Integer>) calls::size);
-    metrics
-        .registry()
-        .register("requests_in_progress", (Gauge<Integer>) callerHandler::requestsInProgress);
-    metrics.registry().register("instances", (Gauge<Integer>) this::liveInstanceCount);
-    metrics.registry().register("link_bytes_sent", (Gauge<Long>) links::bytesSent);
-    metrics.registry().register("configuration_version", (Gauge<Long>) configuration::version);
+    new InstanceGauges(metrics.registry())
+        .number("calls_in_progress", calls::size)
+        .number("requests_in_progress", callerHandler::requestsInProgress)
+        .number("instances", this::liveInstanceCount)
+        .number("link_bytes_sent", links::bytesSent)
+        .number("configuration_version", configuration::version);
   }
 
   private EndpointProbe createProbe() {
     return new BackgroundEndpointProbe(
-        commandExecutor, adapters.control(), System::nanoTime, this::endpointDown);
-  }
-
-  private void endpointDown(EndpointIdentity endpoint, long nowNanos) {
-    crashDetector.endpointDown(endpoint, nowNanos);
+        commandExecutor,
+        adapters.control(),
+        System::nanoTime,
+        (endpoint, nowNanos) -> crashDetector.endpointDown(endpoint, nowNanos));
   }
 
   private int liveInstanceCount() {
@@ -258,21 +269,24 @@
   }
 
   private void announceDemand() {
-    peerState.applyLocalState();
-    links.sendHeartbeatsNow();
+    announceLocalState();
     onDemandChanged();
   }
 
   private void onDemandChanged() {
-    residency.tick();
+    failures.contain("Engines could not be planned.", residency::tick);
   }
 
   private void announceResidency() {
-    peerState.applyLocalState();
-    links.sendHeartbeatsNow();
+    announceLocalState();
     calls.endpointsChanged();
   }
 
+  private void announceLocalState() {
+    failures.contain("Local state could not be applied.", peerState::applyLocalState);
+    failures.contain("Heartbeats could not be sent.", links::sendHeartbeatsNow);
+  }
+
   @Override
   public void start() {
     HttpClients.start(controlClient);
@@ -300,9 +314,9 @@
     long now = System.nanoTime();
     endpoints.update(entries, now);
     crashDetector.endpointsListed(entries.stream().map(DirectoryEntry::identity).toList(), now);
-    residency.update(entries);
+    failures.contain("Endpoints could not be planned with.", () -> residency.update(entries));
     if (departures.takeNews()) {
-      links.sendHeartbeatsNow();
+      announceLocalState();
     }
     calls.endpointsChanged();
   }
@@ -320,8 +334,8 @@
 
   private void tick() {
     calls.tick();
-    peerState.applyLocalState();
-    residency.tick();
+    failures.contain("Local state could not be applied.", peerState::applyLocalState);
+    onDemandChanged();
     if (lease.consumeSurrendered() | statements.takeNews()) {
       links.sendHeartbeatsNow();
     }
@@ -343,7 +357,7 @@
             callerHandler::requestsInProgress,
             servers::stopAcceptingCallers,
             System::nanoTime,
-            GatewayInstance::sleep)
+            GracefulDrain::sleep)
         .run(startNanos, gracePeriod);
     calls.logUnfinished();
     LOG.infof(
@@ -373,14 +387,6 @@
     HttpClients.stop(controlClient);
   }
 
-  private static void sleep(long milliseconds) {
-    try {
-      TimeUnit.MILLISECONDS.sleep(milliseconds);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   /** Returns the port that callers connect to. */
   public int callerPort() {
     return servers.callerPort();
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyResponseWriter.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyResponseWriter.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.gateway;
 
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -62,14 +63,19 @@
 
   @Override
   public void respond(int status, HttpFields headers, ByteBuffer body) {
-    if (!markCompleted()) {
-      return;
-    }
-    setStatusAndHeaders(status, headers);
-    if (status != 204 && status != 304) {
-      response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.remaining());
-    }
-    response.write(true, body, callback);
+    complete(
+        () -> {
+          setStatusAndHeaders(status, headers);
+          if (status != 204 && status != 304) {
+            response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.remaining());
+          }
+          response.write(true, body, callback);
+        });
+  }
+
+  /** Returns whether the response, or an earlier part of it, has been given to the server. */
+  boolean isBegun() {
+    return response.isCommitted();
   }
 
   @Override
@@ -104,33 +110,43 @@
   public void finish() {
     if (writeFailed) {
       abort();
-    } else if (markCompleted()) {
-      StreamFraming.complete(response);
-      response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+    } else {
+      complete(this::writeEnd);
     }
   }
 
   @Override
   public void abort() {
-    if (markCompleted()) {
-      EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-      endPoint.close();
-      callback.failed(new Aborted());
-    }
+    complete(this::close);
+  }
+
+  private void writeEnd() {
+    StreamFraming.complete(response);
+    response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+  }
+
+  private void close() {
+    EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+    endPoint.close();
+    callback.failed(new Aborted());
   }
 
-  private boolean markCompleted() {
-    CallerDisconnectMonitor activeMonitor;
+  /** Completes the response, if it is not completed yet; an exception closes the connection. */
+  private void complete(Runnable end) {
+    Optional<CallerDisconnectMonitor> monitor;
     synchronized (this) {
       if (completed) {
-        return false;
+        return;
       }
       completed = true;
-      activeMonitor = disconnectMonitor;
+      monitor = Optional.ofNullable(disconnectMonitor);
     }
-    if (activeMonitor != null) {
-      activeMonitor.stop();
+    try {
+      monitor.ifPresent(CallerDisconnectMonitor::stop);
+      end.run();
+    } catch (RuntimeException | Error e) {
+      close();
+      throw e;
     }
-    return true;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/gateway/PlatformAdapters.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PlatformAdapters.java
@@ -3,6 +3,7 @@
 import org.magnoliavale.internal.call.CallProtocol;
 import org.magnoliavale.internal.directory.DirectorySource;
 import org.magnoliavale.internal.http.JsonClient;
+import org.magnoliavale.internal.metrics.UnexpectedFailures;
 import org.magnoliavale.internal.platform.Table;
 import org.magnoliavale.internal.residency.ControlStatementListener;
 import org.magnoliavale.internal.residency.EndpointControl;
@@ -23,6 +24,12 @@
     DirectorySource directory,
     CallProtocol protocol,
     EndpointControl control) {
+  /** Returns the same adapters with a control that passes on no exception. */
+  PlatformAdapters containing(UnexpectedFailures failures) {
+    return new PlatformAdapters(
+        table, configuration, directory, protocol, new ContainedEndpointControl(control, failures));
+  }
+
   /** Creates the adapters of a platform. */
   public interface Factory {
     /**
--- a/src/main/java/org/magnoliavale/internal/gateway/TickLoop.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/TickLoop.java
@@ -3,24 +3,23 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.jboss.logging.Logger;
 import org.magnoliavale.Service;
-import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.metrics.UnexpectedFailures;
 
 /**
  * Runs a task periodically on a virtual thread: often while there is something to watch, seldom
  * otherwise, since each wake-up costs processor time. {@link #wake} runs it at once.
  *
- * <p>An exception of the task is logged, and the loop goes on.
+ * <p>An exception of the task, or of the question for its interval, is counted and logged, and the
+ * loop goes on.
  */
 final class TickLoop implements Service {
-  private static final Logger LOG = Logs.of("instance");
-
   private final String name;
   private final long busyIntervalMs;
   private final long idleIntervalMs;
   private final BooleanSupplier busy;
   private final Runnable task;
+  private final UnexpectedFailures failures;
   private final Semaphore wakeUps = new Semaphore(0);
   private volatile boolean idle;
   private volatile boolean stopped;
@@ -31,12 +30,18 @@
    * @param busy whether the next run is due after the busy interval
    */
   TickLoop(
-      String name, long busyIntervalMs, long idleIntervalMs, BooleanSupplier busy, Runnable task) {
+      String name,
+      long busyIntervalMs,
+      long idleIntervalMs,
+      BooleanSupplier busy,
+      Runnable task,
+      UnexpectedFailures failures) {
     this.name = name;
     this.busyIntervalMs = busyIntervalMs;
     this.idleIntervalMs = idleIntervalMs;
     this.busy = busy;
     this.task = task;
+    this.failures = failures;
   }
 
   @Override
@@ -70,17 +75,22 @@
   }
 
   private void runTask() {
+    failures.contain("Periodic task failed. task=" + name, task);
+  }
+
+  private boolean isBusy() {
     try {
-      task.run();
+      return busy.getAsBoolean();
     } catch (RuntimeException | Error e) {
-      LOG.errorf(e, "Periodic task failed. task=%s", name);
+      failures.record(e, "Periodic task failed. task=" + name);
+      return true;
     }
   }
 
   private void pause() throws InterruptedException {
     idle = true;
     // Read after the flag is set, so that what begins in between is either seen here or wakes.
-    long intervalMs = busy.getAsBoolean() ? busyIntervalMs : idleIntervalMs;
+    long intervalMs = isBusy() ? busyIntervalMs : idleIntervalMs;
     wakeUps.tryAcquire(intervalMs, TimeUnit.MILLISECONDS);
     idle = false;
     wakeUps.drainPermits();
--- a/src/main/java/org/magnoliavale/internal/platform/ListedInstance.java
+++ b/src/main/java/org/magnoliavale/internal/platform/ListedInstance.java
@@ -16,6 +16,11 @@
     dataCentre = dataCentre == null ? "" : dataCentre;
   }
 
+  /** Returns the entry of an instance that is not about to be stopped. */
+  public static ListedInstance live(String id, String peerAddress, String dataCentre) {
+    return new ListedInstance(id, peerAddress, "live", dataCentre);
+  }
+
   /** Returns whether the platform is about to stop the instance. */
   @JsonIgnore
   public boolean isLeaving() {
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -1,5 +1,7 @@
 package org.magnoliavale.internal.call;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,6 +10,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.DirectoryEntry;
@@ -46,6 +49,8 @@
   final CrashDetector crashDetector =
       new CrashDetector(new CrashRegistry("self", () -> java.time.Instant.EPOCH), endpoint -> {});
 
+  private final InstanceMetrics metrics = new InstanceMetrics();
+
   final ResponseMemory responseMemory = new ResponseMemory(1 << 20);
 
   /** Runs once, at the next reading of the clock. */
@@ -73,11 +78,24 @@
                 crashDetector,
                 () -> table == null ? null : createTable(),
                 responseMemory,
-                new CallMetrics(new InstanceMetrics()),
+                new CallMetrics(metrics),
                 this::readClock),
             new Random(1));
   }
 
+  /** Guards against an exception, such as one of a check in a test, that a call contains. */
+  @AfterEach
+  void expectNoContainedException() {
+    if (!throwsOnPurpose()) {
+      assertThat(metrics.counter("calls_failed_unexpectedly").getCount()).isZero();
+    }
+  }
+
+  /** Returns whether steps of calls throw because the test wants them to. */
+  boolean throwsOnPurpose() {
+    return false;
+  }
+
   private void heard(EndpointIdentity endpoint, EndpointStatement statement, long sentNanos) {
     limits.observe(endpoint, statement.limit(), sentNanos, now);
     if (statement.pause().isPositive()) {
@@ -88,7 +106,8 @@
     }
   }
 
-  private RouteTable createTable() {
+  /** Returns the configuration in force. */
+  RouteTable createTable() {
     return RouteTable.of(
         1,
         List.of(
--- a/src/test/java/org/magnoliavale/internal/call/RecordingCaller.java
+++ b/src/test/java/org/magnoliavale/internal/call/RecordingCaller.java
@@ -13,6 +13,7 @@
   private String ending = "open";
   private boolean writesHeld;
   private Runnable pendingWrite;
+  private boolean failing;
 
   int status() {
     return status;
@@ -40,10 +41,22 @@
 
   @Override
   public void begin(int responseStatus, HttpFields responseHeaders) {
+    failIfAsked();
     status = responseStatus;
     headers = responseHeaders;
   }
 
+  /** From now on beginning a response and writing a part of it throw. */
+  void failFromNowOn() {
+    failing = true;
+  }
+
+  private void failIfAsked() {
+    if (failing) {
+      throw new IllegalStateException("expected by the test");
+    }
+  }
+
   /** From now on writes complete only with {@link #completeWrite}. */
   void holdWrites() {
     writesHeld = true;
@@ -58,6 +71,7 @@
 
   @Override
   public void write(ByteBuffer bytes, Runnable written) {
+    failIfAsked();
     if (pendingWrite != null) {
       throw new AssertionError("a write began before the last one was complete");
     }
--- a/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
+++ b/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
@@ -91,12 +91,25 @@
 
   private final List<Sent> sent = new ArrayList<>();
   private final Set<String> failing = new HashSet<>();
+  private boolean failingCancels;
 
   /** From now on the sending of a request with this path and query throws. */
   void failOn(String pathQuery) {
     failing.add(pathQuery);
   }
 
+  /** From now on an attempt throws when it is cancelled. */
+  void failCancels() {
+    failingCancels = true;
+  }
+
+  private void cancel(Sent attempt) {
+    attempt.cancelled = true;
+    if (failingCancels) {
+      throw new IllegalStateException("expected by the test");
+    }
+  }
+
   List<Sent> sent() {
     return sent;
   }
@@ -112,6 +125,6 @@
     }
     Sent attempt = new Sent(request, listener);
     sent.add(attempt);
-    return () -> attempt.cancelled = true;
+    return () -> cancel(attempt);
   }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/FleetPeer.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/FleetPeer.java
@@ -64,7 +64,10 @@
     LeaseTimes times = LeaseTimes.of(Duration.ofSeconds(3), Duration.ofMillis(200));
     exchange.initialize(
         new CommandLeaseManager(
-            new LeaseManager("orders", id, times, new Random(1)), new FakeTable(), () -> true),
+            new LeaseManager("orders", id, times, new Random(1)),
+            new FakeTable(),
+            () -> true,
+            GatewayFixture.failures()),
         new ResidencyChangeLog(),
         () -> {},
         () -> {});
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.Counter;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -17,10 +18,13 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.magnoliavale.internal.call.CallProtocol;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.DirectoryReadResult;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.metrics.UnexpectedFailures;
 import org.magnoliavale.internal.residency.EndpointCommand;
 import org.magnoliavale.internal.residency.EndpointCommandResult;
 import org.magnoliavale.internal.residency.EndpointControl;
@@ -82,7 +86,7 @@
                     new FakeTable(),
                     this::pollConfiguration,
                     () -> new DirectoryReadResult.Entries(entries(), 0),
-                    TestProtocol.create(),
+                    protocol(),
                     new RejectingEndpointControl()));
     instance.start();
     awaitReady();
@@ -122,6 +126,15 @@
         "warn");
   }
 
+  static UnexpectedFailures failures() {
+    return new UnexpectedFailures(new Counter(), Logs.of("test"));
+  }
+
+  /** Returns the headers of callers and endpoints. */
+  CallProtocol protocol() {
+    return TestProtocol.create();
+  }
+
   /** Returns the number of endpoints; all listen on {@link #endpointAddress}. */
   int endpointCount() {
     return 1;
--- a/src/test/java/org/magnoliavale/internal/gateway/LimitedFleet.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/LimitedFleet.java
@@ -150,7 +150,7 @@
       LeaseTimes times = LeaseTimes.of(Duration.ofSeconds(3), Duration.ofMillis(200));
       LeaseManager lease = new LeaseManager("orders", id, times, new Random(number));
       exchange.initialize(
-          new CommandLeaseManager(lease, new FakeTable(), () -> true),
+          new CommandLeaseManager(lease, new FakeTable(), () -> true, GatewayFixture.failures()),
           new ResidencyChangeLog(),
           () -> {},
           () -> {});
--- a/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
@@ -51,6 +51,27 @@
     }
   }
 
+  @Test
+  void directoryIsReadAgainAfterAnExceptionInTheWaitForThat() throws InterruptedException {
+    Semaphore read = new Semaphore(0);
+    DirectoryPoller poller =
+        new DirectoryPoller(
+            () -> new DirectoryReadResult.Entries(List.of(), 0),
+            new EndpointDepartures(),
+            () -> {
+              throw new IllegalStateException("expected by the test");
+            },
+            () -> true,
+            entries -> read.release(),
+            System::nanoTime);
+    poller.start();
+    try {
+      assertThat(read.tryAcquire(2, PATIENCE_S, TimeUnit.SECONDS)).isTrue();
+    } finally {
+      poller.stop();
+    }
+  }
+
   @Test
   void exceptionOnTheRemovalOfKeptEndpointsIsNotPassedOn() {
     AtomicLong nowNanos = new AtomicLong(TimeUnit.SECONDS.toNanos(100));
--- a/src/test/java/org/magnoliavale/internal/gateway/TickLoopTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/TickLoopTest.java
@@ -16,7 +16,7 @@
   private TickLoop loop;
 
   private void start(boolean busy, Runnable task) {
-    loop = new TickLoop("test", 1, NEVER_MS, () -> busy, task);
+    loop = new TickLoop("test", 1, NEVER_MS, () -> busy, task, GatewayFixture.failures());
     loop.start();
   }
 
@@ -48,6 +48,23 @@
     assertThat(again).isTrue();
   }
 
+  /** Guards against time limits that are checked no longer, for good. */
+  @Test
+  void goesOnAfterTheQuestionForItsIntervalFails() throws InterruptedException {
+    loop =
+        new TickLoop(
+            "test",
+            1,
+            NEVER_MS,
+            () -> {
+              throw new IllegalStateException("expected by the test");
+            },
+            runs::release,
+            GatewayFixture.failures());
+    loop.start();
+    assertThat(ranAgain() && ranAgain()).isTrue();
+  }
+
   @Test
   void goesOnAfterATaskThatFails() throws InterruptedException {
     AtomicInteger count = new AtomicInteger();
