End a read of the store whose pages do not go on

A store that says "has-more" and sends the same rows again, or none, kept the thread that reads the table in a loop without an end and let its rows grow: an instance got no further configuration or directory, and its routes and endpoints stayed what they were. Such a read is unavailable now, as any answer that is no whole one; the next poll reads anew.

Ruled out as a way to the same: a store that answers slowly or endlessly (bounded by the client).

--- a/src/main/java/org/magnoliavale/platform/StoreClient.java
+++ b/src/main/java/org/magnoliavale/platform/StoreClient.java
@@ -11,7 +11,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.magnoliavale.internal.http.JsonCallResult;
 import org.magnoliavale.internal.http.JsonClient;
 import org.magnoliavale.internal.json.Json;
@@ -69,8 +71,9 @@
   /** Reads all rows with keys from {@code from} on, page by page. */
   Result readAll(String table, String from) {
     List<StoredRow> rows = new ArrayList<>();
+    Set<String> starts = new HashSet<>();
     String next = from;
-    while (true) {
+    while (starts.add(next)) {
       String path = "/-/rows-get?table=" + encode(table) + "&part=&from=" + encode(next);
       JsonCallResult result = client.get(address, path, timeout);
       if (!(result instanceof JsonCallResult.Response(int status, var headers, byte[] body))
@@ -90,6 +93,7 @@
       // The smallest key after the last one in byte order.
       next = rows.getLast().key() + "\0";
     }
+    return new Result.Unavailable("pages that do not go on");
   }
 
   /** Long-polls for changes of a table after a version, for at most {@code pollTimeout}. */
