Play streams that workers break off, and an early kill, between processes

The plays between processes knew only callers that keep their connections and send a length, and workers that end all their streams in chunks. No play could show a stream that broke off and looked complete by the end of the caller's connection.

Whatever happened, a stream that lacks events must not look complete.

The check of lost requests leaves out what the worker itself breaks off, and plays with the early kill; both are new, so no play is judged less. By hand, Soak prints the counts of each form, and fails on streams that look complete as well.

--- a/src/test/java/org/magnoliavale/soak/Caller.java
+++ b/src/test/java/org/magnoliavale/soak/Caller.java
@@ -54,12 +54,12 @@
   }
 
   /** Sends a request and reads its response; empty if it could not be sent whole. */
-  Optional<Exchange> exchange(String id, Kind kind, String target) {
+  Optional<Exchange> exchange(String id, Kind kind, String target, Form form) {
     boolean kept = used;
     used = true;
     long sent = clock.now();
     try {
-      socket.getOutputStream().write(request(id, kind, target));
+      socket.getOutputStream().write(request(id, kind, target, form));
     } catch (IOException e) {
       // The connection had ended before the request was sent.
       close();
@@ -81,7 +81,7 @@
         whole = status != OK || body.isWhole(target);
         failure = whole ? "" : Exchange.LOOKS_COMPLETE;
       }
-      if (head == null || head.closesConnection()) {
+      if (head == null || head.closesConnection() || form.closesConnection()) {
         close();
       }
     } catch (IOException e) {
@@ -92,6 +92,7 @@
         new Exchange(
             id,
             kind,
+            form,
             instance,
             kept,
             sent,
@@ -110,17 +111,23 @@
     }
   }
 
-  private static byte[] request(String id, Kind kind, String target) {
+  private static byte[] request(String id, Kind kind, String target, Form form) {
     String model = "X-Model: " + WorkerDescription.MODEL + "\r\nX-Token-Counts: 200,60\r\n";
     return """
-        POST %s HTTP/1.1\r
+        POST %s%s %s\r
         Host: %s\r
         X-Request-Attempt-Id: %s\r
         X-Time-Remaining: %d\r
-        %sContent-Length: 4\r
-        \r
-        body"""
-        .formatted(target, SoakDeployment.HOST, id, kind.timeoutMs(), kind.isStream() ? model : "")
+        %s%s"""
+        .formatted(
+            target,
+            form.query(),
+            form.version(),
+            SoakDeployment.HOST,
+            id,
+            kind.timeoutMs(),
+            kind.isStream() ? model : "",
+            form.endOfRequest())
         .getBytes(StandardCharsets.US_ASCII);
   }
 
--- a/src/test/java/org/magnoliavale/soak/Disruption.java
+++ b/src/test/java/org/magnoliavale/soak/Disruption.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.function.Function;
 
 /** What happens beside the stop of the instance of index 0. */
 enum Disruption {
@@ -14,9 +15,13 @@
   PAUSES_AND_FULL_WORKERS,
   RESTORED_STORE,
 
+  /** Workers break many streams off, and the instance is killed soon after its stop signal. */
+  BROKEN_STREAMS,
+
   /** Holds the process up as a busy machine may; the rules excuse a freeze, so no test plays it. */
   LATE_SIGNAL;
 
+  private static final long EARLY_KILL_MS = 3_000;
   private static final int MINIMUM_PAUSE_MS = 1_000;
   private static final int LONG_PAUSE_MS = 1_400;
   private static final int MAXIMUM_PAUSE_MS = 1_600;
@@ -25,6 +30,21 @@
   private static final int ROUNDS = 4;
   private static final int ROUND_MS = 1_900;
 
+  /** Returns the time from the stop signal until the process is killed. */
+  long killDelayMs() {
+    return isKilledEarly() ? EARLY_KILL_MS : InstanceProcess.GRACE_PERIOD_S * 1_000L;
+  }
+
+  /** Returns whether the process is killed within its grace period, so that requests are lost. */
+  boolean isKilledEarly() {
+    return this == BROKEN_STREAMS;
+  }
+
+  /** Returns the source of the forms of requests. */
+  Function<Random, Form> forms() {
+    return this == BROKEN_STREAMS ? Form::draw : Form::drawRequest;
+  }
+
   /** Plays the disruption; the stop signal is sent at {@code stop}. */
   void play(
       PlayClock clock,
@@ -33,7 +53,7 @@
       SoakDeployment deployment,
       InstanceProcess instance) {
     switch (this) {
-      case NONE -> {}
+      case NONE, BROKEN_STREAMS -> {}
       case SECOND_SIGNAL -> {
         clock.sleepUntil(stop + random.nextInt(100, 4_000));
         instance.signal("TERM");
--- a/src/test/java/org/magnoliavale/soak/EndpointStatementsOfWorkersTest.java
+++ b/src/test/java/org/magnoliavale/soak/EndpointStatementsOfWorkersTest.java
@@ -60,7 +60,7 @@
       for (int index = 0; index < INSTANCES; index++) {
         Play.awaitReady(clock, index, instances.get(index));
       }
-      Traffic traffic = new Traffic(clock, instances);
+      Traffic traffic = new Traffic(clock, instances, ignored -> Form.PLAIN);
       traffic.start(seed);
       play(deployment, instances);
       traffic.end();
--- a/src/test/java/org/magnoliavale/soak/Exchange.java
+++ b/src/test/java/org/magnoliavale/soak/Exchange.java
@@ -5,6 +5,7 @@
  *
  * @param id id of the client attempt
  * @param kind kind of the request
+ * @param form how it and its answer are framed, and how the answer is broken off
  * @param instance index of the instance that took it
  * @param kept whether it was sent on a connection that had served a request before
  * @param sent before the first byte was sent
@@ -18,6 +19,7 @@
 record Exchange(
     String id,
     Kind kind,
+    Form form,
     int instance,
     boolean kept,
     long sent,
--- a/src/test/java/org/magnoliavale/soak/LateStreams.java
+++ b/src/test/java/org/magnoliavale/soak/LateStreams.java
@@ -40,10 +40,12 @@
 
   private void send(Caller caller, String id, long time) {
     if (caller.connect(0, port, Kind.READ)) {
-      caller.exchange(id + "-before", Kind.READ, Kind.READ.prefix()).ifPresent(exchanges::add);
+      caller
+          .exchange(id + "-before", Kind.READ, Kind.READ.prefix(), Form.PLAIN)
+          .ifPresent(exchanges::add);
       clock.sleepUntil(time);
       if (caller.isConnected()) {
-        caller.exchange(id, Kind.LONG_STREAM, TARGET).ifPresent(exchanges::add);
+        caller.exchange(id, Kind.LONG_STREAM, TARGET, Form.PLAIN).ifPresent(exchanges::add);
       }
     }
   }
--- a/src/test/java/org/magnoliavale/soak/LostCheck.java
+++ b/src/test/java/org/magnoliavale/soak/LostCheck.java
@@ -6,7 +6,8 @@
 
 /**
  * Rule LOST around planned work of an instance: a whole request was read, and the connection ended
- * without a complete response. What a configuration change alone cuts is not judged.
+ * without a complete response. What a configuration change alone cuts is not judged, nor what the
+ * worker breaks off.
  */
 final class LostCheck {
   private static final long GRACE_MS = InstanceProcess.GRACE_PERIOD_S * 1_000L;
@@ -60,7 +61,7 @@
     boolean accepted =
         !runsOf(exchange).isEmpty()
             || exchange.end() - exchange.read() > LOST_MS && !exchange.isUnread();
-    return !exchange.whole() && accepted;
+    return !exchange.whole() && accepted && !exchange.form().isBrokenOff();
   }
 
   private boolean isExcused(Exchange exchange) {
--- a/src/test/java/org/magnoliavale/soak/Play.java
+++ b/src/test/java/org/magnoliavale/soak/Play.java
@@ -12,7 +12,6 @@
   private static final long READY_TIMEOUT_MS = 20_000;
   private static final long BEFORE_STOP_MS = 4_500;
   private static final long AFTER_KILL_MS = 300;
-  private static final long GRACE_MS = InstanceProcess.GRACE_PERIOD_S * 1_000L;
 
   private final PlayClock clock = new PlayClock();
   private final Path folder;
@@ -48,7 +47,7 @@
     Random random = new Random(seed);
     InstanceProcess stopped = instances.getFirst();
     long planned = clock.now() + BEFORE_STOP_MS + random.nextInt(500);
-    Traffic traffic = new Traffic(clock, instances);
+    Traffic traffic = new Traffic(clock, instances, disruption.forms());
     traffic.start(seed);
     LateStreams lateStreams = new LateStreams(clock, stopped, planned);
     lateStreams.start();
@@ -58,10 +57,11 @@
     clock.sleepUntil(planned);
     long stop = clock.now();
     stopped.stop();
-    clock.sleepUntil(stop + GRACE_MS);
+    long kill = stop + disruption.killDelayMs();
+    clock.sleepUntil(kill);
     stopped.close();
     beside.join();
-    clock.sleepUntil(stop + GRACE_MS + AFTER_KILL_MS);
+    clock.sleepUntil(kill + AFTER_KILL_MS);
     List<Exchange> exchanges = new ArrayList<>(traffic.end());
     exchanges.addAll(lateStreams.end());
     return new Result(stop, exchanges, deployment.runs(), deployment.refusals());
@@ -85,7 +85,7 @@
   private static boolean isServed(Caller caller, int index, InstanceProcess instance, Kind kind) {
     return caller.connect(index, instance.callerPort(), kind)
         && caller
-            .exchange("start-" + index, kind, kind.prefix() + "x?events=1")
+            .exchange("start-" + index, kind, kind.prefix() + "x?events=1", Form.PLAIN)
             .filter(exchange -> exchange.status() == 200)
             .isPresent();
   }
--- a/src/test/java/org/magnoliavale/soak/PlayReport.java
+++ b/src/test/java/org/magnoliavale/soak/PlayReport.java
@@ -9,6 +9,8 @@
 
 /** The verdict on a play, and lines that tell what happened; times are relative to the stop. */
 final class PlayReport {
+  private static final int OK = 200;
+
   private final Disruption disruption;
   private final int seed;
   private final Play.Result result;
@@ -21,9 +23,11 @@
     this.check = new LostCheck(result.stop(), result.runs());
   }
 
-  /** Returns a line for each request that broke the rule. */
+  /** Returns a line for each request that broke the rule; an early kill excuses all. */
   List<String> lost() {
-    return check.lost(result.exchanges()).stream().map(this::describe).toList();
+    return disruption.isKilledEarly()
+        ? List.of()
+        : check.lost(result.exchanges()).stream().map(this::describe).toList();
   }
 
   /** Returns a line for each response that ended early and cannot be told from a complete one. */
@@ -34,12 +38,21 @@
         .toList();
   }
 
+  /** Returns the number of streams that workers broke off and callers did not get whole. */
+  long brokenOff() {
+    return result.exchanges().stream()
+        .filter(exchange -> exchange.form().isBrokenOff())
+        .filter(exchange -> exchange.status() == OK && !exchange.whole())
+        .count();
+  }
+
   void print() {
     List<String> lines = new ArrayList<>();
     List<String> lost = lost();
     lines.add(
         ("soak disruption=%s seed=%d requests=%d at-stopped=%d streams-at-stopped=%d"
-                + " whole=%d ok=%d excused=%d outside=%d unread=%d looking-complete=%d lost=%d")
+                + " whole=%d ok=%d excused=%d outside=%d unread=%d broken-off=%d"
+                + " looking-complete=%d lost=%d")
             .formatted(
                 disruption,
                 seed,
@@ -47,17 +60,24 @@
                 count(false),
                 count(true),
                 result.exchanges().stream().filter(Exchange::whole).count(),
-                result.exchanges().stream().filter(exchange -> exchange.status() == 200).count(),
+                result.exchanges().stream().filter(exchange -> exchange.status() == OK).count(),
                 check.excused(result.exchanges()).size(),
                 check.outside(result.exchanges()).size(),
                 result.exchanges().stream().filter(Exchange::isUnread).count(),
+                brokenOff(),
                 lookingComplete().size(),
                 lost.size()));
     lost.forEach(line -> lines.add("  lost " + line));
+    lookingComplete().forEach(line -> lines.add("  looks complete " + line));
     check.outside(result.exchanges()).forEach(each -> lines.add("  outside " + describe(each)));
     lines.forEach(System.out::println);
   }
 
+  /** Prints how many streams of each form were whole, cut, and looked complete. */
+  void printForms() {
+    FormTable.of(result).forEach(System.out::println);
+  }
+
   /** Writes all requests at the stopped instance to a file beside the logs of the instances. */
   void write(Path folder) throws IOException {
     List<String> lines =
@@ -79,10 +99,11 @@
   private String describe(Exchange exchange) {
     StringBuilder line = new StringBuilder();
     line.append(
-        "%s %s %s sent %+d end %+d deadline %+d status %d bytes %d (%s)"
+        "%s %s %s %s sent %+d end %+d deadline %+d status %d bytes %d (%s)"
             .formatted(
                 exchange.id(),
                 exchange.kind(),
+                exchange.form(),
                 exchange.kept() ? "kept" : "new",
                 sinceStop(exchange.sent()),
                 sinceStop(exchange.end()),
--- a/src/test/java/org/magnoliavale/soak/Soak.java
+++ b/src/test/java/org/magnoliavale/soak/Soak.java
@@ -17,21 +17,22 @@
 
   private Soak() {}
 
-  /** Plays all seeds and disruptions; the exit status is 1 if a request was lost. */
+  /** Plays all seeds and disruptions; the exit status is 1 if a rule was broken. */
   public static void main(String[] arguments) throws Exception {
-    int lost = 0;
+    int broken = 0;
     for (int seed : seeds().toArray()) {
       for (Disruption disruption : disruptions(Disruption.values()).toList()) {
         Path folder = Files.createTempDirectory("soak-" + disruption + "-" + seed + "-");
         PlayReport report =
             new PlayReport(disruption, seed, new Play(folder, disruption, seed).run());
         report.print();
+        report.printForms();
         report.write(folder);
-        lost += report.lost().size();
+        broken += report.lost().size() + report.lookingComplete().size();
       }
     }
-    System.out.println("soak lost=" + lost);
-    System.exit(lost == 0 ? 0 : 1);
+    System.out.println("soak broken=" + broken);
+    System.exit(broken == 0 ? 0 : 1);
   }
 
   static IntStream seeds() {
--- a/src/test/java/org/magnoliavale/soak/SoakWorker.java
+++ b/src/test/java/org/magnoliavale/soak/SoakWorker.java
@@ -113,13 +113,12 @@
   private void serve(Socket connection) {
     try (connection) {
       InputStream in = new BufferedInputStream(connection.getInputStream());
-      OutputStream out = connection.getOutputStream();
       for (HttpMessage request = HttpMessage.readHead(in);
           request != null;
           request = HttpMessage.readHead(in)) {
         request.readBody(in, ignored -> {});
         awaitEndOfPause();
-        answer(request, out);
+        answer(request, connection);
       }
     } catch (IOException e) {
       // The instance has closed the connection; the run has recorded its own end.
@@ -129,7 +128,8 @@
     }
   }
 
-  private void answer(HttpMessage request, OutputStream out) throws IOException {
+  private void answer(HttpMessage request, Socket connection) throws IOException {
+    OutputStream out = connection.getOutputStream();
     String path = request.startLine().split(" ")[1];
     if (path.equals("/-/report")) {
       WorkerMessages.write(out, 200, statement, WorkerDescription.report(reportedRunning()));
@@ -137,19 +137,19 @@
       WorkerMessages.write(out, 200, statement, "{}");
     } else {
       arrivals.add(clock.now());
-      answerCall(request, path, out);
+      answerCall(request, path, connection);
     }
   }
 
-  private void answerCall(HttpMessage request, String path, OutputStream out) throws IOException {
+  private void answerCall(HttpMessage request, String path, Socket connection) throws IOException {
     String refusalLine = refusal;
     if (!refusalLine.isEmpty() || isFullAt(clock.now()) || !slots.tryAcquire()) {
       refusals.add(new Refusal(request.header("x-request-attempt-id"), name, clock.now()));
       String headers = WorkerMessages.echo(request) + "X-Not-Executed: 1\r\n" + refusalLine;
-      WorkerMessages.write(out, 503, headers + statement, "full");
+      WorkerMessages.write(connection.getOutputStream(), 503, headers + statement, "full");
     } else {
       try {
-        run(request, WorkerMessages.parameters(path), out);
+        run(request, WorkerMessages.parameters(path), connection);
       } finally {
         slots.release();
       }
@@ -161,7 +161,7 @@
     return full ? SLOTS : SLOTS - slots.availablePermits();
   }
 
-  private void run(HttpMessage request, Map<String, Integer> query, OutputStream out)
+  private void run(HttpMessage request, Map<String, Integer> query, Socket connection)
       throws IOException {
     RunInProgress run =
         new RunInProgress(request.header("x-request-attempt-id"), name, clock.now());
@@ -170,25 +170,12 @@
     try {
       String headers =
           WorkerMessages.echo(request) + "X-Response-Signature: " + name + "\r\n" + statement;
-      if (!query.containsKey("events")) {
-        PlayClock.sleep(query.getOrDefault("work", 0));
-        awaitEndOfPause();
-        WorkerMessages.write(out, 200, headers, "served");
+      PlayClock.sleep(query.getOrDefault("work", 0));
+      awaitEndOfPause();
+      if (query.containsKey("events")) {
+        stream(request, query, headers, run, connection);
       } else {
-        PlayClock.sleep(query.getOrDefault("work", 0));
-        awaitEndOfPause();
-        WorkerMessages.writeText(out, WorkerMessages.streamHead(headers));
-        String last = request.header("last-event-id");
-        int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
-        for (int number = first; number <= query.get("events"); number++) {
-          WorkerMessages.writeText(
-              out,
-              WorkerMessages.chunk(WorkerMessages.event(number, query.getOrDefault("size", 0))));
-          run.eventWritten();
-          PlayClock.sleep(query.getOrDefault("gap", 0));
-          awaitEndOfPause();
-        }
-        WorkerMessages.writeText(out, "0\r\n\r\n");
+        WorkerMessages.write(connection.getOutputStream(), 200, headers, "served");
       }
       whole = true;
     } finally {
@@ -197,6 +184,47 @@
     }
   }
 
+  private void stream(
+      HttpMessage request,
+      Map<String, Integer> query,
+      String headers,
+      RunInProgress run,
+      Socket connection)
+      throws IOException {
+    Form form = Form.ofQuery(query);
+    OutputStream out = connection.getOutputStream();
+    WorkerMessages.writeText(out, WorkerMessages.streamHead(headers, form));
+    String last = request.header("last-event-id");
+    int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+    for (int number = first; number <= query.get("events"); number++) {
+      String event = WorkerMessages.event(number, query.getOrDefault("size", 0));
+      if (form.endsAfter(number - first)) {
+        breakOff(form, event, connection);
+      }
+      WorkerMessages.writeText(out, WorkerMessages.part(event, form));
+      run.eventWritten();
+      PlayClock.sleep(query.getOrDefault("gap", 0));
+      awaitEndOfPause();
+    }
+    if (form.framing() == Form.Framing.CHUNKS) {
+      WorkerMessages.writeText(out, "0\r\n\r\n");
+    } else {
+      connection.shutdownOutput();
+    }
+  }
+
+  /** Ends a run before or within an event. */
+  private static void breakOff(Form form, String event, Socket connection) throws IOException {
+    if (form.ending() == Form.Ending.RESET_BETWEEN_EVENTS) {
+      connection.setSoLinger(true, 0);
+    } else {
+      String half = WorkerMessages.part(event.substring(0, event.length() / 2), form);
+      WorkerMessages.writeText(connection.getOutputStream(), half);
+    }
+    connection.close();
+    throw new IOException("broken off");
+  }
+
   private void awaitEndOfPause() {
     while (clock.now() < pausedUntil) {
       PlayClock.sleep(PAUSE_CHECK_MS);
--- a/src/test/java/org/magnoliavale/soak/Traffic.java
+++ b/src/test/java/org/magnoliavale/soak/Traffic.java
@@ -5,6 +5,7 @@
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Function;
 
 /** Callers that send requests one after another, drawn from the seed of the play. */
 final class Traffic {
@@ -15,15 +16,17 @@
 
   private final PlayClock clock;
   private final List<InstanceProcess> instances;
+  private final Function<Random, Form> requestForms;
   private final Queue<Exchange> exchanges = new ConcurrentLinkedQueue<>();
   private final List<Caller> callers = new ArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
   private volatile boolean ended;
 
   /** Returns traffic that is not started; the instance of index 0 gets most of it. */
-  Traffic(PlayClock clock, List<InstanceProcess> instances) {
+  Traffic(PlayClock clock, List<InstanceProcess> instances, Function<Random, Form> requestForms) {
     this.clock = clock;
     this.instances = instances;
+    this.requestForms = requestForms;
   }
 
   void start(int seed) {
@@ -49,9 +52,11 @@
   }
 
   private void send(Caller caller, String name, Random random) {
+    Random formRandom = new Random(random.nextLong());
     for (int number = 0; !ended; number++) {
       Kind kind = draw(random.nextDouble());
       String target = kind.target(random.nextDouble());
+      Form form = requestForms.apply(formRandom).of(kind);
       boolean anew = random.nextDouble() < NEW_CONNECTION_SHARE || kind == Kind.SLOW_READER;
       int index =
           random.nextDouble() < STOPPED_INSTANCE_SHARE
@@ -62,7 +67,7 @@
           caller.isConnected() && !anew
               || caller.connect(index, instances.get(index).callerPort(), kind);
       if (connected) {
-        caller.exchange(name + "-" + number, kind, target).ifPresent(exchanges::add);
+        caller.exchange(name + "-" + number, kind, target, form).ifPresent(exchanges::add);
       } else {
         PlayClock.sleep(PAUSE_MS);
       }
--- a/src/test/java/org/magnoliavale/soak/WorkerMessages.java
+++ b/src/test/java/org/magnoliavale/soak/WorkerMessages.java
@@ -14,17 +14,25 @@
     return "X-Request-Attempt-Id: " + request.header("x-request-attempt-id") + "\r\n";
   }
 
-  static String streamHead(String headers) {
+  static String streamHead(String headers, Form form) {
+    String framing = form.framing() == Form.Framing.CHUNKS ? "Transfer-Encoding: chunked\r\n" : "";
     return "HTTP/1.1 200 OK\r\n"
         + headers
-        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        + "Content-Type: text/event-stream\r\n"
+        + framing
+        + "\r\n";
   }
 
   static String event(int number, int size) {
     return "id: " + number + "\ndata: " + "t".repeat(size) + "\n\n";
   }
 
-  static String chunk(String text) {
+  /** Returns a part of a stream as it is sent. */
+  static String part(String text, Form form) {
+    return form.framing() == Form.Framing.CONNECTION ? text : chunk(text);
+  }
+
+  private static String chunk(String text) {
     return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
   }
 
