End a failed call in one place

Call.failOrAbort serves all of them; the kept error of an endpoint is the completion's. Behaviour is unchanged: all tests of the package pass.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -316,13 +316,10 @@
 
   private void endWithoutAnswer(String reason, long now) {
     boolean triedAlready = responseHead.isServerError();
-    if (!triedAlready && call.retryIfAllowed(this, reason, now)) {
-      return;
-    }
-    if (call.hasResponseStarted()) {
-      call.abortResponse(reason);
+    if (triedAlready) {
+      call.failOrAbort(ErrorCode.UPSTREAM_FAILED, reason);
     } else {
-      call.fail(ErrorCode.UPSTREAM_FAILED, reason);
+      retryOrFail(reason, now);
     }
   }
 
@@ -384,13 +381,8 @@
   }
 
   private void retryOrFail(String reason, long now) {
-    if (call.retryIfAllowed(this, reason, now)) {
-      return;
-    }
-    if (call.hasResponseStarted()) {
-      call.abortResponse(reason);
-    } else {
-      call.fail(ErrorCode.UPSTREAM_FAILED, reason);
+    if (!call.retryIfAllowed(this, reason, now)) {
+      call.failOrAbort(ErrorCode.UPSTREAM_FAILED, reason);
     }
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -53,9 +53,6 @@
   private Optional<Long> lastEvent;
   private String lastFailure = "";
 
-  /** The last small error response of an endpoint, which is sent on if nothing better comes. */
-  private Optional<EndpointAnswer> keptError = Optional.empty();
-
   /**
    * Start of the wait for an endpoint: arrival, or the last failed attempt that may have been
    * executed.
@@ -167,10 +164,8 @@
       ended.cancel(AttemptOutcome.INCONCLUSIVE, now());
       attempts.removeEnded(ended);
       recordPossibleExecution(ended, INTERNAL_ERROR, now());
-    } else if (responseStarted) {
-      abortResponse(INTERNAL_ERROR);
     } else {
-      fail(ErrorCode.INTERNAL, INTERNAL_ERROR);
+      failOrAbort(ErrorCode.INTERNAL, INTERNAL_ERROR);
     }
   }
 
@@ -337,7 +332,7 @@
 
   /** Keeps an endpoint's error response for the case that no retry leads to another one. */
   void keepError(EndpointAnswer answer) {
-    keptError = Optional.of(answer);
+    completion.keepError(answer);
   }
 
   /** Ends the call after the last event of a stream. */
@@ -348,10 +343,10 @@
   private void expire(long nowNanos) {
     boolean sent = state == State.SENT;
     attempts.cancel(AttemptOutcome.INCONCLUSIVE, nowNanos);
-    if (responseStarted) {
-      abortResponse("timeout");
-    } else if (sent || retries.mayHaveBeenExecuted()) {
-      fail(ErrorCode.DEADLINE_EXCEEDED, "no response before the deadline");
+    if (responseStarted || sent || retries.mayHaveBeenExecuted()) {
+      failOrAbort(
+          ErrorCode.DEADLINE_EXCEEDED,
+          responseStarted ? "timeout" : "no response before the deadline");
     } else {
       reject(ErrorCode.MODEL_UNAVAILABLE, "no endpoint available before the deadline", nowNanos);
     }
@@ -362,10 +357,8 @@
   }
 
   private void giveUp(ErrorCode code, String reason, long nowNanos) {
-    if (responseStarted) {
-      abortResponse(reason);
-    } else if (retries.mayHaveBeenExecuted()) {
-      fail(ErrorCode.UPSTREAM_FAILED, reason);
+    if (responseStarted || retries.mayHaveBeenExecuted()) {
+      failOrAbort(ErrorCode.UPSTREAM_FAILED, reason);
     } else {
       reject(code, reason, nowNanos);
     }
@@ -377,16 +370,16 @@
     completion.reject(code, reason, retries.refusals(), delay, nowNanos);
   }
 
-  /** Ends a call that may have been executed, with an endpoint's own error if there was one. */
-  void fail(ErrorCode code, String reason) {
-    keptError.ifPresentOrElse(
-        completion::respond,
-        () -> completion.fail(code, reason, retries.possibleExecutions(), lastFailure));
-  }
-
-  /** Aborts a response that has started but cannot be completed. */
-  void abortResponse(String reason) {
-    completion.abort(reason, lastFailure, lastEvent);
+  /**
+   * Ends a call that may have been executed and gets no whole response: a response that has started
+   * is aborted; else the caller gets an endpoint's own error if there was one, or {@code code}.
+   */
+  void failOrAbort(ErrorCode code, String reason) {
+    if (responseStarted) {
+      completion.abort(reason, lastFailure, lastEvent);
+    } else {
+      completion.fail(code, reason, retries.possibleExecutions(), lastFailure);
+    }
   }
 
   private void end() {
--- a/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
@@ -16,6 +16,9 @@
   private final CallLog log;
   private final Runnable end;
 
+  /** The last small error response of an endpoint. */
+  private Optional<EndpointAnswer> keptError = Optional.empty();
+
   /** Returns the completion of a call; {@code end} removes the call from those in progress. */
   CallCompletion(CallContext context, CallPlan plan, CallerResponse caller, Runnable end) {
     this.context = context;
@@ -47,8 +50,17 @@
         ErrorCode.MODEL_UNAVAILABLE, MagnoliavaleException.of(code, reason).withRetryAfter(delay));
   }
 
-  /** Ends a call that may have been executed. */
+  /** Keeps an endpoint's error response for the case that the call would fail. */
+  void keepError(EndpointAnswer answer) {
+    keptError = Optional.of(answer);
+  }
+
+  /** Ends a call that may have been executed, with the endpoint's own error if one was kept. */
   void fail(ErrorCode code, String reason, int possibleExecutions, String lastFailure) {
+    if (keptError.isPresent()) {
+      respond(keptError.get());
+      return;
+    }
     context.metrics().failed().inc();
     log.failed(reason, possibleExecutions, lastFailure);
     respondWithProblem(code, MagnoliavaleException.of(code, reason));
