--- a/src/test/java/org/magnoliavale/internal/http/JsonClientTest.java
+++ b/src/test/java/org/magnoliavale/internal/http/JsonClientTest.java
@@ -3,15 +3,20 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class JsonClientTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration LONG_TIMEOUT = Duration.ofSeconds(20);
 
   private final HttpClient http = HttpClients.create("test", 4, TIMEOUT, TIMEOUT);
   private final JsonClient client = JsonClient.of(http);
@@ -46,4 +51,46 @@
       }
     }
   }
+
+  /** Guards against an answer that was reset while its request was sent and looks complete. */
+  @Nested
+  class ResponseThatIsResetWhileTheRequestIsSent {
+    private final CompletableFuture<Void> responseEnded = new CompletableFuture<>();
+
+    /** Makes the client wait after a write has failed, until the response has ended. */
+    private void letTheResponseEndFirst() {
+      http.getRequestListeners()
+          .addQueuedListener(
+              request ->
+                  request
+                      .onResponseSuccess(ignored -> responseEnded.complete(null))
+                      .onResponseFailure((response, failure) -> responseEnded.complete(null)));
+      http.getRequestListeners()
+          .addFailureListener(
+              (request, failure) ->
+                  responseEnded.orTimeout(LONG_TIMEOUT.toSeconds(), TimeUnit.SECONDS).join());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Content-Length: 99\r\n", "Transfer-Encoding: chunked\r\n"})
+    void outcomeIsUnknown(String framing) throws Exception {
+      letTheResponseEndFirst();
+      try (UnreadBodyServer server = new UnreadBodyServer()) {
+        CompletableFuture<Void> headReceived = new CompletableFuture<>();
+        http.getRequestListeners()
+            .addQueuedListener(
+                request -> request.onResponseHeaders(ignored -> headReceived.complete(null)));
+        byte[] body = new byte[UnreadBodyServer.LARGE_BODY_BYTES];
+        CompletableFuture<JsonCallResult> result =
+            CompletableFuture.supplyAsync(
+                () -> client.send("POST", server.address(), "/x", Map.of(), body, LONG_TIMEOUT));
+        UnreadBodyServer.Received request = server.accept();
+        request.send("HTTP/1.1 200 OK\r\n" + framing + "\r\n");
+        headReceived.get(LONG_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+        request.reset();
+        assertThat(result.get(LONG_TIMEOUT.toSeconds(), TimeUnit.SECONDS))
+            .isInstanceOf(JsonCallResult.OutcomeUnknown.class);
+      }
+    }
+  }
 }
--- a/src/test/java/org/magnoliavale/internal/traffic/EndpointClientTest.java
+++ b/src/test/java/org/magnoliavale/internal/traffic/EndpointClientTest.java
@@ -10,21 +10,26 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliavale.internal.document.DocumentReader;
 import org.magnoliavale.internal.document.Endpoint;
 import org.magnoliavale.internal.document.TestDocuments;
 import org.magnoliavale.internal.http.HeaderNames;
+import org.magnoliavale.internal.http.UnreadBodyServer;
 import org.magnoliavale.internal.settings.EngineSettings;
 
 /** Sends attempts to a plain socket that cuts off its answer at every byte. */
 class EndpointClientTest {
   private static final String BODY = "a body";
   private static final String ID = "attempt-1";
+  private static final int RESET_TRIALS = 40;
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
   private final EndpointClient client =
@@ -35,12 +40,15 @@
   @BeforeEach
   void start() throws Exception {
     server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-    String document =
-        TestDocuments.base() + TestDocuments.serviceEndpoint("service-1", server.getLocalPort());
-    endpoint = DocumentReader.read("d.ini", document, 1).endpoints().values().iterator().next();
+    endpoint = endpointAt(server.getLocalPort());
     client.start();
   }
 
+  private static Endpoint endpointAt(int port) {
+    String document = TestDocuments.base() + TestDocuments.serviceEndpoint("service-1", port);
+    return DocumentReader.read("d.ini", document, 1).endpoints().values().iterator().next();
+  }
+
   @AfterEach
   void stop() throws IOException {
     client.stop();
@@ -75,9 +83,13 @@
 
   /** Returns the body of a complete answer, or a text that begins with "failed". */
   private String send(boolean newConnection) {
+    return send(endpoint, "GET", new byte[0], newConnection);
+  }
+
+  private String send(Endpoint target, String method, byte[] body, boolean newConnection) {
     AttemptRequest request =
         new AttemptRequest(
-            ID, endpoint, "GET", "/x", HttpFields.EMPTY, new byte[0], TIMEOUT, TIMEOUT, TIMEOUT);
+            ID, target, method, "/x", HttpFields.EMPTY, body, TIMEOUT, TIMEOUT, TIMEOUT);
     AttemptResult result =
         newConnection ? client.sendOnNewConnection(request) : client.send(request);
     if (!(result instanceof AttemptResult.Responded(EndpointResponse response))) {
@@ -128,4 +140,27 @@
     }
     assertThat(violations).isEmpty();
   }
+
+  /** Guards against an answer that was reset while its request was sent and looks complete. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void answerThatIsResetWhileItsRequestIsSentIsNeverComplete(boolean newConnection)
+      throws Exception {
+    List<String> violations = new ArrayList<>();
+    byte[] body = new byte[UnreadBodyServer.LARGE_BODY_BYTES];
+    for (int trial = 0; trial < RESET_TRIALS; trial++) {
+      try (UnreadBodyServer unread = new UnreadBodyServer()) {
+        Endpoint slow = endpointAt(unread.address().getPort());
+        CompletableFuture<String> outcome =
+            CompletableFuture.supplyAsync(() -> send(slow, "POST", body, newConnection));
+        UnreadBodyServer.Received request = unread.accept();
+        request.send(head("none") + BODY);
+        request.reset();
+        if (!outcome.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS).startsWith("failed")) {
+          violations.add("trial " + trial);
+        }
+      }
+    }
+    assertThat(violations).isEmpty();
+  }
 }
