--- a/src/test/java/org/magnoliavale/internal/call/RecordingCaller.java
+++ b/src/test/java/org/magnoliavale/internal/call/RecordingCaller.java
@@ -62,6 +62,10 @@
     writesHeld = true;
   }
 
+  boolean hasWriteInProgress() {
+    return pendingWrite != null;
+  }
+
   /** Completes the write in progress. */
   void completeWrite() {
     Runnable written = pendingWrite;
--- a/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
+++ b/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
@@ -61,6 +61,11 @@
       listener.onContent(ByteBuffer.wrap(bytes), () -> {});
     }
 
+    /** Sends a part of the body that is followed by the next one only on {@code demand}. */
+    void content(String text, Runnable demand) {
+      listener.onContent(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), demand);
+    }
+
     void respond(int status, String text) {
       begin(status);
       content(text);
