Forward the paths of plain services as callers sent them

What callers saw: at `serve`, a request for /services/ordering/a;b=c ran as /a, one for /%41 as /A, one for /a/../b as /b, and one for /%C3%BC reached the endpoint with its letter unescaped.

Cause: the path came from Request.getPathInContext, which is the canonical one: decoded, without parameters and dots.

Why it works: the path is that of the request line. One whose prefix /services/ is written in another form is now answered 404 rather than forwarded otherwise than sent.

Not touched: `//`, %2F, %25 and `|` in a path are refused with 400 there, as before, and a malformed query is answered 500 without being sent.

--- a/src/main/java/org/magnoliavale/internal/traffic/ServiceRequestHandler.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/ServiceRequestHandler.java
@@ -26,7 +26,11 @@
 
   void handle(
       RequestContext context, Request request, byte[] body, Response response, Callback callback) {
-    String path = Request.getPathInContext(request).substring(PATH_PREFIX.length());
+    String wholePath = request.getHttpURI().getPath();
+    if (!wholePath.startsWith(PATH_PREFIX)) {
+      throw MagnoliavaleException.of(ErrorCode.NOT_FOUND, "no such path: " + wholePath);
+    }
+    String path = wholePath.substring(PATH_PREFIX.length());
     int slash = path.indexOf('/');
     String name = slash < 0 ? path : path.substring(0, slash);
     String servicePath = slash < 0 ? "/" : path.substring(slash);
