--- a/src/main/java/org/magnoliavale/internal/call/ContainedAttempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/ContainedAttempt.java
@@ -22,6 +22,11 @@
     contain("response content", () -> attempt.onContent(bytes, demand));
   }
 
+  @Override
+  public void onEnd(AttemptEnd end) {
+    contain("attempt end", () -> attempt.onEnd(end));
+  }
+
   @Override
   public void onCompleted() {
     contain("response end", attempt::onCompleted);
