Reject a request whose time is used up before it is read

What callers saw: 504, and a run that nobody waits for, where a request was read only after its deadline (its body came in pieces, or a new configuration has a very short timeout). A call was sent to an endpoint with X-Time-Remaining: 0 and ended at the next tick.

Cause: Call.start chose an endpoint without a look at the deadline.

CallTest: the 4 cases of requestThatIsReadAfterItsDeadlineIsRejectedAndNotSent failed before.

Why it works: such a call was sent nowhere, so 503 keeps its promise; a request that must not be repeated is not spent.

Nothing else changes by it.

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -91,7 +91,10 @@
     return caller;
   }
 
-  /** Starts the call: sends the first attempt, or waits for an endpoint. */
+  /**
+   * Starts the call: sends the first attempt, or waits for an endpoint. A call whose time was used
+   * while its request was read is rejected.
+   */
   synchronized void start(long nowNanos) {
     state = State.WAITING;
     context.retryBudget().recordRequest(plan.service(), nowNanos);
@@ -101,7 +104,11 @@
         .ifPresent(
             artifact ->
                 context.artifactDemand().recordRequest(artifact, plan.isDelayTolerant(), nowNanos));
-    dispatch(nowNanos);
+    if (nowNanos - plan.deadlineNanos() >= 0) {
+      expire(nowNanos);
+    } else {
+      dispatch(nowNanos);
+    }
   }
 
   /** Checks the time limits, and tries to send the call if it waits. */
--- a/src/test/java/org/magnoliavale/internal/call/CallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallTest.java
@@ -6,6 +6,8 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliavale.internal.dispatch.TestEntries;
 
 class CallTest extends CallFixture {
@@ -231,6 +233,17 @@
     assertThat(connector.last().request().headers().get("X-Time-Remaining")).isEqualTo("3900");
   }
 
+  /** Guards against a run that nobody waits for, of a request that was read too slowly. */
+  @ParameterizedTest
+  @ValueSource(strings = {"/safe/x", "/unsafe/x", "/stream/x", "/once/x"})
+  void requestThatIsReadAfterItsDeadlineIsRejectedAndNotSent(String path) {
+    onNextClockReading = () -> now += TimeUnit.SECONDS.toNanos(4);
+    call(path);
+    assertThat(connector.sent()).isEmpty();
+    assertThat(caller.status()).isEqualTo(503);
+    assertThat(calls.size()).isZero();
+  }
+
   @Test
   void callIsSentOnceIfEndpointsChangeWhileItStarts() {
     onNextClockReading = calls::endpointsChanged;
