--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -299,7 +299,7 @@
     boolean unprovenPromise = responseHead.tellsNotExecuted();
     close(error ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED, now);
     if (error && !unprovenPromise && body.isSmall()) {
-      call.keepError(answer);
+      call.completion().keepError(answer);
     }
     if (error && retryServerError(now)) {
       return;
@@ -311,7 +311,7 @@
     if (responseHead.isSuccess()) {
       call.context().crashDetector().answered(call.plan().crashKeys(), now);
     }
-    call.respond(answer);
+    call.completion().respond(answer);
   }
 
   private void endWithoutAnswer(String reason, long now) {
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -332,14 +332,9 @@
     }
   }
 
-  /** Ends the call with the endpoint's complete response. */
-  void respond(EndpointAnswer answer) {
-    completion.respond(answer);
-  }
-
-  /** Keeps an endpoint's error response for the case that no retry leads to another one. */
-  void keepError(EndpointAnswer answer) {
-    completion.keepError(answer);
+  /** Returns the ways in which the call ends. */
+  CallCompletion completion() {
+    return completion;
   }
 
   /** Ends the call after the last event of a stream. */
