Close an idle connection that the server has reset

A kept connection that was reset while it was idle stayed in the pool, so the next request went out on it and was lost.

Cause: a failed read is an exception now, no end of the stream, and Jetty closes a connection after an exception only if a request is under way.

Ruled out: an orderly close of an idle connection (passes before and after).

Evidence: ResetOfIdleConnectionTest, case "reset", failed before (1 of 2 cases: the connection was still there after 20 s); both pass now.

--- a/src/main/java/org/magnoliavale/internal/http/BoundedTransport.java
+++ b/src/main/java/org/magnoliavale/internal/http/BoundedTransport.java
@@ -73,6 +73,11 @@
       }
     }
 
+    /** Closes the connection while it has no request. */
+    private void closeIdle(Throwable failure) {
+      close(failure);
+    }
+
     private void closeNow(String reason) {
       UnexpectedBytes failure = new UnexpectedBytes(reason);
       close(failure);
@@ -110,8 +115,12 @@
       super(channel);
     }
 
+    private BoundedConnection connection() {
+      return (BoundedConnection) getHttpChannel().getHttpConnection();
+    }
+
     private void progressed() {
-      ((BoundedConnection) getHttpChannel().getHttpConnection()).bytesWithoutContent = 0;
+      connection().bytesWithoutContent = 0;
     }
 
     @Override
@@ -137,6 +146,16 @@
       return super.messageComplete();
     }
 
+    /** Closes the connection also if it is idle, which Jetty would keep to use it again. */
+    @Override
+    public void failAndClose(Throwable failure) {
+      boolean idle = getHttpExchange() == null;
+      super.failAndClose(failure);
+      if (idle) {
+        connection().closeIdle(failure);
+      }
+    }
+
     /** Returns whether the connection is to be closed after the response. */
     @Override
     protected boolean isShutdown() {
