--- a/src/test/java/org/magnoliavale/internal/gateway/BrokenEndOfAnswerTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/BrokenEndOfAnswerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.ConnectionPool;
@@ -23,6 +24,7 @@
   private static final String FAILED = "failed LOST";
   private static final int MAXIMUM_CHECKS = 1_000;
   private static final long CHECK_INTERVAL_MS = 10;
+  private static final long LONG_IDLE_TIMEOUT_S = 300;
   private static final long SHORT_IDLE_TIMEOUT_MS = 100;
 
   /** Guards against a reset that a write of the request takes, so that a read finds an end. */
@@ -146,6 +148,9 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void leavesThePoolWhenItEnds(boolean reset) throws Exception {
+      ((HttpClientTransportOverHTTP) client.getTransport())
+          .getClientConnector()
+          .setIdleTimeout(Duration.ofSeconds(LONG_IDLE_TIMEOUT_S));
       UnreadBodyServer.Received request = send("POST", 1, ConnectionUse.POOLED);
       request.readBody();
       request.send(Framing.LENGTH.response(true));
