--- a/src/test/java/org/magnoliavale/internal/http/ResetOfIdleConnectionTest.java
+++ b/src/test/java/org/magnoliavale/internal/http/ResetOfIdleConnectionTest.java
@@ -35,6 +35,7 @@
   @BeforeEach
   void start() throws IOException {
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    server.setSoTimeout((int) TIMEOUT.toMillis());
     HttpClients.start(http);
   }
 
