--- a/src/main/java/org/magnoliavale/internal/route/Route.java
+++ b/src/main/java/org/magnoliavale/internal/route/Route.java
@@ -16,6 +16,9 @@
  * @param maximumAttempts maximum number of attempts that may be executed per call
  * @param timeout maximum duration of a call
  * @param targetLatency latency up to which a response has its full value
+ * @param targetGap longest pause between two events of a stream that is still on time; 0 if the
+ *     configuration states none
+ * @param open whether its requests need no key of a tenant
  * @param services target services with their weights
  */
 public record Route(
@@ -28,6 +31,8 @@
     int maximumAttempts,
     Duration timeout,
     Duration targetLatency,
+    Duration targetGap,
+    boolean open,
     List<WeightedService> services) {
   /** Longest timeout; a longer one stands for none, and may be too long to count in nanoseconds. */
   public static final Duration MAXIMUM_TIMEOUT = Duration.ofDays(1);
@@ -36,9 +41,37 @@
   public Route {
     timeout = bounded(timeout);
     targetLatency = bounded(targetLatency);
+    targetGap = bounded(targetGap);
     services = List.copyOf(services);
   }
 
+  /** Returns a route without a target for pauses, whose requests need a key if there are any. */
+  public Route(
+      String name,
+      String host,
+      String prefix,
+      CallKind kind,
+      boolean resumable,
+      int priority,
+      int maximumAttempts,
+      Duration timeout,
+      Duration targetLatency,
+      List<WeightedService> services) {
+    this(
+        name,
+        host,
+        prefix,
+        kind,
+        resumable,
+        priority,
+        maximumAttempts,
+        timeout,
+        targetLatency,
+        Duration.ZERO,
+        false,
+        services);
+  }
+
   private static Duration bounded(Duration time) {
     Duration notNegative = time.isNegative() ? Duration.ZERO : time;
     return notNegative.compareTo(MAXIMUM_TIMEOUT) < 0 ? notNegative : MAXIMUM_TIMEOUT;
--- a/src/main/java/org/magnoliavale/internal/route/RouteTable.java
+++ b/src/main/java/org/magnoliavale/internal/route/RouteTable.java
@@ -21,9 +21,14 @@
   private final int maximumBodyBytes;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<ServiceId, ServiceSpecification> services = new HashMap<>();
+  private final TenantTable tenants;
 
   private RouteTable(
-      long version, List<Route> routes, List<ServiceSpecification> services, int maximumBodyBytes) {
+      long version,
+      List<Route> routes,
+      List<ServiceSpecification> services,
+      TenantTable tenants,
+      int maximumBodyBytes) {
     this.version = version;
     this.maximumBodyBytes = maximumBodyBytes;
     for (Route route : routes) {
@@ -32,12 +37,23 @@
     Comparator<Route> longestFirst = Comparator.comparingInt(route -> -route.prefix().length());
     routesByHost.values().forEach(list -> list.sort(longestFirst));
     services.forEach(service -> this.services.put(service.id(), service));
+    this.tenants = tenants;
   }
 
-  /** Returns a table of the given routes and services. */
+  /** Returns a table of the given routes and services, without tenants. */
   public static RouteTable of(
       long version, List<Route> routes, List<ServiceSpecification> services, int maximumBodyBytes) {
-    return new RouteTable(version, routes, services, maximumBodyBytes);
+    return of(version, routes, services, TenantTable.none(), maximumBodyBytes);
+  }
+
+  /** Returns a table of the given routes, services and tenants. */
+  public static RouteTable of(
+      long version,
+      List<Route> routes,
+      List<ServiceSpecification> services,
+      TenantTable tenants,
+      int maximumBodyBytes) {
+    return new RouteTable(version, routes, services, tenants, maximumBodyBytes);
   }
 
   /** Returns the version number of the configuration. */
@@ -60,6 +76,11 @@
     return Optional.ofNullable(services.get(id));
   }
 
+  /** Returns the tenants. */
+  public TenantTable tenants() {
+    return tenants;
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return routesByHost.values().stream().mapToInt(List::size).sum();
--- a/src/main/java/org/magnoliavale/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/magnoliavale/platform/ConfigurationDecoder.java
@@ -5,18 +5,25 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
 import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.identifier.TenantId;
 import org.magnoliavale.internal.json.Json;
 import org.magnoliavale.internal.route.CallKind;
 import org.magnoliavale.internal.route.EngineSpecification;
 import org.magnoliavale.internal.route.ModelSpecification;
+import org.magnoliavale.internal.route.Quota;
 import org.magnoliavale.internal.route.Route;
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.route.ServiceSpecification;
+import org.magnoliavale.internal.route.Tenant;
+import org.magnoliavale.internal.route.TenantTable;
 import org.magnoliavale.internal.route.WeightedService;
 
 /** Decodes the operator's configuration from JSON. */
@@ -58,7 +65,12 @@
               UNLIMITED_BODY_BYTES,
               Integer.MAX_VALUE,
               DEFAULT_BODY_BYTES);
-      return RouteTable.of(version.asLong(), routes, services, maximumBodyBytes);
+      return RouteTable.of(
+          version.asLong(),
+          routes,
+          services,
+          decodeTenants(tree.path("tenants")),
+          maximumBodyBytes);
     } catch (IllegalArgumentException e) {
       throw new IOException(e.getMessage(), e);
     }
@@ -75,6 +87,8 @@
         BoundedNumbers.whole(route.path("attempts"), 1, MAXIMUM_ATTEMPTS, 1),
         decodeMilliseconds(route.path("timeout-ms")),
         decodeMilliseconds(route.path("target-latency-ms")),
+        decodeMilliseconds(route.path("target-gap-ms")),
+        route.path("public").asBoolean(),
         decodeWeightedServices(route));
   }
 
@@ -113,6 +127,40 @@
     return weightedServices;
   }
 
+  private static TenantTable decodeTenants(JsonNode nodes) {
+    List<Tenant> tenants = new ArrayList<>();
+    nodes.forEach(tenant -> tenants.add(decodeTenant(tenant)));
+    return tenants.isEmpty() ? TenantTable.none() : TenantTable.of(tenants);
+  }
+
+  private static Tenant decodeTenant(JsonNode tenant) {
+    Set<String> keys = new LinkedHashSet<>();
+    tenant.path("keys").forEach(key -> keys.add(key.asText()));
+    JsonNode priority = tenant.path("priority");
+    return new Tenant(
+        new TenantId(tenant.path("name").asText()),
+        keys,
+        priority.isNumber()
+            ? OptionalInt.of(BoundedNumbers.whole(priority, 0, MAXIMUM_PRIORITY, 0))
+            : OptionalInt.empty(),
+        decodeQuota(tenant));
+  }
+
+  /** Decodes a quota; a rate of 0 stands for none. */
+  private static Optional<Quota> decodeQuota(JsonNode tenant) {
+    double perSecond = decodeAmount(tenant.path("requests-per-s"));
+    if (perSecond <= 0) {
+      return Optional.empty();
+    }
+    boolean tokens = tenant.path("unit").asText().equals("tokens");
+    return Optional.of(
+        new Quota(
+            tokens ? Quota.Unit.TOKENS : Quota.Unit.REQUESTS,
+            perSecond,
+            decodeAmount(tenant.path("burst")),
+            tokens ? decodeAmount(tenant.path("plain-tokens")) : 1));
+  }
+
   private static ServiceSpecification decodeService(JsonNode service) {
     JsonNode engine = service.path("engine");
     return new ServiceSpecification(
--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -31,6 +31,7 @@
   private static final String MODEL = "X-Model";
   private static final String TOKEN_COUNTS = "X-Token-Counts";
   private static final String PROMPT_PREFIX = "X-Prompt-Prefix";
+  private static final String LENGTH_HINT = "X-Length-Hint";
   private static final String PRIORITY = "X-Request-Priority";
 
   private static final int MISDIRECTED_REQUEST = 421;
@@ -43,6 +44,12 @@
 
   private static final int LOAD_VALUES = 3;
 
+  /** Index of the optional value of a load header that tells how long work takes, in percent. */
+  private static final int SLOWDOWN_VALUE = 3;
+
+  private static final long MINIMUM_SLOWDOWN_PERCENT = 10;
+  private static final long MAXIMUM_SLOWDOWN_PERCENT = 10_000;
+
   /** Most requests or slots that a worker is taken to report. */
   private static final long MAXIMUM_REPORTED_REQUESTS = 1_000_000;
 
@@ -99,11 +106,13 @@
     String[] numbers = counts == null ? new String[0] : counts.split(",");
     int prompt = numbers.length > 0 ? parseTokens(numbers[0]) : 0;
     int output = numbers.length > 1 ? parseTokens(numbers[1]) : 0;
+    int expected = Math.min(output, parseExpectedTokens(headers.get(LENGTH_HINT), output));
     return Optional.of(
         new GenerationRequest(
             Artifact.parse(model),
             prompt,
             output,
+            expected,
             parsePromptSegments(headers.get(PROMPT_PREFIX))));
   }
 
@@ -122,6 +131,10 @@
     return parts;
   }
 
+  private static int parseExpectedTokens(String hint, int absent) {
+    return BoundedNumbers.whole(hint, 0, MAXIMUM_TOKENS).map(Long::intValue).orElse(absent);
+  }
+
   private static int parseTokens(String text) {
     return BoundedNumbers.whole(text, 0, MAXIMUM_TOKENS).orElse(0L).intValue();
   }
@@ -156,7 +169,10 @@
             : WorkerStatements.decode(status, fromEndpoint));
   }
 
-  /** Parses a load header: running requests, waiting requests and slots, separated by commas. */
+  /**
+   * Parses a load header: running requests, waiting requests and slots, separated by commas, and
+   * how long work takes, in percent of the usual, if it is stated.
+   */
   private static Optional<ReportedLoad> parseLoad(String value) {
     if (value == null) {
       return Optional.empty();
@@ -171,7 +187,18 @@
     }
     return counts.size() < LOAD_VALUES
         ? Optional.empty()
-        : Optional.of(new ReportedLoad(counts.get(0), counts.get(1), counts.get(2)));
+        : Optional.of(
+            new ReportedLoad(counts.get(0), counts.get(1), counts.get(2), parseSlowdown(parts)));
+  }
+
+  private static int parseSlowdown(String[] parts) {
+    if (parts.length <= SLOWDOWN_VALUE) {
+      return ReportedLoad.USUAL_PERCENT;
+    }
+    return BoundedNumbers.whole(
+            parts[SLOWDOWN_VALUE], MINIMUM_SLOWDOWN_PERCENT, MAXIMUM_SLOWDOWN_PERCENT)
+        .map(Long::intValue)
+        .orElse(ReportedLoad.USUAL_PERCENT);
   }
 
   /** Returns the number of requests or slots in a load header; empty if it is negative. */
