Name the ways in which no endpoint takes a request

A selection may know that all endpoints are busy, or that none can answer in time; both have a time after which to come back, as Deferred has. Criteria say how soon a call must be answered. Nothing chooses so yet.

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -199,11 +199,10 @@
     switch (selection.choose(nowNanos)) {
       case EndpointChoice.Selected send -> send(send, nowNanos);
       case EndpointChoice.AwaitArtifact(Artifact artifact) -> awaitArtifact(artifact);
-      case EndpointChoice.Deferred(Duration timeToNext) -> {
-        retryAfterDelay = RetryAfterDelay.atLeast(timeToNext);
-        handleUnavailable("no endpoint takes requests now", nowNanos);
+      case EndpointChoice.NoEndpoint none -> {
+        none.timeToNext().ifPresent(time -> retryAfterDelay = RetryAfterDelay.atLeast(time));
+        handleUnavailable(none.reason(), nowNanos);
       }
-      case EndpointChoice.Unavailable(String reason) -> handleUnavailable(reason, nowNanos);
     }
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.containment.CrashKeys;
+import org.magnoliavale.internal.dispatch.CallUrgency;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.route.CallKind;
@@ -85,6 +86,16 @@
     return Duration.ofNanos(Math.max(0, deadlineNanos() - nowNanos));
   }
 
+  /** Returns how soon the call must be answered, from now on. */
+  CallUrgency urgencyAt(long nowNanos) {
+    long targetNanos = request.arrivedNanos() + route.targetLatency().toNanos();
+    return new CallUrgency(
+        Duration.ofNanos(targetNanos - nowNanos),
+        timeRemaining(nowNanos),
+        route.targetGap(),
+        route.priority());
+  }
+
   /** Returns the time without a response head after which an attempt is retried, 0 for never. */
   long silenceTimeoutNanos() {
     if (!route.isRetryable()) {
--- a/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
@@ -21,13 +21,17 @@
     return tried;
   }
 
-  private SelectionCriteria criteria() {
-    return new SelectionCriteria(plan.service(), plan.metadata().generation(), tried.excluded());
+  private SelectionCriteria criteria(long nowNanos) {
+    return new SelectionCriteria(
+        plan.service(),
+        plan.metadata().generation(),
+        Optional.of(plan.urgencyAt(nowNanos)),
+        tried.excluded());
   }
 
   /** Selects an endpoint for the next attempt. */
   EndpointChoice choose(long nowNanos) {
-    return context.endpoints().choose(criteria(), plan.connectionLimit(), nowNanos);
+    return context.endpoints().choose(criteria(nowNanos), plan.connectionLimit(), nowNanos);
   }
 
   /**
@@ -39,7 +43,8 @@
     Optional<EndpointChoice.Selected> choice =
         context
             .endpoints()
-            .chooseHealthy(criteria().excluding(inProgress), plan.connectionLimit(), nowNanos);
+            .chooseHealthy(
+                criteria(nowNanos).excluding(inProgress), plan.connectionLimit(), nowNanos);
     if (choice.isPresent() && !retries.spendRetry(nowNanos)) {
       context.endpoints().releaseSelection(choice.get().endpoint().identity(), nowNanos);
       return Optional.empty();
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.dispatch;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 
 /** Result of selecting an endpoint for a request. */
@@ -18,13 +19,72 @@
   /** No endpoint holds the artifact; the request has to wait until one does. */
   record AwaitArtifact(Artifact artifact) implements EndpointChoice {}
 
+  /** No endpoint takes the request now. */
+  sealed interface NoEndpoint extends EndpointChoice {
+    /** Returns why, for logs and callers. */
+    String reason();
+
+    /** Returns the time after which one of them may take it, if that is known. */
+    Optional<Duration> timeToNext();
+  }
+
   /**
    * The endpoints have said that they take no request of this instance now.
    *
-   * @param timeToNext time after which one of them may take one
+   * @param time time after which one of them may take one
+   */
+  record Deferred(Duration time) implements NoEndpoint {
+    @Override
+    public String reason() {
+      return "no endpoint takes requests now";
+    }
+
+    @Override
+    public Optional<Duration> timeToNext() {
+      return Optional.of(time);
+    }
+  }
+
+  /**
+   * Every endpoint that could serve the request has as much work as it can take; the request may
+   * wait for room at this instance.
+   *
+   * @param timeToRoom time until one of them is expected to have room
    */
-  record Deferred(Duration timeToNext) implements EndpointChoice {}
+  record Busy(Duration timeToRoom) implements NoEndpoint {
+    @Override
+    public String reason() {
+      return "all endpoints are busy";
+    }
+
+    @Override
+    public Optional<Duration> timeToNext() {
+      return Optional.of(timeToRoom);
+    }
+  }
+
+  /**
+   * No endpoint can answer the request before its deadline, as far as it can be told.
+   *
+   * @param firstEvent the earliest time to the first event of the response
+   */
+  record TooLate(Duration firstEvent) implements NoEndpoint {
+    @Override
+    public String reason() {
+      return "no endpoint can answer in time";
+    }
+
+    @Override
+    public Optional<Duration> timeToNext() {
+      return Optional.of(firstEvent);
+    }
+  }
 
   /** No endpoint of the service can accept the request. */
-  record Unavailable(String reason) implements EndpointChoice {}
+  record Unavailable(String reason) implements NoEndpoint {
+    @Override
+    public Optional<Duration> timeToNext() {
+      return Optional.empty();
+    }
+  }
 }
