Take no key that is no text from the configuration, and quote none

Entries of a tenant's keys were read with asText, so null was the key "null", 7 the key "7", and an empty text a key that a caller without one could have sent. A malformed configuration was logged with the JSON library's message, which quotes the token that it stopped at, possibly a key; now with its place only.

--- a/src/main/java/org/magnoliavale/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/magnoliavale/platform/ConfigurationDecoder.java
@@ -1,5 +1,7 @@
 package org.magnoliavale.platform;
 
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.time.Duration;
@@ -49,7 +51,7 @@
    * @throws IOException if it is no configuration, or has no version
    */
   static RouteTable decode(byte[] bytes) throws IOException {
-    JsonNode tree = Json.tree(bytes);
+    JsonNode tree = parse(bytes);
     JsonNode version = tree.path("version");
     if (!version.isIntegralNumber() || !version.canConvertToLong()) {
       throw new IOException("no configuration with a version");
@@ -76,6 +78,19 @@
     }
   }
 
+  /** Parses JSON; the exception does not quote the text, which contains keys of callers. */
+  private static JsonNode parse(byte[] bytes) throws IOException {
+    try {
+      return Json.tree(bytes);
+    } catch (JsonProcessingException e) {
+      JsonLocation location = e.getLocation();
+      throw new IOException(
+          location == null
+              ? "malformed JSON"
+              : "malformed JSON at byte " + location.getByteOffset());
+    }
+  }
+
   private static Route decodeRoute(JsonNode route) {
     return new Route(
         route.path("name").asText(),
@@ -135,7 +150,11 @@
 
   private static Tenant decodeTenant(JsonNode tenant) {
     Set<String> keys = new LinkedHashSet<>();
-    tenant.path("keys").forEach(key -> keys.add(key.asText()));
+    for (JsonNode key : tenant.path("keys")) {
+      if (key.isTextual() && !key.asText().isEmpty()) {
+        keys.add(key.asText());
+      }
+    }
     JsonNode priority = tenant.path("priority");
     return new Tenant(
         new TenantId(tenant.path("name").asText()),
