Check callers' keys, and let instances tell each other which were taken away

A configuration with tenants was decoded and not acted on: calls passed without a key, and the key and whatever a caller wrote as the tenant reached the endpoint.

The entry of a call is now CallEntry, with a step each for route, key and quota; the registry registers and starts what passes. The key selects the tenant (package tenant, CallerKeys); unknown, missing, empty or several: 401 with the attempt's id. Endpoints get the tenant's name once and never the key. A tenant's priority replaces its route's. Open routes ask for no key. QuotaCheck is where quotas come in; nothing limits yet.

An instance that can't read the store hears in heartbeats which keys newer versions lack (keyed hashes, sent only while a live peer states an older version), and refuses them. strict-revoke: 503 once nobody with the same version has read it for revocation-ms. A key that is unknown to an instance that knows that it is behind gets 503, since it may be a new one.

Changed in tests that were there: the example of the settings template names strict-revoke; ArchitectureTest covers the new package; CallFixture passes a quota; HeartbeatExchangeTest's relayed heartbeat has an age of its configuration.

--- a/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
@@ -46,6 +46,7 @@
   void reject(ErrorCode code, String reason, int refusals, Duration delay, long nowNanos) {
     context.metrics().rejected().inc();
     log.rejected(reason, refusals, nowNanos);
+    plan.giveBackQuota(context.quota(), nowNanos);
     respondWithProblem(
         ErrorCode.MODEL_UNAVAILABLE, MagnoliavaleException.of(code, reason).withRetryAfter(delay));
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallMetadata.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallMetadata.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
+import org.magnoliavale.internal.tenant.CallerCredential;
 
 /**
  * Parsed headers of a caller's request.
@@ -11,14 +12,17 @@
  * @param timeRemaining how long the caller will wait, if given
  * @param lastEventId the last event that the caller received, if it resumes a stream
  * @param generation the request to a model engine, if the headers name a model
+ * @param credential the key of its caller
  */
 public record CallMetadata(
     String attemptId,
     Optional<Duration> timeRemaining,
     Optional<Long> lastEventId,
-    Optional<GenerationRequest> generation) {
+    Optional<GenerationRequest> generation,
+    CallerCredential credential) {
   /** Returns the metadata of a request whose headers could not be parsed. */
   public static CallMetadata unknown() {
-    return new CallMetadata("", Optional.empty(), Optional.empty(), Optional.empty());
+    return new CallMetadata(
+        "", Optional.empty(), Optional.empty(), Optional.empty(), new CallerCredential.Absent());
   }
 }
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.call;
 
 import java.time.Duration;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.containment.CrashKeys;
 import org.magnoliavale.internal.dispatch.CallUrgency;
@@ -8,6 +9,8 @@
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.route.CallKind;
 import org.magnoliavale.internal.route.Route;
+import org.magnoliavale.internal.route.Tenant;
+import org.magnoliavale.internal.tenant.CallerIdentity;
 
 /**
  * The properties of a call that are fixed before its first attempt, and the time limits that follow
@@ -16,6 +19,7 @@
  * @param request the caller's request
  * @param metadata its parsed headers
  * @param route the matching route
+ * @param caller whom the call belongs to
  * @param service the service that the call is sent to
  * @param connectionLimit connections that an endpoint of the service accepts from all instances
  * @param configurationVersion version of the configuration that route and service come from
@@ -25,6 +29,7 @@
     CallRequest request,
     CallMetadata metadata,
     Route route,
+    CallerIdentity caller,
     ServiceId service,
     int connectionLimit,
     long configurationVersion,
@@ -93,7 +98,16 @@
         Duration.ofNanos(targetNanos - nowNanos),
         timeRemaining(nowNanos),
         route.targetGap(),
-        route.priority());
+        priority());
+  }
+
+  /** Returns the priority of the call's tenant, or else that of its route; 0 is most urgent. */
+  int priority() {
+    return caller
+        .knownTenant()
+        .map(Tenant::priority)
+        .orElse(OptionalInt.empty())
+        .orElse(route.priority());
   }
 
   /** Returns the time without a response head after which an attempt is retried, 0 for never. */
@@ -110,7 +124,7 @@
 
   /** Returns the urgency that is sent to endpoints, 0 (most urgent) to 9. */
   int urgency() {
-    return Math.min(LEAST_URGENT, 1 + 2 * route.priority() + (isDelayTolerant() ? 1 : 0));
+    return Math.min(LEAST_URGENT, 1 + 2 * priority() + (isDelayTolerant() ? 1 : 0));
   }
 
   /**
@@ -135,6 +149,13 @@
     return (long) limit;
   }
 
+  /** Takes back what the call was counted for in its tenant's quota. */
+  void giveBackQuota(QuotaCheck quota, long nowNanos) {
+    caller
+        .knownTenant()
+        .ifPresent(tenant -> quota.giveBack(tenant, metadata.generation(), nowNanos));
+  }
+
   String attemptId() {
     return metadata.attemptId();
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -8,14 +8,8 @@
 import org.jboss.logging.Logger;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
-import org.magnoliavale.internal.containment.CrashKeys;
-import org.magnoliavale.internal.containment.Fingerprint;
-import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.metrics.UnexpectedFailures;
-import org.magnoliavale.internal.route.Route;
-import org.magnoliavale.internal.route.RouteTable;
-import org.magnoliavale.internal.route.ServiceSpecification;
 
 /**
  * Starts calls and tracks those in progress. Thread-safe.
@@ -30,14 +24,14 @@
   private static final String INTERNAL_ERROR = "internal error";
 
   private final CallContext context;
-  private final RandomGenerator random;
+  private final CallEntry entry;
   private final Set<Call> calls = ConcurrentHashMap.newKeySet();
   private volatile Admission admission = Admission.ofAll();
 
   /** Creates an empty registry; {@code random} selects among a route's weighted services. */
   public CallRegistry(CallContext context, RandomGenerator random) {
     this.context = context;
-    this.random = random;
+    this.entry = new CallEntry(context, random);
   }
 
   /**
@@ -58,79 +52,51 @@
   }
 
   private Runnable begin(CallRequest request, CallMetadata metadata, CallerResponse caller) {
-    RouteTable routes = context.routes().get();
-    if (routes == null) {
-      reject(metadata, caller, ErrorCode.PLATFORM_UNAVAILABLE, "no configuration yet");
-      return () -> {};
-    }
-    Optional<Route> route = routes.match(request.authority(), request.path());
-    if (route.isEmpty()) {
-      LOG.infof(
-          "No route. request=%s host=%s path=%s configuration=%d",
-          metadata.attemptId(), request.authority(), request.path(), routes.version());
-      reject(metadata, caller, ErrorCode.NOT_FOUND, "no such route");
-      return () -> {};
-    }
-    Call call = newCall(request, metadata, route.get(), routes, caller);
+    return switch (entry.enter(request, metadata)) {
+      case CallEntry.Result.Passed(CallPlan plan) -> register(plan, caller);
+      case CallEntry.Result.Rejected(MagnoliavaleException problem) -> {
+        reject(metadata, caller, problem);
+        yield () -> {};
+      }
+    };
+  }
+
+  private Runnable register(CallPlan plan, CallerResponse caller) {
+    Call call = new Call(context, plan, caller, () -> admission.maySend(plan), calls::remove);
     // Registered first: a drain that sees no call in progress has rejected all that come later.
     calls.add(call);
     boolean taken = false;
     try {
-      taken = admission.takes(call.plan());
+      taken = admission.takes(plan);
     } finally {
       if (!taken) {
         calls.remove(call);
       }
     }
     if (!taken) {
-      LOG.infof("Rejected, instance is stopping. request=%s", metadata.attemptId());
-      reject(metadata, caller, ErrorCode.STOPPING, "the instance is stopping");
+      LOG.infof("Rejected, instance is stopping. request=%s", plan.attemptId());
+      entry.giveBack(plan);
+      reject(plan.metadata(), caller, ErrorCode.STOPPING, "the instance is stopping");
       return () -> {};
     }
+    return start(call);
+  }
+
+  private Runnable start(Call call) {
     long now = context.nanoClock().getAsLong();
     runContained(call, started -> started.start(now));
     return () ->
         runContained(call, left -> left.callerDisconnected(context.nanoClock().getAsLong()));
   }
 
-  private Call newCall(
-      CallRequest request,
-      CallMetadata metadata,
-      Route route,
-      RouteTable routes,
-      CallerResponse caller) {
-    ServiceId service = route.selectService(random.nextDouble());
-    int limit =
-        routes
-            .service(service)
-            .map(ServiceSpecification::connectionLimit)
-            .orElse(Integer.MAX_VALUE);
-    CallPlan plan =
-        new CallPlan(
-            request,
-            metadata,
-            route,
-            service,
-            limit,
-            routes.version(),
-            crashKeys(request, metadata));
-    return new Call(context, plan, caller, () -> admission.maySend(plan), calls::remove);
-  }
-
-  private static CrashKeys crashKeys(CallRequest request, CallMetadata metadata) {
-    return new CrashKeys(
-        Fingerprint.of(request.pathQuery(), request.body()),
-        metadata.generation().stream()
-            .flatMap(generation -> generation.sharedSegments().stream())
-            .map(segment -> Fingerprint.ofSegment(segment.id()))
-            .toList());
-  }
-
-  /** Rejects a request that matches no route or cannot be read. */
+  /** Rejects a request that has not become a call. */
   public void reject(CallMetadata metadata, CallerResponse caller, ErrorCode code, String reason) {
-    MagnoliavaleException problem = MagnoliavaleException.of(code, reason);
+    reject(metadata, caller, MagnoliavaleException.of(code, reason));
+  }
+
+  private void reject(CallMetadata metadata, CallerResponse caller, MagnoliavaleException problem) {
     LocalResponses.sendProblem(
-        context.protocol(), metadata.attemptId(), caller, code.httpStatus(), problem);
+        context.protocol(), metadata.attemptId(), caller, problem.code().httpStatus(), problem);
   }
 
   /** Checks the time limits of all calls and selects endpoints for waiting calls. */
--- a/src/main/java/org/magnoliavale/internal/call/CallRequest.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRequest.java
@@ -20,4 +20,10 @@
     String pathQuery,
     HttpFields headers,
     byte[] body,
-    long arrivedNanos) {}
+    long arrivedNanos) {
+  /** Leaves headers and body out, which may contain secrets. */
+  @Override
+  public String toString() {
+    return "CallRequest[" + method + " " + path + "]";
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
@@ -56,7 +56,8 @@
   OutgoingRequest request(EndpointChoice.Selected choice, Optional<Long> lastEvent, long nowNanos) {
     EndpointIdentity endpoint = choice.endpoint().identity();
     ForwardingContext forwarding =
-        new ForwardingContext(endpoint, plan.timeRemaining(nowNanos), plan.urgency(), lastEvent);
+        new ForwardingContext(
+            endpoint, plan.timeRemaining(nowNanos), plan.urgency(), lastEvent, plan.caller());
     return new OutgoingRequest(
         choice.endpoint(),
         plan.request().method(),
--- a/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.gateway;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.logging.Logs;
@@ -17,11 +18,17 @@
   private static final int DEFAULT_MAXIMUM_BODY_BYTES = 4 << 20;
 
   private final ConfigurationSource source;
+  private final ConfigurationListener listener;
   private volatile RouteTable routes;
   private volatile boolean stopped;
 
   ConfigurationPoller(ConfigurationSource source) {
+    this(source, ConfigurationListener.NONE);
+  }
+
+  ConfigurationPoller(ConfigurationSource source, ConfigurationListener listener) {
     this.source = source;
+    this.listener = listener;
   }
 
   /** Returns the current configuration, or null before the first one was read. */
@@ -69,16 +76,17 @@
 
   /** Polls the source and applies a newer configuration. */
   ConfigurationPollResult pollOnce() {
-    ConfigurationPollResult result = poll();
-    if (result instanceof ConfigurationPollResult.Found(RouteTable newRoutes)) {
-      install(newRoutes);
-    }
-    return result;
-  }
-
-  private ConfigurationPollResult poll() {
     try {
-      return source.poll();
+      ConfigurationPollResult result = source.poll();
+      switch (result) {
+        case ConfigurationPollResult.Found(RouteTable newRoutes) -> {
+          install(newRoutes);
+          listener.configurationRead();
+        }
+        case ConfigurationPollResult.Unchanged() -> listener.configurationRead();
+        case ConfigurationPollResult.Unavailable(String ignored) -> {}
+      }
+      return result;
     } catch (RuntimeException | Error e) {
       LOG.errorf(e, "Configuration could not be read.");
       return new ConfigurationPollResult.Unavailable(e.toString());
@@ -91,6 +99,7 @@
       return;
     }
     routes = newRoutes;
+    listener.configurationApplied(Optional.ofNullable(current), newRoutes);
     LOG.infof(
         "Configuration applied. version=%d routes=%d services=%d",
         newRoutes.version(), newRoutes.size(), newRoutes.services().size());
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -17,6 +17,7 @@
 import org.magnoliavale.internal.call.CrashDetector;
 import org.magnoliavale.internal.call.EndpointProbe;
 import org.magnoliavale.internal.call.GracefulDrain;
+import org.magnoliavale.internal.call.QuotaCheck;
 import org.magnoliavale.internal.call.ResponseMemory;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.DirectoryEntry;
@@ -93,6 +94,7 @@
   private final GatewayHandler callerHandler;
   private final GatewayServers servers;
   private final ConfigurationPoller configuration;
+  private final KeyExchange keyExchange;
   private final TickLoop ticks =
       new TickLoop(
           "tick",
@@ -108,7 +110,7 @@
   private GatewayInstance(GatewaySettings settings, PlatformAdapters.Factory factory) {
     this.settings = settings;
     gracePeriod = settings.gracePeriod();
-    retryBudget = createRetryBudget();
+    retryBudget = settings.createRetryBudget(this::liveInstanceCount, System.nanoTime());
     String incarnation = settings.instanceId() + "/" + UUID.randomUUID().toString().substring(0, 8);
     controlClient =
         transport.createClient(
@@ -118,7 +120,8 @@
         factory
             .create(JsonClient.of(controlClient), settings, this::heardByControl)
             .containing(failures);
-    configuration = new ConfigurationPoller(adapters.configuration());
+    keyExchange = KeyExchange.of(settings, this::announceLocalState, System::nanoTime);
+    configuration = new ConfigurationPoller(adapters.configuration(), keyExchange);
     membership = new Membership(PEER_EXPIRY);
     registry = createRegistry();
     endpoints =
@@ -163,7 +166,6 @@
     servers =
         new GatewayServers(
             settings, transport, callerHandler, new ReadinessHandler(this::isReady), metrics);
-    registerMetrics();
   }
 
   /** Returns an instance that is not started yet. */
@@ -205,6 +207,8 @@
         demand,
         crashDetector,
         configuration::routes,
+        keyExchange.keys(),
+        QuotaCheck.unlimited(),
         ResponseMemory.ofHeap(),
         new CallMetrics(metrics),
         System::nanoTime);
@@ -234,15 +238,6 @@
         System::nanoTime);
   }
 
-  private FleetRetryBudget createRetryBudget() {
-    return new FleetRetryBudget(
-        settings.retryRatio(),
-        settings.retryReserve(),
-        settings.retryWindow().toNanos(),
-        this::liveInstanceCount,
-        System.nanoTime());
-  }
-
   private void registerMetrics() {
     new InstanceGauges(metrics.registry())
         .number("calls_in_progress", calls::size)
@@ -289,6 +284,8 @@
 
   @Override
   public void start() {
+    registerMetrics();
+    peerState.add(keyExchange);
     HttpClients.start(controlClient);
     transport.startEndpointClient(endpointClient);
     servers.start();
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
@@ -2,7 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.function.IntSupplier;
+import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.settings.PeerSettings;
+import org.magnoliavale.internal.tenant.TenantSettings;
 
 /**
  * Settings of an instance on a platform that provides the endpoint list and the configuration.
@@ -20,6 +23,7 @@
  * @param retryReserve retries that the fleet may send in a window regardless of requests
  * @param retryWindow window in which requests and retries are counted
  * @param loadLimitWindow window in which the weight store's load limit applies
+ * @param tenants settings of the check of callers' keys
  * @param logLevel least severe log level that is written
  */
 public record GatewaySettings(
@@ -36,4 +40,45 @@
     double retryReserve,
     Duration retryWindow,
     Duration loadLimitWindow,
-    String logLevel) {}
+    TenantSettings tenants,
+    String logLevel) {
+  /** Returns settings that state nothing of callers' keys. */
+  public GatewaySettings(
+      String instanceId,
+      String dataCentre,
+      InetSocketAddress callerAddress,
+      InetSocketAddress readinessAddress,
+      InetSocketAddress metricsAddress,
+      PeerSettings peers,
+      InetSocketAddress storeAddress,
+      Duration leaseDuration,
+      Duration gracePeriod,
+      double retryRatio,
+      double retryReserve,
+      Duration retryWindow,
+      Duration loadLimitWindow,
+      String logLevel) {
+    this(
+        instanceId,
+        dataCentre,
+        callerAddress,
+        readinessAddress,
+        metricsAddress,
+        peers,
+        storeAddress,
+        leaseDuration,
+        gracePeriod,
+        retryRatio,
+        retryReserve,
+        retryWindow,
+        loadLimitWindow,
+        TenantSettings.none(),
+        logLevel);
+  }
+
+  /** Returns a retry budget with these limits; {@code instances} counts the live instances. */
+  FleetRetryBudget createRetryBudget(IntSupplier instances, long nowNanos) {
+    return new FleetRetryBudget(
+        retryRatio, retryReserve, retryWindow.toNanos(), instances, nowNanos);
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
@@ -16,12 +16,18 @@
 import org.magnoliavale.internal.ini.SectionDefinition;
 import org.magnoliavale.internal.ini.ValueType;
 import org.magnoliavale.internal.settings.PeerSettings;
+import org.magnoliavale.internal.tenant.TenantSettings;
 
 /** Parses and validates the settings of an instance on a platform. */
 public final class GatewaySettingsReader {
   private static final ValueType ADDRESS = new ValueType.Address();
   private static final ValueType SECONDS = new ValueType.WholeNumber(1, 3_600);
   private static final ValueType MILLISECONDS = new ValueType.WholeNumber(1, 3_600_000);
+  private static final ValueType OPTIONAL_MILLISECONDS =
+      new ValueType.Text(
+          "a whole number from 0 to 9999999, or nothing", Pattern.compile("\\d{0,7}"));
+  private static final ValueType OPTIONAL_FLAG =
+      new ValueType.Text("true, false or nothing", Pattern.compile("(true|false)?"));
   private static final ValueType PORT = new ValueType.WholeNumber(0, 65_535);
 
   private static final Schema SCHEMA =
@@ -119,6 +125,25 @@
                           "20",
                           "Retries per window regardless of requests."),
                       optional("window-s", SECONDS, "seconds", "10", "Length of the window."))),
+              new SectionDefinition(
+                  "tenants",
+                  false,
+                  "Callers' keys, on deployments whose configuration has tenants.",
+                  List.of(
+                      optional(
+                          "revocation-ms",
+                          OPTIONAL_MILLISECONDS,
+                          "milliseconds",
+                          "",
+                          "Time within which all instances refuse a key that was taken away; 5000"
+                              + " if it is empty or 0."),
+                      optional(
+                          "strict-revoke",
+                          OPTIONAL_FLAG,
+                          "",
+                          "",
+                          "Whether an instance that could not know of newer keys for that time"
+                              + " refuses calls that need one; false if it is empty."))),
               new SectionDefinition(
                   "log",
                   false,
@@ -173,6 +198,16 @@
         retries.decimal("reserve"),
         Duration.ofSeconds(retries.number("window-s")),
         Duration.ofSeconds(commands.number("ceiling-window-s")),
+        tenantSettings(sections.get("tenants")),
         sections.get("log").text("level"));
   }
+
+  private static TenantSettings tenantSettings(CheckedSection section) {
+    long revocationMs = section.number("revocation-ms");
+    return new TenantSettings(
+        revocationMs == 0
+            ? TenantSettings.none().revocationTime()
+            : Duration.ofMillis(revocationMs),
+        section.flag("strict-revoke"));
+  }
 }
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -101,7 +101,8 @@
     boolean urgent =
         HeartbeatRelay.mattersAtOnce(heartbeat)
             || isWaiting(heartbeat)
-            || heartbeat.getDepartedEndpointsCount() > 0;
+            || heartbeat.getDepartedEndpointsCount() > 0
+            || heartbeat.getRevokedKeysCount() > 0;
     if (urgent && !topology.mesh()) {
       urgentListener.run();
     }
@@ -109,7 +110,7 @@
 
   /**
    * Removes what an instance said of its last reads if it may have failed to read since, and adds
-   * the heartbeat's age to that of what it said of limits.
+   * the heartbeat's age to that of what it said of limits and of the configuration.
    */
   private static Heartbeat aged(Heartbeat heartbeat, long ageMs) {
     if (ageMs == 0) {
@@ -119,6 +120,7 @@
     if (ageMs > MAXIMUM_READ_STATE_AGE_MS) {
       aged.clearDirectoryReadMs();
     }
+    aged.setConfigurationAgeMs(agedMs(heartbeat.getConfigurationAgeMs(), ageMs));
     aged.getLimitsBuilderList().forEach(limit -> limit.setAgeMs(agedMs(limit.getAgeMs(), ageMs)));
     return aged.build();
   }
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
@@ -9,16 +9,17 @@
 import org.magnoliavale.internal.link.protocol.DepartedEndpoint;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
+import org.magnoliavale.internal.link.protocol.RevokedKey;
 
 /**
  * The newest heartbeat of each instance, and which of them are still to be sent on each link. Does
  * no I/O and reads no clock; not thread-safe.
  *
  * <p>A heartbeat that matters at once (of a lease holder or a leaving instance, with crash records,
- * or with endpoints that have left since the last one) is passed on as soon as possible; any other
- * one is passed on now and then, so that the receiver knows that its sender lives. A heartbeat's
- * age travels with it, and no instance passes on one that has expired, so a failed instance
- * disappears everywhere.
+ * or with endpoints that have left or callers' keys that were taken away since the last one) is
+ * passed on as soon as possible; any other one is passed on now and then, so that the receiver
+ * knows that its sender lives. A heartbeat's age travels with it, and no instance passes on one
+ * that has expired, so a failed instance disappears everywhere.
  */
 final class HeartbeatRelay {
   /** Age at which a heartbeat is dropped. */
@@ -43,7 +44,12 @@
 
   private record Known(Heartbeat heartbeat, String receivedFrom, long originNanos) {}
 
-  private record Sent(long startedMs, long number, List<DepartedEndpoint> departed, long nanos) {}
+  private record Sent(
+      long startedMs,
+      long number,
+      List<DepartedEndpoint> departed,
+      List<RevokedKey> revokedKeys,
+      long nanos) {}
 
   private final String self;
   private final Map<String, Known> newest = new HashMap<>();
@@ -122,6 +128,7 @@
                     known.heartbeat().getStartedMs(),
                     known.heartbeat().getNumber(),
                     known.heartbeat().getDepartedEndpointsList(),
+                    known.heartbeat().getRevokedKeysList(),
                     nowNanos));
           }
         });
@@ -140,6 +147,7 @@
     return receiver.demand()
         || mattersAtOnce(heartbeat)
         || !sent.departed().containsAll(heartbeat.getDepartedEndpointsList())
+        || !sent.revokedKeys().containsAll(heartbeat.getRevokedKeysList())
         || TimeUnit.NANOSECONDS.toMillis(nowNanos - sent.nanos()) >= REFRESH_INTERVAL_MS;
   }
 
--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.internal.call.CallMetadata;
@@ -17,6 +19,7 @@
 import org.magnoliavale.internal.dispatch.GenerationRequest;
 import org.magnoliavale.internal.dispatch.PromptSegment;
 import org.magnoliavale.internal.dispatch.ReportedLoad;
+import org.magnoliavale.internal.tenant.CallerCredential;
 
 /** HTTP headers of the platform's clients and workers. */
 final class WorkerProtocol implements CallProtocol {
@@ -32,6 +35,8 @@
   private static final String TOKEN_COUNTS = "X-Token-Counts";
   private static final String PROMPT_PREFIX = "X-Prompt-Prefix";
   private static final String LENGTH_HINT = "X-Length-Hint";
+  private static final String KEY = "X-Key";
+  private static final String TENANT = "X-Tenant";
   private static final String PRIORITY = "X-Request-Priority";
 
   private static final int MISDIRECTED_REQUEST = 421;
@@ -82,6 +87,9 @@
           "last-event-id",
           "accept-encoding");
 
+  /** Request headers that are dropped as well while keys are in use. */
+  private static final Set<String> KEY_HEADERS = Set.of("x-key", "x-tenant");
+
   /** Response headers of workers that are for instances and not forwarded to the caller. */
   private static final Set<String> INSTANCE_ONLY_HEADERS =
       Set.of("x-server-load", "x-instance-id", "x-not-executed", "server-limit", "server-leaving");
@@ -94,7 +102,22 @@
         BoundedNumbers.whole(fromCaller.get(TIME_REMAINING), 0, MAXIMUM_TIME_REMAINING_MS)
             .map(Duration::ofMillis),
         parseEventId(fromCaller.get(LAST_EVENT_ID)),
-        parseGeneration(fromCaller));
+        parseGeneration(fromCaller),
+        parseCredential(fromCaller));
+  }
+
+  private static CallerCredential parseCredential(HttpFields headers) {
+    List<String> keys =
+        headers.stream()
+            .filter(field -> field.is(KEY))
+            .map(field -> Objects.requireNonNullElse(field.getValue(), ""))
+            .toList();
+    if (keys.isEmpty()) {
+      return new CallerCredential.Absent();
+    }
+    return keys.size() > 1 || keys.getFirst().isEmpty()
+        ? new CallerCredential.Malformed()
+        : new CallerCredential.Key(keys.getFirst());
   }
 
   private static Optional<GenerationRequest> parseGeneration(HttpFields headers) {
@@ -141,7 +164,10 @@
 
   @Override
   public HttpFields requestHeaders(HttpFields fromCaller, ForwardingContext forwarding) {
-    HttpFields.Mutable headers = endToEnd(fromCaller, RESERVED_HEADERS);
+    Predicate<String> keyHeader =
+        forwarding.caller().isChecked() ? WorkerProtocol::isKeyHeader : name -> false;
+    HttpFields.Mutable headers = endToEnd(fromCaller, keyHeader.or(RESERVED_HEADERS::contains));
+    forwarding.caller().knownTenant().ifPresent(tenant -> headers.put(TENANT, tenant.id().value()));
     headers.put(EXPECTED_INSTANCE, forwarding.endpoint().id());
     headers.put(TIME_REMAINING, Long.toString(forwarding.timeRemaining().toMillis()));
     headers.put(PRIORITY, Integer.toString(forwarding.urgency()));
@@ -149,6 +175,11 @@
     return headers;
   }
 
+  /** Returns whether a header, in lower case, is one of the key's to a server that reads _ as -. */
+  private static boolean isKeyHeader(String name) {
+    return KEY_HEADERS.contains(name.replace('_', '-'));
+  }
+
   @Override
   public ResponseHead parseResponse(int status, HttpFields fromEndpoint) {
     String id = fromEndpoint.get(ATTEMPT_ID);
@@ -210,7 +241,7 @@
 
   @Override
   public HttpFields responseHeaders(HttpFields fromEndpoint) {
-    return endToEnd(fromEndpoint, INSTANCE_ONLY_HEADERS);
+    return endToEnd(fromEndpoint, INSTANCE_ONLY_HEADERS::contains);
   }
 
   @Override
@@ -218,13 +249,13 @@
     return attemptId.isEmpty() ? HttpFields.EMPTY : HttpFields.build().put(ATTEMPT_ID, attemptId);
   }
 
-  private static HttpFields.Mutable endToEnd(HttpFields headers, Set<String> excluded) {
+  private static HttpFields.Mutable endToEnd(HttpFields headers, Predicate<String> excluded) {
     Set<String> connectionHeaders = connectionTokens(headers);
     HttpFields.Mutable result = HttpFields.build();
     for (HttpField field : headers) {
       String name = field.getLowerCaseName();
       if (!HOP_BY_HOP_HEADERS.contains(name)
-          && !excluded.contains(name)
+          && !excluded.test(name)
           && !connectionHeaders.contains(name)) {
         result.add(field);
       }
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -27,6 +27,7 @@
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.route.ServiceSpecification;
 import org.magnoliavale.internal.route.WeightedService;
+import org.magnoliavale.internal.tenant.CallerKeys;
 import org.magnoliavale.platform.TestProtocol;
 
 /** A {@link CallRegistry} with a scripted connector and two endpoints that hold model {@code m}. */
@@ -77,6 +78,8 @@
                 new ArtifactDemand(() -> {}),
                 crashDetector,
                 () -> table == null ? null : createTable(),
+                CallerKeys.ofSingleInstance(),
+                quota(),
                 responseMemory,
                 new CallMetrics(metrics),
                 this::readClock),
@@ -96,6 +99,15 @@
     return false;
   }
 
+  /** Returns what decides on tenants' quotas. */
+  QuotaCheck quota() {
+    return QuotaCheck.unlimited();
+  }
+
+  long counter(String name) {
+    return metrics.counter(name).getCount();
+  }
+
   private void heard(EndpointIdentity endpoint, EndpointStatement statement, long sentNanos) {
     limits.observe(endpoint, statement.limit(), sentNanos, now);
     if (statement.pause().isPositive()) {
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewaySettingsReaderTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewaySettingsReaderTest.java
@@ -37,6 +37,7 @@
       case "internal-ports.0", "internal-ports.1" -> "7380";
       case "bounds.lease-ms" -> "3000";
       case "bounds.budget-ratio" -> "0.2";
+      case "bounds.strict-revoke" -> "false";
       default -> "8";
     };
   }
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
@@ -141,6 +141,7 @@
                   Heartbeat.newBuilder()
                       .setNumber(1)
                       .setDirectoryReadMs(9_000)
+                      .setConfigurationAgeMs(7)
                       .addLimits(EndpointLimit.newBuilder().setEndpoint("e").setAgeMs(40)))
               .build();
       exchange.relayed("relay", List.of(relayed));
@@ -163,6 +164,12 @@
       relay(1_500);
       assertThat(applied.getFirst().getLimits(0).getAgeMs()).isEqualTo(1_540);
     }
+
+    @Test
+    void addsItsAgeToThatOfTheConfiguration() {
+      relay(1_500);
+      assertThat(applied.getFirst().getConfigurationAgeMs()).isEqualTo(1_507);
+    }
   }
 
   private static final class Silent implements PeerState {
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatRelayTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatRelayTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
@@ -10,6 +11,7 @@
 import org.magnoliavale.internal.link.protocol.DepartedEndpoint;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
+import org.magnoliavale.internal.link.protocol.RevokedKey;
 
 class HeartbeatRelayTest {
   private static final long START_NANOS = TimeUnit.HOURS.toNanos(1);
@@ -130,6 +132,21 @@
       assertThat(pending("b", false, 600)).isEmpty();
     }
 
+    @Test
+    void sendsAKeyThatWasTakenAwayAtOnceAndRepeatsItSlowly() {
+      RevokedKey revoked =
+          RevokedKey.newBuilder()
+              .setFingerprint(ByteString.copyFrom(new byte[16]))
+              .setVersion(4)
+              .build();
+      acceptDirect("a", heartbeat(1), 0);
+      pending("b", false, 0);
+      acceptDirect("a", heartbeat(2).addRevokedKeys(revoked), 100);
+      assertThat(pending("b", false, 100)).hasSize(1);
+      acceptDirect("a", heartbeat(3).addRevokedKeys(revoked), 600);
+      assertThat(pending("b", false, 600)).isEmpty();
+    }
+
     @Test
     void sendsDemandOnlyToThoseThatNeedIt() {
       ArtifactUse use = ArtifactUse.newBuilder().setArtifact("model").setWaiting(1).build();
