Tell peers of no key that was taken away once no keys are asked for

A version without tenants needs no keys, but peers with an older one were still told of keys that versions between had taken away, and answered their callers 401. RevokedKeysTest (isNotToldIfTheNewerVersionAsksForNoKeys) showed the key rejected; what was seen is forgotten with such a version now.

--- a/src/main/java/org/magnoliavale/internal/tenant/CallerKeys.java
+++ b/src/main/java/org/magnoliavale/internal/tenant/CallerKeys.java
@@ -116,6 +116,7 @@
     if (applied.tenants().isEmpty()) {
       // Calls need no key any more, whichever they have.
       removed.clear();
+      revoked.forgetSeen();
     }
     version = applied.version();
     boolean backAgain = revoked.hasSeen();
--- a/src/main/java/org/magnoliavale/internal/tenant/RevokedKeys.java
+++ b/src/main/java/org/magnoliavale/internal/tenant/RevokedKeys.java
@@ -70,6 +70,11 @@
         .toList();
   }
 
+  /** Forgets the keys that peers are told of. */
+  synchronized void forgetSeen() {
+    seen.clear();
+  }
+
   /** Returns whether any key is remembered for peers. */
   synchronized boolean hasSeen() {
     return !seen.isEmpty();
--- a/src/test/java/org/magnoliavale/internal/tenant/RevokedKeysTest.java
+++ b/src/test/java/org/magnoliavale/internal/tenant/RevokedKeysTest.java
@@ -102,7 +102,8 @@
   @Test
   void isNotToldIfTheNewerVersionAsksForNoKeys() {
     begin();
-    assertThat(east.read(Configurations.of(2))).isFalse();
+    east.read(Configurations.of(2, tenant("a", "k-2")));
+    assertThat(east.read(Configurations.of(3))).isFalse();
     east.tell(west);
     assertThat(west.tenantOf("k-1")).isEqualTo("a");
   }
