Read the endpoint directory seldom where a holder that reads it is heard

The holder of the command lease reads twice a second and more and tells its peers what drains or has left at once. It now also tells which models it has seen loaded, and how many endpoints without an engine appeared. A peer that hears it, and that its reads succeed, reads each 4 s; within 1.1 s of the holder's last word, or when the holder's reads fail, it reads as before. Fleets without relays read as before.

Ruled out: a feed of changes (returns with every heartbeat of every worker); the whole list over the links (7 Mbit/s at a relay with 26 followers).

--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -33,7 +33,7 @@
   private static final long MISSING_MODEL_PAUSE_MS = 1_000;
 
   /** Time after which an endpoint's own entry shows that an artifact was unloaded. */
-  private static final long UNLOAD_VISIBLE_AFTER_MS = 2_500;
+  private static final long UNLOAD_VISIBLE_AFTER_MS = 5_500;
 
   private static final long UNREACHABLE_MS = 1_500;
 
--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -2,8 +2,8 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.jboss.logging.Logger;
@@ -20,7 +20,6 @@
  */
 final class DirectoryPoller {
   private static final Logger LOG = Logs.of("instance");
-  private static final long INTERVAL_MS = 1_200;
 
   /**
    * Time from the start of a failed read to the next one. After an outage the directory has to be
@@ -31,22 +30,17 @@
   /** Minimum time between the end of a failed read and the next one. */
   private static final long MINIMUM_PAUSE_MS = 50;
 
-  /** Interval of the lease holder, which announces draining endpoints to its peers. */
-  private static final long HOLDER_INTERVAL_MS = 500;
-
-  /** Interval of the lease holder while a command or an engine report is pending. */
-  private static final long PENDING_INTERVAL_MS = 250;
-
   /** Interval at which kept entries are compared with what peers say. */
   private static final long KEPT_CHECK_MS = 100;
 
   private final DirectorySource source;
-  private final BooleanSupplier leaseHeld;
-  private final BooleanSupplier awaitingEndpoints;
+  private final DirectoryPace pace;
   private final Consumer<Collection<DirectoryEntry>> listener;
   private final LongSupplier nanoClock;
   private final EndpointDirectory directory;
+  private final Semaphore wakeUps = new Semaphore(0);
   private long generation;
+  private volatile long readStartNanos;
   private volatile boolean loaded;
   private volatile boolean stopped;
 
@@ -54,21 +48,18 @@
    * Returns a poller that is not started yet.
    *
    * @param departures records the endpoints that leave the directory
-   * @param leaseHeld whether this instance holds the command lease
-   * @param awaitingEndpoints whether the holder waits for an effect of a command
+   * @param pace decides how often the directory is read
    * @param listener receives the entries after each successful read, and when kept ones are removed
    */
   DirectoryPoller(
       DirectorySource source,
       EndpointDepartures departures,
-      BooleanSupplier leaseHeld,
-      BooleanSupplier awaitingEndpoints,
+      DirectoryPace pace,
       Consumer<Collection<DirectoryEntry>> listener,
       LongSupplier nanoClock) {
     this.source = source;
     this.directory = new EndpointDirectory(departures);
-    this.leaseHeld = leaseHeld;
-    this.awaitingEndpoints = awaitingEndpoints;
+    this.pace = pace;
     this.listener = listener;
     this.nanoClock = nanoClock;
   }
@@ -90,12 +81,13 @@
     boolean available = true;
     try {
       while (!stopped) {
-        long startNanos = nanoClock.getAsLong();
+        readStartNanos = nanoClock.getAsLong();
+        pace.readStarted();
         available = readOnce(available);
         if (available) {
           waitContained();
         } else {
-          TimeUnit.MILLISECONDS.sleep(failureDelayMs(startNanos, nanoClock.getAsLong()));
+          TimeUnit.MILLISECONDS.sleep(failureDelayMs(readStartNanos, nanoClock.getAsLong()));
         }
       }
     } catch (InterruptedException e) {
@@ -127,7 +119,16 @@
       remainingMs -= KEPT_CHECK_MS;
       removeKept();
     }
-    TimeUnit.MILLISECONDS.sleep(remainingMs);
+    wakeUps.tryAcquire(remainingMs, TimeUnit.MILLISECONDS);
+    wakeUps.drainPermits();
+  }
+
+  /** Begins the next read if it is due by now, because the pace has changed since the last one. */
+  void checkDue() {
+    long now = nanoClock.getAsLong();
+    if (now - readStartNanos >= TimeUnit.MILLISECONDS.toNanos(pace.intervalMs(now))) {
+      wakeUps.release();
+    }
   }
 
   /** Removes the kept entries that peers show to be gone. */
@@ -183,13 +184,7 @@
   /** Returns the time until the next read, which comes no later than kept entries are removed. */
   long delayMs(long nowNanos) {
     long graceMs = directory.graceRemainingMs(nowNanos);
-    return graceMs == 0 ? intervalMs() : Math.min(intervalMs(), graceMs);
-  }
-
-  private long intervalMs() {
-    if (!leaseHeld.getAsBoolean()) {
-      return INTERVAL_MS;
-    }
-    return awaitingEndpoints.getAsBoolean() ? PENDING_INTERVAL_MS : HOLDER_INTERVAL_MS;
+    long intervalMs = pace.intervalMs(nowNanos);
+    return graceMs == 0 ? intervalMs : Math.min(intervalMs, graceMs);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -7,7 +7,6 @@
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.client.HttpClient;
 import org.jboss.logging.Logger;
 import org.magnoliavale.Service;
 import org.magnoliavale.internal.call.ArtifactDemand;
@@ -27,8 +26,6 @@
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.http.HttpAddresses;
-import org.magnoliavale.internal.http.HttpClients;
-import org.magnoliavale.internal.http.JsonClient;
 import org.magnoliavale.internal.limit.EndpointLimits;
 import org.magnoliavale.internal.limit.FleetView;
 import org.magnoliavale.internal.link.Membership;
@@ -58,9 +55,6 @@
  */
 public final class GatewayInstance implements Service {
   private static final Logger LOG = Logs.of("instance");
-  private static final int CONTROL_CONNECTIONS = 64;
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
-  private static final Duration CONTROL_IDLE_TIMEOUT = Duration.ofSeconds(4);
 
   private static final long TICK_INTERVAL_MS = 50;
   private static final long IDLE_TICK_INTERVAL_MS = 250;
@@ -71,9 +65,8 @@
   private final GatewaySettings settings;
   private final FleetRetryBudget retryBudget;
   private final PlatformAdapters adapters;
-  private final HttpClient controlClient;
-  private final HttpClient endpointClient;
   private final JettyTransport transport = new JettyTransport();
+  private final GatewayClients clients = new GatewayClients(transport);
   private final InstanceMetrics metrics = new InstanceMetrics();
   private final UnexpectedFailures failures =
       new UnexpectedFailures(metrics.counter("steps_failed_unexpectedly"), LOG);
@@ -83,7 +76,7 @@
   private final EndpointStatements statements =
       new EndpointStatements(limits, departures, System::nanoTime);
   private final EndpointPool endpoints;
-  private final DirectoryPoller directory;
+  private final DirectoryReads directory;
   private final CallRegistry calls;
   private final PeerStateExchange peerState;
   private final InstanceRegistry registry;
@@ -112,14 +105,8 @@
     gracePeriod = settings.gracePeriod();
     retryBudget = settings.createRetryBudget(this::liveInstanceCount, System.nanoTime());
     String incarnation = settings.instanceId() + "/" + UUID.randomUUID().toString().substring(0, 8);
-    controlClient =
-        transport.createClient(
-            "control", CONTROL_CONNECTIONS, CONNECT_TIMEOUT, CONTROL_IDLE_TIMEOUT);
-    endpointClient = transport.createEndpointClient(CONNECT_TIMEOUT);
     adapters =
-        factory
-            .create(JsonClient.of(controlClient), settings, this::heardByControl)
-            .containing(failures);
+        factory.create(clients.control(), settings, this::heardByControl).containing(failures);
     keyExchange = KeyExchange.of(settings, this::announceLocalState, System::nanoTime);
     configuration = new ConfigurationPoller(adapters.configuration(), keyExchange);
     membership = new Membership(PEER_EXPIRY);
@@ -145,14 +132,7 @@
             System::nanoTime);
     lease = createLease(incarnation);
     residency = createResidencyController(fleetDemand);
-    directory =
-        new DirectoryPoller(
-            adapters.directory(),
-            departures,
-            lease::isHeld,
-            residency::isAwaitingEndpoints,
-            this::directoryChanged,
-            System::nanoTime);
+    directory = createDirectoryReads();
     links = createLinks(incarnation);
     peerState.initialize(
         lease, residency.changeLog(), calls::endpointsChanged, this::onDemandChanged);
@@ -200,7 +180,7 @@
   private CallContext createCallContext(ArtifactDemand demand) {
     return new CallContext(
         adapters.protocol(),
-        new JettyEndpointConnector(endpointClient),
+        clients.connector(),
         endpoints,
         statements,
         retryBudget,
@@ -229,6 +209,17 @@
         .build();
   }
 
+  private DirectoryReads createDirectoryReads() {
+    return new DirectoryReads(
+        adapters.directory(),
+        departures,
+        new DirectoryPace(lease::isHeld, residency::isAwaitingEndpoints, this::isLargeFleet),
+        lease::isHeld,
+        configuration::routes,
+        this::directoryChanged,
+        System::nanoTime);
+  }
+
   private InstanceRegistry createRegistry() {
     String id = settings.instanceId();
     return new InstanceRegistry(
@@ -259,6 +250,10 @@
     return membership.instanceCount(System.nanoTime());
   }
 
+  private boolean isLargeFleet() {
+    return !PeerLinks.isMesh(liveInstanceCount());
+  }
+
   private boolean isReady() {
     return configuration.routes() != null && directory.isLoaded() && !stopping;
   }
@@ -286,8 +281,8 @@
   public void start() {
     registerMetrics();
     peerState.add(keyExchange);
-    HttpClients.start(controlClient);
-    transport.startEndpointClient(endpointClient);
+    peerState.add(directory);
+    clients.start();
     servers.start();
     configuration.start();
     directory.start();
@@ -304,20 +299,27 @@
   }
 
   private void heardByControl(EndpointIdentity endpoint, EndpointStatement statement) {
-    statements.heard(endpoint, statement, System.nanoTime() - CONTROL_IDLE_TIMEOUT.toNanos());
+    statements.heard(
+        endpoint, statement, System.nanoTime() - GatewayClients.CONTROL_IDLE_TIMEOUT.toNanos());
   }
 
   private void directoryChanged(Collection<DirectoryEntry> entries) {
     long now = System.nanoTime();
     endpoints.update(entries, now);
     crashDetector.endpointsListed(entries.stream().map(DirectoryEntry::identity).toList(), now);
-    failures.contain("Endpoints could not be planned with.", () -> residency.update(entries));
+    failures.contain("Endpoints could not be planned with.", () -> planWith(entries));
     if (departures.takeNews()) {
       announceLocalState();
     }
     calls.endpointsChanged();
   }
 
+  private void planWith(Collection<DirectoryEntry> entries) {
+    if (residency.update(entries)) {
+      announceLocalState();
+    }
+  }
+
   /** Takes over the grace period and the limits of the retry budget from changed settings. */
   public void reload(GatewaySettings changed) {
     gracePeriod = changed.gracePeriod();
@@ -331,6 +333,7 @@
 
   private void tick() {
     calls.tick();
+    directory.checkDue();
     failures.contain("Local state could not be applied.", peerState::applyLocalState);
     onDemandChanged();
     if (lease.consumeSurrendered() | statements.takeNews()) {
@@ -380,8 +383,7 @@
     stopPolling();
     links.stop();
     servers.stop();
-    HttpClients.stop(endpointClient);
-    HttpClients.stop(controlClient);
+    clients.stop();
   }
 
   /** Returns the port that callers connect to. */
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
@@ -57,6 +57,7 @@
   private long entryChangedNanos;
   private OptionalLong sequence = OptionalLong.empty();
   private long acceptedNanos;
+  private final List<Artifact> newlyLoaded = new ArrayList<>();
   private Optional<Artifact> pendingModel = Optional.empty();
   private long pendingModelSinceNanos;
   private boolean unreachable;
@@ -114,6 +115,13 @@
         nowNanos + TimeUnit.MILLISECONDS.toNanos(REPORT_LAG_MS - REPORT_INTERVAL_MS);
   }
 
+  /** Returns the models whose loads the directory has shown to be complete since the last call. */
+  List<Artifact> takeNewlyLoaded() {
+    List<Artifact> taken = List.copyOf(newlyLoaded);
+    newlyLoaded.clear();
+    return taken;
+  }
+
   /** Applies a newer directory entry and removes pending commands whose effect it shows. */
   void update(DirectoryEntry newEntry, long nowNanos) {
     if (newEntry.heartbeat() != entry.heartbeat()) {
@@ -127,6 +135,7 @@
           boolean done = command.confirmed() && visible && isWrittenAfter(command);
           if (done && command.isModel() && command.isLoad()) {
             modelLoadedNanos.put(command.artifact(), nowNanos);
+            newlyLoaded.add(command.artifact());
           }
           return done || age(command.lastSentNanos(), nowNanos) > MAXIMUM_COMMAND_DELAY_MS;
         });
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyChangeLog.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyChangeLog.java
@@ -44,6 +44,12 @@
     entries.addLast(new Entry(new Change(number, endpointId, artifact, held), nowNanos));
   }
 
+  /** Adds models that an endpoint has loaded; returns whether there are any. */
+  synchronized boolean addLoaded(String endpointId, List<Artifact> loaded, long nowNanos) {
+    loaded.forEach(artifact -> add(endpointId, artifact, true, nowNanos));
+    return !loaded.isEmpty();
+  }
+
   /** Removes expired changes and returns the others, the oldest first. */
   public synchronized List<Change> changes(long nowNanos) {
     while (!entries.isEmpty() && nowNanos - entries.getFirst().nanos() > RETENTION_NANOS) {
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -17,7 +17,6 @@
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.route.EngineSpecification;
 import org.magnoliavale.internal.route.RouteTable;
-import org.magnoliavale.internal.route.ServiceSpecification;
 
 /**
  * Plans and sends load and unload commands while this instance holds the lease.
@@ -168,17 +167,24 @@
         .anyMatch(entry -> trackers.get(entry.getKey()).view(entry.getValue(), 0, now).busy());
   }
 
-  /** Applies a read of the endpoint directory. */
-  public synchronized void update(Collection<DirectoryEntry> listed) {
+  /**
+   * Applies a read of the endpoint directory, and publishes the models whose loads it shows to be
+   * complete; returns whether there are any.
+   */
+  public synchronized boolean update(Collection<DirectoryEntry> listed) {
     long now = nanoClock.getAsLong();
+    boolean published = false;
     entries.clear();
     for (DirectoryEntry entry : listed) {
       entries.put(entry.identity(), entry);
-      trackers
-          .computeIfAbsent(entry.identity(), ignored -> EndpointTracker.ofNewEndpoint(entry, now))
-          .update(entry, now);
+      EndpointTracker tracker =
+          trackers.computeIfAbsent(
+              entry.identity(), ignored -> EndpointTracker.ofNewEndpoint(entry, now));
+      tracker.update(entry, now);
+      published |= changeLog.addLoaded(entry.identity().id(), tracker.takeNewlyLoaded(), now);
     }
     trackers.keySet().retainAll(entries.keySet());
+    return published;
   }
 
   /** Fetches due reports, resends commands without a response, and plans and sends new ones. */
@@ -237,18 +243,7 @@
   }
 
   private Map<EndpointIdentity, EngineSpecification> engines() {
-    Map<EndpointIdentity, EngineSpecification> engines = new HashMap<>();
-    RouteTable table = routes.get();
-    if (table == null) {
-      return engines;
-    }
-    for (DirectoryEntry entry : entries.values()) {
-      table
-          .service(entry.service())
-          .flatMap(ServiceSpecification::engine)
-          .ifPresent(engine -> engines.put(entry.identity(), engine));
-    }
-    return engines;
+    return Engines.of(routes.get(), entries.values());
   }
 
   private void requestReports(Set<EndpointIdentity> engines, long now) {
--- a/src/main/java/org/magnoliavale/internal/route/RouteTable.java
+++ b/src/main/java/org/magnoliavale/internal/route/RouteTable.java
@@ -76,6 +76,11 @@
     return Optional.ofNullable(services.get(id));
   }
 
+  /** Returns whether the endpoints of a service run model engines. */
+  public boolean hasEngine(ServiceId id) {
+    return service(id).flatMap(ServiceSpecification::engine).isPresent();
+  }
+
   /** Returns the tenants. */
   public TenantTable tenants() {
     return tenants;
--- a/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/PollersTest.java
@@ -39,8 +39,7 @@
               return new DirectoryReadResult.Entries(List.of(), 0);
             },
             new EndpointDepartures(),
-            () -> true,
-            () -> true,
+            holderPace(),
             entries -> read.countDown(),
             System::nanoTime);
     poller.start();
@@ -58,10 +57,12 @@
         new DirectoryPoller(
             () -> new DirectoryReadResult.Entries(List.of(), 0),
             new EndpointDepartures(),
-            () -> {
-              throw new IllegalStateException("expected by the test");
-            },
-            () -> true,
+            new DirectoryPace(
+                () -> {
+                  throw new IllegalStateException("expected by the test");
+                },
+                () -> true,
+                () -> false),
             entries -> read.release(),
             System::nanoTime);
     poller.start();
@@ -87,8 +88,7 @@
         new DirectoryPoller(
             results::remove,
             departures,
-            () -> true,
-            () -> true,
+            holderPace(),
             entries -> {
               applied.add(entries);
               if (entries.isEmpty()) {
@@ -147,12 +147,7 @@
     List<Collection<DirectoryEntry>> applied = new ArrayList<>();
     DirectoryPoller poller =
         new DirectoryPoller(
-            results::remove,
-            new EndpointDepartures(),
-            () -> true,
-            () -> true,
-            applied::add,
-            nowNanos::get);
+            results::remove, new EndpointDepartures(), holderPace(), applied::add, nowNanos::get);
     poller.readOnce(true);
     poller.readOnce(true);
     assertThat(applied.getLast()).hasSize(1);
@@ -178,4 +173,8 @@
   private static RouteTable configuration(long version) {
     return RouteTable.of(version, List.of(), List.of(), 1_000);
   }
+
+  private static DirectoryPace holderPace() {
+    return new DirectoryPace(() -> true, () -> true, () -> false);
+  }
 }
