Let waiting calls take their turn in a queue, after events

A waiting call asked for an endpoint on each tick and each change, in the order of a hash set, and was rejected after a fixed share of its time. Package queue orders the calls of a service and artifact by priority, by whether the target can still be met, fairly between tenants by tokens, and by when they are due; QueuedCalls wakes the first of them when an attempt ends, a load is told or endpoints change, and tries each queue now and then without an event. A call whose forecast ends after its caller leaves is rejected at once, with the time at which there is room.

Nothing answers Busy or TooLate yet, so calls wait only for artifacts, and for those the fixed share stays: no end of a load is known. Wakes run without the lock of a call, by one thread at a time, since a call's step may end another call's wait. Call shrinks by the state of its wait, which is in CallWait.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -126,7 +126,7 @@
       responseHead = call.context().protocol().parseResponse(status, headers);
       responseHeaders = headers;
       pool().recordActivity(identity(), now);
-      responseHead.load().ifPresent(load -> pool().recordLoad(identity(), load, now));
+      responseHead.load().ifPresent(load -> call.context().loadReported(endpoint, load, now));
       if (!responseHead.attemptId().equals(call.plan().attemptId())
           || responseHead.contentEncoded()) {
         cancel(AttemptOutcome.FAILED, now);
@@ -392,7 +392,7 @@
     }
     closed = true;
     body.release();
-    pool().attemptEnded(identity(), result, nowNanos);
+    call.context().attemptEnded(endpoint, result, nowNanos);
     return true;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -1,14 +1,11 @@
 package org.magnoliavale.internal.call;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.magnoliavale.ErrorCode;
-import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
 import org.magnoliavale.internal.dispatch.EndpointChoice;
-import org.magnoliavale.internal.dispatch.GenerationRequest;
 
 /**
  * One call from arrival to response: selects endpoints, sends attempts and forwards the response.
@@ -46,19 +43,12 @@
   private final RetryAllowance retries;
   private final OtherEndpointTries otherEndpoints;
   private State state = State.NEW;
-  private final ArtifactWait artifactWait;
+  private final CallWait wait;
   private final AttemptsInProgress attempts = new AttemptsInProgress();
   private boolean responseStarted;
-  private RetryAfterDelay retryAfterDelay = RetryAfterDelay.FULL;
   private Optional<Long> lastEvent;
   private String lastFailure = "";
 
-  /**
-   * Start of the wait for an endpoint: arrival, or the last failed attempt that may have been
-   * executed.
-   */
-  private long waitStartNanos;
-
   Call(
       CallContext context,
       CallPlan plan,
@@ -71,12 +61,11 @@
     this.selection = new EndpointSelection(context, plan);
     this.retries = new RetryAllowance(context, plan, maySend);
     this.otherEndpoints = new OtherEndpointTries(this, attempts, selection, retries);
-    this.artifactWait = new ArtifactWait(context.artifactDemand());
+    this.wait = new CallWait(this);
     this.onEnd = onEnd;
     this.log = new CallLog(plan);
     this.completion = new CallCompletion(context, plan, caller, this::end);
     this.lastEvent = plan.metadata().lastEventId();
-    this.waitStartNanos = plan.request().arrivedNanos();
   }
 
   CallPlan plan() {
@@ -97,15 +86,12 @@
    */
   synchronized void start(long nowNanos) {
     state = State.WAITING;
-    context.retryBudget().recordRequest(plan.service(), nowNanos);
-    plan.metadata()
-        .generation()
-        .map(GenerationRequest::artifact)
-        .ifPresent(
-            artifact ->
-                context.artifactDemand().recordRequest(artifact, plan.isDelayTolerant(), nowNanos));
+    context.recordRequest(plan, nowNanos);
     if (nowNanos - plan.deadlineNanos() >= 0) {
       expire(nowNanos);
+    } else if (wait.isBehindOthers(nowNanos)) {
+      wait.behindOthers(nowNanos);
+      checkWait(nowNanos);
     } else {
       dispatch(nowNanos);
     }
@@ -122,23 +108,25 @@
     }
     switch (state) {
       case WAITING -> {
-        dispatch(nowNanos);
-        checkWaitLimit(nowNanos);
+        if (!wait.isQueued()) {
+          dispatch(nowNanos);
+        }
+        checkWait(nowNanos);
       }
       case SENT -> attempts.latest().ifPresent(attempt -> attempt.tick(nowNanos));
       case NEW, ENDED -> {}
     }
   }
 
-  private void checkWaitLimit(long nowNanos) {
-    boolean tooLong = nowNanos - waitStartNanos > plan.maximumWaitNanos();
-    if (state == State.WAITING && tooLong) {
-      retryAfterDelay = artifactWait.isWaiting() ? RetryAfterDelay.LOAD : RetryAfterDelay.FULL;
-      giveUp("no endpoint available in time", nowNanos);
+  /** Gives the call up if it waits and can't be answered in time. */
+  private void checkWait(long nowNanos) {
+    if (state == State.WAITING && !rejectIfCrashing(nowNanos)) {
+      boolean executed = responseStarted || retries.mayHaveBeenExecuted();
+      wait.reasonToGiveUp(executed, nowNanos).ifPresent(reason -> giveUp(reason, nowNanos));
     }
   }
 
-  /** Tries to send the call if it waits, because endpoints have changed. */
+  /** Tries to send the call if it waits: an endpoint may take it now. */
   synchronized void endpointsChanged(long nowNanos) {
     if (state == State.WAITING) {
       dispatch(nowNanos);
@@ -191,24 +179,39 @@
   }
 
   private void dispatch(long nowNanos) {
-    if (!responseStarted && context.crashDetector().isBlocked(plan.crashKeys())) {
-      // Also while the call waits: what crashes endpoints becomes known only with time.
-      giveUp(ErrorCode.REQUEST_CRASHES_ENDPOINTS, "in flight in repeated crashes", nowNanos);
+    if (rejectIfCrashing(nowNanos)) {
       return;
     }
     switch (selection.choose(nowNanos)) {
       case EndpointChoice.Selected send -> send(send, nowNanos);
-      case EndpointChoice.AwaitArtifact(Artifact artifact) -> awaitArtifact(artifact);
+      case EndpointChoice.AwaitArtifact await -> {
+        state = State.WAITING;
+        wait.forArtifact(await.artifact(), nowNanos);
+      }
+      case EndpointChoice.Busy busy -> {
+        state = State.WAITING;
+        wait.forRoom(busy.timeToRoom(), nowNanos);
+        checkWait(nowNanos);
+      }
       case EndpointChoice.NoEndpoint none -> {
-        none.timeToNext().ifPresent(time -> retryAfterDelay = RetryAfterDelay.atLeast(time));
+        none.timeToNext().ifPresent(wait::tellTimeToNext);
         handleUnavailable(none.reason(), nowNanos);
       }
     }
   }
 
+  /** Rejects a call that crashes endpoints, which becomes known only with time. */
+  private boolean rejectIfCrashing(long nowNanos) {
+    boolean crashing = !responseStarted && context.crashDetector().isBlocked(plan.crashKeys());
+    if (crashing) {
+      giveUp(ErrorCode.REQUEST_CRASHES_ENDPOINTS, "in flight in repeated crashes", nowNanos);
+    }
+    return crashing;
+  }
+
   /** Sends the call to an endpoint; no other attempt is in progress. */
   private void send(EndpointChoice.Selected choice, long nowNanos) {
-    artifactWait.stop();
+    wait.sent(nowNanos);
     state = State.SENT;
     Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
     attempts.add(attempt);
@@ -228,15 +231,8 @@
     attempt.send(selection.request(choice, lastEvent, nowNanos));
   }
 
-  private void awaitArtifact(Artifact artifact) {
-    if (artifactWait.start(artifact)) {
-      state = State.WAITING;
-      log.waitingForArtifact(artifact);
-    }
-  }
-
   private void handleUnavailable(String reason, long nowNanos) {
-    artifactWait.stop();
+    wait.stop(nowNanos);
     if (retries.allowsSecondRound() && selection.tried().clearExcluded()) {
       // Every endpoint has been tried once; a later attempt may find a free slot.
       retries.recordRefusal();
@@ -303,7 +299,7 @@
   }
 
   void recordPossibleExecution(Attempt source, String reason, long nowNanos) {
-    waitStartNanos = nowNanos;
+    wait.restart(nowNanos);
     retries.recordPossibleExecution();
     lastFailure = reason;
     selection.tried().exclude(source.identity());
@@ -367,8 +363,7 @@
 
   /** Ends a call that has not been executed. */
   private void reject(ErrorCode code, String reason, long nowNanos) {
-    Duration delay = retryAfterDelay.of(plan.attemptId(), plan.timeRemaining(nowNanos));
-    completion.reject(code, reason, retries.refusals(), delay, nowNanos);
+    completion.reject(wait.rejection(code, reason, retries.refusals(), nowNanos), nowNanos);
   }
 
   /**
@@ -387,7 +382,7 @@
     // First: whatever the steps below meet, the call has ended and is answered.
     state = State.ENDED;
     onEnd.accept(this);
-    artifactWait.stop();
+    wait.stop(now());
     attempts.cancel(AttemptOutcome.INCONCLUSIVE, now());
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
@@ -1,6 +1,5 @@
 package org.magnoliavale.internal.call;
 
-import java.time.Duration;
 import java.util.Optional;
 import org.magnoliavale.ErrorCode;
 import org.magnoliavale.MagnoliavaleException;
@@ -42,12 +41,14 @@
     endWith(caller::finish);
   }
 
-  /** Ends a call that has not been executed; its caller may retry after {@code delay}. */
-  void reject(ErrorCode code, String reason, int refusals, Duration delay, long nowNanos) {
+  /** Ends a call that has not been executed; its caller may retry. */
+  void reject(Rejection rejection, long nowNanos) {
     context.metrics().rejected().inc();
-    log.rejected(reason, refusals, nowNanos);
+    log.rejected(rejection, nowNanos);
     respondWithProblem(
-        ErrorCode.MODEL_UNAVAILABLE, MagnoliavaleException.of(code, reason).withRetryAfter(delay));
+        ErrorCode.MODEL_UNAVAILABLE,
+        MagnoliavaleException.of(rejection.code(), rejection.reason())
+            .withRetryAfter(rejection.delay()));
   }
 
   /** Keeps an endpoint's error response for the case that the call would fail. */
--- a/src/main/java/org/magnoliavale/internal/call/CallContext.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallContext.java
@@ -1,10 +1,15 @@
 package org.magnoliavale.internal.call;
 
+import java.util.Random;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointStatementListener;
+import org.magnoliavale.internal.dispatch.AttemptOutcome;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
+import org.magnoliavale.internal.dispatch.GenerationRequest;
+import org.magnoliavale.internal.dispatch.ReportedLoad;
 import org.magnoliavale.internal.route.RouteTable;
 
 /**
@@ -12,11 +17,13 @@
  *
  * @param protocol maps headers
  * @param connector sends attempts
- * @param endpoints selects endpoints
+ * @param endpoints tracks the state of endpoints
+ * @param chooser selects the endpoint of an attempt
  * @param statements acts on what endpoints say of themselves
  * @param retryBudget limits retries across the fleet
  * @param artifactDemand demand for artifacts
  * @param crashDetector attributes endpoint crashes to requests
+ * @param queue the calls that wait for an endpoint
  * @param routes the current configuration, null before the first one
  * @param responseMemory memory for responses that are kept until they are complete
  * @param metrics metrics of calls
@@ -26,11 +33,69 @@
     CallProtocol protocol,
     EndpointConnector connector,
     EndpointPool endpoints,
+    EndpointChooser chooser,
     EndpointStatementListener statements,
     FleetRetryBudget retryBudget,
     ArtifactDemand artifactDemand,
     CrashDetector crashDetector,
+    QueuedCalls queue,
     Supplier<RouteTable> routes,
     ResponseMemory responseMemory,
     CallMetrics metrics,
-    LongSupplier nanoClock) {}
+    LongSupplier nanoClock) {
+  /** Returns collaborators without waiting calls, whose endpoints are selected by the pool. */
+  public CallContext(
+      CallProtocol protocol,
+      EndpointConnector connector,
+      EndpointPool endpoints,
+      EndpointStatementListener statements,
+      FleetRetryBudget retryBudget,
+      ArtifactDemand artifactDemand,
+      CrashDetector crashDetector,
+      Supplier<RouteTable> routes,
+      ResponseMemory responseMemory,
+      CallMetrics metrics,
+      LongSupplier nanoClock) {
+    this(
+        protocol,
+        connector,
+        endpoints,
+        endpoints::choose,
+        statements,
+        retryBudget,
+        artifactDemand,
+        crashDetector,
+        new QueuedCalls(new Random()),
+        routes,
+        responseMemory,
+        metrics,
+        nanoClock);
+  }
+
+  /** Sends waiting calls after events that have been noted; run without the lock of a call. */
+  void sendWaitingCalls() {
+    metrics.failures().contain("Waiting calls could not be sent.", () -> queue.serve(nanoClock));
+  }
+
+  /** Records a new call, for the budget of retries and the demand for its artifact. */
+  void recordRequest(CallPlan plan, long nowNanos) {
+    retryBudget.recordRequest(plan.service(), nowNanos);
+    plan.metadata()
+        .generation()
+        .map(GenerationRequest::artifact)
+        .ifPresent(
+            artifact -> artifactDemand.recordRequest(artifact, plan.isDelayTolerant(), nowNanos));
+  }
+
+  /** Records the load that an endpoint reported, after which it may take waiting calls. */
+  void loadReported(DirectoryEntry endpoint, ReportedLoad load, long nowNanos) {
+    endpoints.recordLoad(endpoint.identity(), load, nowNanos);
+    queue.loadReported(endpoint);
+  }
+
+  /** Records the end of an attempt, after which its endpoint may take waiting calls. */
+  void attemptEnded(DirectoryEntry endpoint, AttemptOutcome outcome, long nowNanos) {
+    endpoints.attemptEnded(endpoint.identity(), outcome, nowNanos);
+    queue.attemptEnded(endpoint);
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -8,6 +8,7 @@
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.EndpointChoice;
 import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.queue.WaitForecast;
 
 /**
  * Logs each decision about one call, with the values that it was based on.
@@ -93,10 +94,16 @@
     LOG.infof("Stream ended. request=%s last-event=%s", plan.attemptId(), text(lastEvent));
   }
 
-  void rejected(String reason, int refusals, long nowNanos) {
+  void rejected(Rejection rejection, long nowNanos) {
     LOG.infof(
-        "Rejected. request=%s route=%s reason=%s refusals=%d age-ms=%d",
-        plan.attemptId(), plan.route().name(), reason, refusals, ageMs(nowNanos));
+        "Rejected. request=%s route=%s reason=%s refusals=%d age-ms=%d retry-after-ms=%d%s",
+        plan.attemptId(),
+        plan.route().name(),
+        rejection.reason(),
+        rejection.refusals(),
+        ageMs(nowNanos),
+        rejection.delay().toMillis(),
+        rejection.forecast().map(CallLog::text).orElse(""));
   }
 
   void failed(String reason, int possibleExecutions, String lastFailure) {
@@ -139,6 +146,11 @@
     return Duration.ofNanos(nowNanos - plan.request().arrivedNanos()).toMillis();
   }
 
+  private static String text(WaitForecast forecast) {
+    return " predicted-ms=%d ahead=%d queue-length=%d"
+        .formatted(forecast.timeToStart().toMillis(), forecast.ahead(), forecast.length());
+  }
+
   private static String text(Optional<?> value) {
     return value.map(Object::toString).orElse("-");
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallMetrics.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallMetrics.java
@@ -13,7 +13,9 @@
   private final Counter rejected;
   private final Counter retried;
   private final Counter abandoned;
+  private final Counter rejectedByForecast;
   private final Timer firstByte;
+  private final Timer waited;
   private final UnexpectedFailures failures;
 
   /** Registers the metrics in {@code metrics}. */
@@ -23,7 +25,9 @@
     rejected = metrics.counter("calls_refused");
     retried = metrics.counter("calls_repeated");
     abandoned = metrics.counter("calls_abandoned");
+    rejectedByForecast = metrics.counter("calls_refused_by_forecast");
     firstByte = metrics.timer("call_first_byte");
+    waited = metrics.timer("call_wait");
     failures =
         new UnexpectedFailures(metrics.counter("calls_failed_unexpectedly"), Logs.of("call"));
   }
@@ -48,10 +52,20 @@
     return abandoned;
   }
 
+  /** Returns the counter of calls that were rejected because they would have waited too long. */
+  Counter rejectedByForecast() {
+    return rejectedByForecast;
+  }
+
   Timer firstByte() {
     return firstByte;
   }
 
+  /** Returns the timer of the waits for room, of calls that were sent after one. */
+  Timer waited() {
+    return waited;
+  }
+
   /** Returns what counts and logs the exceptions in steps of calls. */
   UnexpectedFailures failures() {
     return failures;
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -1,11 +1,14 @@
 package org.magnoliavale.internal.call;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.containment.CrashKeys;
 import org.magnoliavale.internal.dispatch.CallUrgency;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
 import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.queue.QueueId;
+import org.magnoliavale.internal.queue.WaitingCall;
 import org.magnoliavale.internal.route.CallKind;
 import org.magnoliavale.internal.route.Route;
 
@@ -49,6 +52,18 @@
   /** Multiple of the target latency that callers wait for the start of a stream. */
   private static final int CALLER_WAIT_FACTOR = 4;
 
+  /** Longest pauses that are on time that callers wait for the start of a stream. */
+  private static final int CALLER_WAIT_GAPS = 8;
+
+  /** Time until the first event or the response of an endpoint that has nothing else to do. */
+  private static final long MINIMUM_ANSWER_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** Work that a call without a number of tokens counts for, in tokens. */
+  private static final int PLAIN_CALL_TOKENS = 1_000;
+
+  /** Priority in the queue of calls whose response has begun: before all others. */
+  private static final int RESPONSE_STARTED_PRIORITY = -1;
+
   /** Share of the time that the caller waits after which a waiting call is rejected. */
   private static final double CALLER_WAIT_SHARE = 0.4;
 
@@ -121,7 +136,7 @@
     return route.targetLatency().toMillis() >= DELAY_TOLERANT_TARGET_LATENCY_MS;
   }
 
-  /** Returns how long the call may wait for an available endpoint. */
+  /** Returns how long the call may wait for an endpoint of which nothing is known. */
   long maximumWaitNanos() {
     long callerWaitMs =
         Math.max(MINIMUM_CALLER_WAIT_MS, CALLER_WAIT_FACTOR * route.targetLatency().toMillis());
@@ -135,6 +150,40 @@
     return (long) limit;
   }
 
+  /** Returns when the caller leaves if no response has begun. */
+  private long callerLeavesNanos() {
+    if (route.kind() != CallKind.STREAM) {
+      return deadlineNanos();
+    }
+    long waitMs =
+        Math.max(
+            Math.max(MINIMUM_CALLER_WAIT_MS, CALLER_WAIT_FACTOR * route.targetLatency().toMillis()),
+            CALLER_WAIT_GAPS * route.targetGap().toMillis());
+    long leavesNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+    return leavesNanos - deadlineNanos() < 0 ? leavesNanos : deadlineNanos();
+  }
+
+  /**
+   * Returns the call as one that waits for an endpoint.
+   *
+   * @param responseStarted whether a response has begun, which then has to go on at once
+   */
+  WaitingCall waitingCall(long number, boolean responseStarted, long nowNanos) {
+    long targetNanos = nowNanos + urgencyAt(nowNanos).timeToTarget().toNanos();
+    return new WaitingCall(
+        number,
+        new QueueId(service, metadata.generation().map(GenerationRequest::artifact)),
+        Optional.empty(),
+        1,
+        responseStarted ? RESPONSE_STARTED_PRIORITY : urgencyAt(nowNanos).priority(),
+        metadata
+            .generation()
+            .map(generation -> generation.promptTokens() + generation.expectedOutputTokens())
+            .orElse(PLAIN_CALL_TOKENS),
+        (responseStarted ? deadlineNanos() : targetNanos) - MINIMUM_ANSWER_TIME_NANOS,
+        (responseStarted ? deadlineNanos() : callerLeavesNanos()) - MINIMUM_ANSWER_TIME_NANOS);
+  }
+
   String attemptId() {
     return metadata.attemptId();
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -88,9 +88,8 @@
       return () -> {};
     }
     long now = context.nanoClock().getAsLong();
-    runContained(call, started -> started.start(now));
-    return () ->
-        runContained(call, left -> left.callerDisconnected(context.nanoClock().getAsLong()));
+    handle(call, started -> started.start(now));
+    return () -> handle(call, left -> left.callerDisconnected(context.nanoClock().getAsLong()));
   }
 
   private Call newCall(
@@ -137,12 +136,19 @@
   public void tick() {
     long now = context.nanoClock().getAsLong();
     forEachCall(call -> call.tick(now));
+    context.queue().tick(now);
+    context.sendWaitingCalls();
   }
 
   /** Selects endpoints for waiting calls, after the available endpoints have changed. */
   public void endpointsChanged() {
-    long now = context.nanoClock().getAsLong();
-    forEachCall(call -> call.endpointsChanged(now));
+    context.queue().endpointsChanged();
+    context.sendWaitingCalls();
+  }
+
+  /** Returns the number of calls that wait for an endpoint. */
+  public int waiting() {
+    return context.queue().size();
   }
 
   /**
@@ -163,22 +169,17 @@
   private void rejectWaiting() {
     long now = context.nanoClock().getAsLong();
     forEachCall(call -> call.instanceStopping(now));
+    context.sendWaitingCalls();
   }
 
   private void forEachCall(Consumer<Call> event) {
-    calls.forEach(call -> runContained(call, event));
+    calls.forEach(call -> CallSteps.runContained(call, event));
   }
 
-  /** Handles an event of a call; an exception ends this call, and no other. */
-  private void runContained(Call call, Consumer<Call> event) {
-    try {
-      event.accept(call);
-    } catch (RuntimeException | Error e) {
-      failures()
-          .contain(
-              "Call could not be ended.",
-              () -> call.failedUnexpectedly(e, "step", Optional.empty()));
-    }
+  /** Handles an event of a call, and then those that it was for waiting calls. */
+  private void handle(Call call, Consumer<Call> event) {
+    CallSteps.runContained(call, event);
+    context.sendWaitingCalls();
   }
 
   /** Logs each call in progress, since the end of the process cuts it off. */
--- a/src/main/java/org/magnoliavale/internal/call/ContainedAttempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/ContainedAttempt.java
@@ -53,5 +53,9 @@
     } catch (RuntimeException | Error e) {
       call.failedUnexpectedly(e, step, Optional.of(attempt));
     }
+    if (!Thread.holdsLock(call)) {
+      // Within a step of its call, whoever runs that step goes on with the waiting calls.
+      call.context().sendWaitingCalls();
+    }
   }
 }
--- a/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
@@ -31,7 +31,7 @@
 
   /** Selects an endpoint for the next attempt. */
   EndpointChoice choose(long nowNanos) {
-    return context.endpoints().choose(criteria(nowNanos), plan.connectionLimit(), nowNanos);
+    return context.chooser().choose(criteria(nowNanos), plan.connectionLimit(), nowNanos);
   }
 
   /**
--- /dev/null
+++ b/src/main/java/org/magnoliavale/internal/queue/QueueId.java
@@ -0,0 +1,13 @@
+package org.magnoliavale.internal.queue;
+
+import java.util.Optional;
+import org.magnoliavale.internal.dispatch.Artifact;
+import org.magnoliavale.internal.identifier.ServiceId;
+
+/**
+ * Identifies a queue: the calls in it can be served by the same endpoints.
+ *
+ * @param service the service that the calls are for
+ * @param artifact the model or adapter that they need; empty for services without engines
+ */
+public record QueueId(ServiceId service, Optional<Artifact> artifact) {}
