Derive which calls tolerate delay from loads and targets

A constant of 4 s made a target of 3 s urgent where loads take 1.2 s. A call is delay-tolerant if its target leaves time for half of a load from the store, and is six times the shortest target of its service. Ruled out: the load alone, since 2 s with loads of 1.2 s has to stay urgent while 5 s with 6.4 s is not; the mean of loads from store and disk, since many models state none from disk. Calls without a model that can be loaded count as urgent.

--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -23,6 +23,8 @@
  * @param connectionLimit connections that an endpoint of the service accepts from all instances
  * @param configurationVersion version of the configuration that route and service come from
  * @param crashKeys what is suspected if an endpoint crashes with the call in flight
+ * @param isDelayTolerant whether the call can wait until its model is loaded and still be answered
+ *     in time; it is less urgent than other calls of the same priority
  */
 record CallPlan(
     CallRequest request,
@@ -31,7 +33,8 @@
     ServiceId service,
     int connectionLimit,
     long configurationVersion,
-    CrashKeys crashKeys) {
+    CrashKeys crashKeys,
+    boolean isDelayTolerant) {
   /** Minimum time without a response head before another endpoint is asked. */
   private static final long MINIMUM_SILENCE_TIMEOUT_MS = 350;
 
@@ -79,12 +82,6 @@
   /** As {@link #DEADLINE_SHARE}, for delay-tolerant calls. */
   private static final double DELAY_TOLERANT_DEADLINE_SHARE = 0.7;
 
-  /**
-   * Target latency from which a call is delay-tolerant, and less urgent than other calls of the
-   * same priority, in milliseconds.
-   */
-  private static final long DELAY_TOLERANT_TARGET_LATENCY_MS = 4_000;
-
   /**
    * Returns the deadline: the earlier of the route's timeout and the time that the caller waits.
    */
@@ -128,14 +125,6 @@
     return Math.min(LEAST_URGENT, 1 + 2 * route.priority() + (isDelayTolerant() ? 1 : 0));
   }
 
-  /**
-   * Returns whether the call is delay-tolerant: it can wait until an artifact is loaded and still
-   * be answered in time.
-   */
-  boolean isDelayTolerant() {
-    return route.targetLatency().toMillis() >= DELAY_TOLERANT_TARGET_LATENCY_MS;
-  }
-
   /** Returns how long the call may wait for an endpoint of which nothing is known. */
   long maximumWaitNanos() {
     long callerWaitMs =
--- a/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallRegistry.java
@@ -13,6 +13,7 @@
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.metrics.UnexpectedFailures;
+import org.magnoliavale.internal.route.DelayTolerance;
 import org.magnoliavale.internal.route.Route;
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.route.ServiceSpecification;
@@ -112,10 +113,15 @@
             service,
             limit,
             routes.version(),
-            crashKeys(request, metadata));
+            crashKeys(request, metadata),
+            DelayTolerance.of(routes, route, service, model(metadata)));
     return new Call(context, plan, caller, () -> admission.maySend(plan), calls::remove);
   }
 
+  private static Optional<String> model(CallMetadata metadata) {
+    return metadata.generation().map(generation -> generation.artifact().model());
+  }
+
   private static CrashKeys crashKeys(CallRequest request, CallMetadata metadata) {
     return new CrashKeys(
         Fingerprint.of(request.pathQuery(), request.body()),
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -246,6 +246,7 @@
   private void registerMetrics() {
     new InstanceGauges(metrics.registry())
         .number("calls_in_progress", calls::size)
+        .number("calls_waiting", calls::waiting)
         .number("requests_in_progress", callerHandler::requestsInProgress)
         .number("instances", this::liveInstanceCount)
         .number("link_bytes_sent", links::bytesSent)
--- a/src/main/java/org/magnoliavale/internal/route/RouteTable.java
+++ b/src/main/java/org/magnoliavale/internal/route/RouteTable.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.route;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -22,6 +23,20 @@
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<ServiceId, ServiceSpecification> services = new HashMap<>();
   private final TenantTable tenants;
+  private final Map<ServiceId, TargetRange> targets = new HashMap<>();
+
+  /** The shortest and the longest target latency of the routes to a service. */
+  private record TargetRange(Duration least, Duration greatest) {
+    private static TargetRange of(Duration target) {
+      return new TargetRange(target, target);
+    }
+
+    private TargetRange and(TargetRange other) {
+      return new TargetRange(
+          least.compareTo(other.least) < 0 ? least : other.least,
+          greatest.compareTo(other.greatest) > 0 ? greatest : other.greatest);
+    }
+  }
 
   private RouteTable(
       long version,
@@ -38,6 +53,16 @@
     routesByHost.values().forEach(list -> list.sort(longestFirst));
     services.forEach(service -> this.services.put(service.id(), service));
     this.tenants = tenants;
+    routes.forEach(this::addTarget);
+  }
+
+  private void addTarget(Route route) {
+    if (route.targetLatency().isPositive()) {
+      TargetRange target = TargetRange.of(route.targetLatency());
+      route
+          .services()
+          .forEach(weighted -> targets.merge(weighted.service(), target, TargetRange::and));
+    }
   }
 
   /** Returns a table of the given routes and services, without tenants. */
@@ -76,6 +101,18 @@
     return Optional.ofNullable(services.get(id));
   }
 
+  /** Returns the shortest target latency of the routes to a service; 0 if none states one. */
+  public Duration leastTarget(ServiceId service) {
+    TargetRange range = targets.get(service);
+    return range == null ? Duration.ZERO : range.least();
+  }
+
+  /** Returns whether the routes to a service state different target latencies. */
+  public boolean hasDifferentTargets(ServiceId service) {
+    TargetRange range = targets.get(service);
+    return range != null && !range.least().equals(range.greatest());
+  }
+
   /** Returns the tenants. */
   public TenantTable tenants() {
     return tenants;
