--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -61,6 +61,9 @@
   /** Time until the first event or the response of an endpoint that has nothing else to do. */
   private static final long MINIMUM_ANSWER_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+  /** Share of the target latency by which a call is due before its latest start in time. */
+  private static final double DUE_BEFORE_TARGET_SHARE = 0.1;
+
   /** Work that a call without a number of tokens counts for, in tokens. */
   private static final int PLAIN_CALL_TOKENS = 1_000;
 
@@ -98,11 +101,14 @@
     return Duration.ofNanos(Math.max(0, deadlineNanos() - nowNanos));
   }
 
+  private long targetNanos() {
+    return request.arrivedNanos() + route.targetLatency().toNanos();
+  }
+
   /** Returns how soon the call must be answered, from now on. */
   CallUrgency urgencyAt(long nowNanos) {
-    long targetNanos = request.arrivedNanos() + route.targetLatency().toNanos();
     return new CallUrgency(
-        Duration.ofNanos(targetNanos - nowNanos),
+        Duration.ofNanos(targetNanos() - nowNanos),
         timeRemaining(nowNanos),
         route.targetGap(),
         route.priority());
@@ -152,13 +158,19 @@
     return leavesNanos - deadlineNanos() < 0 ? leavesNanos : deadlineNanos();
   }
 
+  private long dueNanos() {
+    double margin = DUE_BEFORE_TARGET_SHARE * route.targetLatency().toNanos();
+    return targetNanos() - MINIMUM_ANSWER_TIME_NANOS - (long) margin;
+  }
+
   /**
    * Returns the call as one that waits for an endpoint.
    *
    * @param responseStarted whether a response has begun, which then has to go on at once
    */
   WaitingCall waitingCall(long number, boolean responseStarted, long nowNanos) {
-    long targetNanos = nowNanos + urgencyAt(nowNanos).timeToTarget().toNanos();
+    long latestStartNanos =
+        (responseStarted ? deadlineNanos() : targetNanos()) - MINIMUM_ANSWER_TIME_NANOS;
     return new WaitingCall(
         number,
         new QueueId(service, metadata.generation().map(GenerationRequest::artifact)),
@@ -169,7 +181,8 @@
             .generation()
             .map(generation -> generation.promptTokens() + generation.expectedOutputTokens())
             .orElse(PLAIN_CALL_TOKENS),
-        (responseStarted ? deadlineNanos() : targetNanos) - MINIMUM_ANSWER_TIME_NANOS,
+        responseStarted ? nowNanos : dueNanos(),
+        latestStartNanos,
         (responseStarted ? deadlineNanos() : callerLeavesNanos()) - MINIMUM_ANSWER_TIME_NANOS);
   }
 
--- a/src/main/java/org/magnoliavale/internal/queue/Candidate.java
+++ b/src/main/java/org/magnoliavale/internal/queue/Candidate.java
@@ -23,6 +23,6 @@
     if (Math.abs(tag - other.tag) > TenantShares.TOLERANCE_TOKENS) {
       return tag < other.tag;
     }
-    return WaitingCall.BY_LATEST_START.compare(call, other.call) < 0;
+    return WaitingCall.BY_DUE_TIME.compare(call, other.call) < 0;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/queue/Lanes.java
+++ b/src/main/java/org/magnoliavale/internal/queue/Lanes.java
@@ -9,7 +9,7 @@
 
 /**
  * Calls of one priority that can all be served in time, or are all late: a lane for each tenant,
- * with the call first that has to start first.
+ * with the call first that is due first.
  */
 final class Lanes {
   /** Calls of a lane that are counted one by one; the rest counts as being ahead. */
@@ -24,7 +24,7 @@
 
   void add(WaitingCall call) {
     TreeSet<WaitingCall> lane =
-        lanes.computeIfAbsent(call.tenant(), ignored -> new TreeSet<>(WaitingCall.BY_LATEST_START));
+        lanes.computeIfAbsent(call.tenant(), ignored -> new TreeSet<>(WaitingCall.BY_DUE_TIME));
     if (lane.add(call)) {
       size++;
     }
@@ -49,7 +49,7 @@
 
   /**
    * Returns the call that is served first, without those in {@code passedOver}: of the tenants that
-   * have been served about least, the one that has to start first.
+   * have been served about least, the one that is due first.
    */
   Optional<WaitingCall> first(TenantShares shares, Set<WaitingCall> passedOver) {
     double leastTag = Double.MAX_VALUE;
@@ -63,7 +63,7 @@
       WaitingCall call = first(lane.getValue(), passedOver);
       if (call != null
           && shares.tag(lane.getKey()) <= leastTag + TenantShares.TOLERANCE_TOKENS
-          && (best == null || WaitingCall.BY_LATEST_START.compare(call, best) < 0)) {
+          && (best == null || WaitingCall.BY_DUE_TIME.compare(call, best) < 0)) {
         best = call;
       }
     }
@@ -99,11 +99,11 @@
     return lane == null ? 0 : aheadOf(lane, call, Integer.MAX_VALUE);
   }
 
-  /** Counts the calls of a lane that have to start before {@code call}, up to {@code limit}. */
+  /** Counts the calls of a lane that are due before {@code call}, up to {@code limit}. */
   private static int aheadOf(TreeSet<WaitingCall> lane, WaitingCall call, int limit) {
     int counted = 0;
     for (WaitingCall other : lane) {
-      if (counted >= limit || WaitingCall.BY_LATEST_START.compare(other, call) >= 0) {
+      if (counted >= limit || WaitingCall.BY_DUE_TIME.compare(other, call) >= 0) {
         return counted;
       }
       if (counted == MAXIMUM_COUNTED) {
--- a/src/main/java/org/magnoliavale/internal/queue/OrderedCalls.java
+++ b/src/main/java/org/magnoliavale/internal/queue/OrderedCalls.java
@@ -106,7 +106,10 @@
 
   /** Returns the call to be served first, without those in {@code passedOver}. */
   Optional<Candidate> first(
-      TenantShares tenants, PriorityShares priorities, Set<WaitingCall> passedOver, long nowNanos) {
+      TenantShares tenants,
+      ServedShares<Integer> priorities,
+      Set<WaitingCall> passedOver,
+      long nowNanos) {
     moveLate(nowNanos);
     Optional<Candidate> first = Optional.empty();
     for (Map.Entry<Integer, Level> level : levels.entrySet()) {
--- a/src/main/java/org/magnoliavale/internal/queue/PriorityShares.java
+++ b/src/main/java/org/magnoliavale/internal/queue/ServedShares.java
@@ -5,19 +5,24 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Which part of the calls of each priority that come to wait is served. Shows a priority that gets
- * far less than all others do, because more urgent calls take every endpoint.
+ * Which part of the calls that come to wait is served, for each priority or tenant. Shows one that
+ * gets far less than all others do.
  */
-final class PriorityShares {
+final class ServedShares<K> {
   /** Time constant of the exponential decay, in seconds. */
   private static final double DECAY_TIME_S = 5;
 
-  /** Share of the common part below which a priority is served too little. */
+  /** Share of the common part below which a key is served too little. */
   private static final double MINIMUM_SHARE = 0.3;
 
-  /** Calls below which too little is known of a priority. */
+  /** Calls below which too little is known of a key. */
   private static final double MINIMUM_ARRIVALS = 2;
 
+  /** Calls below which a key is forgotten. */
+  private static final double NEGLIGIBLE_ARRIVALS = 0.1;
+
+  private static final int MAXIMUM_KEYS = 1_000;
+
   private static final class Count {
     private double arrived;
     private double served;
@@ -41,30 +46,33 @@
     }
   }
 
-  private final Map<Integer, Count> counts = new HashMap<>();
+  private final Map<K, Count> counts = new HashMap<>();
   private final Count all;
 
-  PriorityShares(long nowNanos) {
+  ServedShares(long nowNanos) {
     all = new Count(nowNanos);
   }
 
-  void recordArrived(int priority, long nowNanos) {
-    count(priority, nowNanos).arrived++;
+  void recordArrived(K key, long nowNanos) {
+    count(key, nowNanos).arrived++;
     all.at(nowNanos).arrived++;
   }
 
-  void recordServed(int priority, long nowNanos) {
-    count(priority, nowNanos).served++;
+  void recordServed(K key, long nowNanos) {
+    count(key, nowNanos).served++;
     all.at(nowNanos).served++;
   }
 
-  private Count count(int priority, long nowNanos) {
-    return counts.computeIfAbsent(priority, ignored -> new Count(nowNanos)).at(nowNanos);
+  private Count count(K key, long nowNanos) {
+    if (counts.size() > MAXIMUM_KEYS) {
+      counts.values().removeIf(count -> count.at(nowNanos).arrived < NEGLIGIBLE_ARRIVALS);
+    }
+    return counts.computeIfAbsent(key, ignored -> new Count(nowNanos)).at(nowNanos);
   }
 
-  /** Returns whether calls of a priority are served far less often than all are. */
-  boolean isServedTooLittle(int priority, long nowNanos) {
-    Count count = count(priority, nowNanos);
+  /** Returns whether calls of a key are served far less often than all are. */
+  boolean isServedTooLittle(K key, long nowNanos) {
+    Count count = count(key, nowNanos);
     return count.arrived >= MINIMUM_ARRIVALS
         && count.part() < MINIMUM_SHARE * all.at(nowNanos).part();
   }
--- a/src/main/java/org/magnoliavale/internal/queue/WaitingCalls.java
+++ b/src/main/java/org/magnoliavale/internal/queue/WaitingCalls.java
@@ -22,12 +22,12 @@
  * }</pre>
  *
  * <p>A queue is ordered by priority, then by whether a call can still be served in time, then
- * fairly between tenants by tokens, then by the latest start in time. A priority that is served far
- * less often than all goes first. Each operation takes time in proportion to the logarithm of the
- * calls and to the tenants that wait in the queue.
+ * fairly between tenants by tokens, then by when they are due. A priority that is served far less
+ * often than all goes first. Each operation takes time in proportion to the logarithm of the calls
+ * and to the tenants that wait in the queue.
  */
 public final class WaitingCalls {
-  private record Service(TenantShares tenants, PriorityShares priorities) {}
+  private record Service(TenantShares tenants, ServedShares<Integer> priorities) {}
 
   private final Map<QueueId, OrderedCalls> queues = new HashMap<>();
   private final Map<ServiceId, Service> services = new HashMap<>();
@@ -36,13 +36,16 @@
   /** Adds a call, at the place that is due to it. */
   public void add(WaitingCall call, long nowNanos) {
     queues.computeIfAbsent(call.queue(), ignored -> new OrderedCalls()).add(call, nowNanos);
-    service(call.queue(), nowNanos).priorities().recordArrived(call.priority(), nowNanos);
+    Service service = service(call.queue(), nowNanos);
+    service.tenants().recordArrived(call, nowNanos);
+    service.priorities().recordArrived(call.priority(), nowNanos);
     size++;
   }
 
   private Service service(QueueId id, long nowNanos) {
     return services.computeIfAbsent(
-        id.service(), ignored -> new Service(new TenantShares(), new PriorityShares(nowNanos)));
+        id.service(),
+        ignored -> new Service(new TenantShares(nowNanos), new ServedShares<>(nowNanos)));
   }
 
   /** Returns whether a call waits. */
@@ -68,7 +71,7 @@
       return false;
     }
     Service service = service(call.queue(), nowNanos);
-    service.tenants().charge(call);
+    service.tenants().recordServed(call, nowNanos);
     service.priorities().recordServed(call.priority(), nowNanos);
     return true;
   }
