Test how calls wait, are sent and rejected

In the style of CallFixture, whose endpoints a test may now replace: turns, rejections at once and when conditions change, ends, and that an event asks for at most a few of a thousand waiting calls.

--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -53,6 +53,11 @@
 
   final ResponseMemory responseMemory = new ResponseMemory(1 << 20);
 
+  final QueuedCalls queue = new QueuedCalls(new Random(1));
+
+  /** Selects endpoints; the pool does unless a test replaces it. */
+  EndpointChooser chooser = pool::choose;
+
   /** Runs once, at the next reading of the clock. */
   Runnable onNextClockReading = () -> {};
 
@@ -72,10 +77,12 @@
                 TestProtocol.create(),
                 connector,
                 pool,
+                (criteria, limit, nanos) -> chooser.choose(criteria, limit, nanos),
                 this::heard,
                 retryBudget,
                 new ArtifactDemand(() -> {}),
                 crashDetector,
+                queue,
                 () -> table == null ? null : createTable(),
                 responseMemory,
                 new CallMetrics(metrics),
