Say how calls wait, and keep a large call's room to itself

The time to room that a large call is told no longer counts for the smaller ones behind it, a call that waits for room may go to an endpoint that had refused it as full, and a queue that empties meanwhile does not fail the call that joins it.

--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -190,6 +190,10 @@
       }
       case EndpointChoice.Busy busy -> {
         state = State.WAITING;
+        if (retries.allowsSecondRound()) {
+          // An endpoint that was full may be the first one with room.
+          selection.tried().clearExcluded();
+        }
         wait.forRoom(busy.timeToRoom(), nowNanos);
         checkWait(nowNanos);
       }
--- a/src/main/java/org/magnoliavale/internal/call/CallWait.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallWait.java
@@ -37,6 +37,9 @@
   private long enteredNanos;
   private long forecastNanos;
 
+  /** When there is expected to be room for this call, which others of its queue may not need. */
+  private long roomNanos;
+
   /** Arrival, or the last failed attempt that may have been executed. */
   private long startNanos;
 
@@ -74,7 +77,8 @@
   void forRoom(Duration timeToRoom, long nowNanos) {
     artifactWait.stop();
     enter(nowNanos);
-    block(new Blockage.NoRoom(nowNanos + timeToRoom.toNanos()), nowNanos);
+    roomNanos = nowNanos + timeToRoom.toNanos();
+    block(new Blockage.NoRoom(roomNanos), nowNanos);
     waitForRoom(nowNanos);
   }
 
@@ -93,6 +97,7 @@
       WaitingCall added = entry(nowNanos);
       entry = Optional.of(added);
       enteredNanos = nowNanos;
+      roomNanos = nowNanos;
       context.queue().enter(call, added, nowNanos);
     }
   }
@@ -109,8 +114,12 @@
     if (!forRoom) {
       forRoom = true;
       forecastNanos = nowNanos;
-      WaitForecast known = context.queue().forecast(entry.orElseThrow(), nowNanos).orElseThrow();
-      context.queue().log().queued(plan.attemptId(), entry.orElseThrow(), known, nowNanos);
+      WaitingCall waiting = entry.orElseThrow();
+      context
+          .queue()
+          .forecast(waiting, nowNanos)
+          .ifPresent(
+              known -> context.queue().log().queued(plan.attemptId(), waiting, known, nowNanos));
     }
   }
 
@@ -165,7 +174,11 @@
       return false;
     }
     forecastNanos = nowNanos + FORECAST_INTERVAL_NANOS;
-    Optional<WaitForecast> known = context.queue().forecast(entry.orElseThrow(), nowNanos);
+    Optional<WaitForecast> known =
+        context
+            .queue()
+            .forecast(entry.orElseThrow(), nowNanos)
+            .map(forQueue -> forQueue.atLeast(Duration.ofNanos(roomNanos - nowNanos)));
     boolean hopeless = known.isPresent() && known.get().timeToStart().toNanos() > remainingNanos;
     if (hopeless) {
       forecast = known;
--- a/src/main/java/org/magnoliavale/internal/queue/OrderedCalls.java
+++ b/src/main/java/org/magnoliavale/internal/queue/OrderedCalls.java
@@ -100,10 +100,20 @@
       drainInTime.reset();
       drainLate.reset();
     }
-    blockage = Optional.of(newBlockage);
+    blockage = Optional.of(earlierRoom(newBlockage, nowNanos));
     observe(nowNanos);
   }
 
+  /** Room for a large call may come later than that for others of its queue. */
+  private Blockage earlierRoom(Blockage newBlockage, long nowNanos) {
+    return blockage.orElse(null) instanceof Blockage.NoRoom known
+            && newBlockage instanceof Blockage.NoRoom told
+            && known.roomNanos() - nowNanos > 0
+            && known.roomNanos() - told.roomNanos() < 0
+        ? known
+        : newBlockage;
+  }
+
   /** Returns the call to be served first, without those in {@code passedOver}. */
   Optional<Candidate> first(
       TenantShares tenants,
--- a/src/main/java/org/magnoliavale/internal/queue/WaitForecast.java
+++ b/src/main/java/org/magnoliavale/internal/queue/WaitForecast.java
@@ -9,4 +9,9 @@
  * @param ahead number of calls that are served before it
  * @param length number of calls in its queue, with this one
  */
-public record WaitForecast(Duration timeToStart, int ahead, int length) {}
+public record WaitForecast(Duration timeToStart, int ahead, int length) {
+  /** Returns a forecast of a wait that lasts at least a time. */
+  public WaitForecast atLeast(Duration time) {
+    return timeToStart.compareTo(time) < 0 ? new WaitForecast(time, ahead, length) : this;
+  }
+}
