--- a/src/main/java/org/magnoliavale/internal/call/CallEntry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallEntry.java
@@ -9,6 +9,7 @@
 import org.magnoliavale.internal.containment.Fingerprint;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.route.DelayTolerance;
 import org.magnoliavale.internal.route.Route;
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.route.ServiceSpecification;
@@ -125,7 +126,12 @@
         service,
         limit,
         routes.version(),
-        crashKeys(request, metadata));
+        crashKeys(request, metadata),
+        DelayTolerance.of(routes, route, service, model(metadata)));
+  }
+
+  private static Optional<String> model(CallMetadata metadata) {
+    return metadata.generation().map(generation -> generation.artifact().model());
   }
 
   private static CrashKeys crashKeys(CallRequest request, CallMetadata metadata) {
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -7,6 +7,8 @@
 import org.magnoliavale.internal.dispatch.CallUrgency;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
 import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.queue.QueueId;
+import org.magnoliavale.internal.queue.WaitingCall;
 import org.magnoliavale.internal.route.CallKind;
 import org.magnoliavale.internal.route.Route;
 import org.magnoliavale.internal.route.Tenant;
@@ -24,6 +26,8 @@
  * @param connectionLimit connections that an endpoint of the service accepts from all instances
  * @param configurationVersion version of the configuration that route and service come from
  * @param crashKeys what is suspected if an endpoint crashes with the call in flight
+ * @param isDelayTolerant whether the call can wait until its model is loaded and still be answered
+ *     in time; it is less urgent than other calls of the same priority
  */
 record CallPlan(
     CallRequest request,
@@ -33,7 +37,8 @@
     ServiceId service,
     int connectionLimit,
     long configurationVersion,
-    CrashKeys crashKeys) {
+    CrashKeys crashKeys,
+    boolean isDelayTolerant) {
   /** Minimum time without a response head before another endpoint is asked. */
   private static final long MINIMUM_SILENCE_TIMEOUT_MS = 350;
 
@@ -54,6 +59,24 @@
   /** Multiple of the target latency that callers wait for the start of a stream. */
   private static final int CALLER_WAIT_FACTOR = 4;
 
+  /** Longest pauses that are on time that callers wait for the start of a stream. */
+  private static final int CALLER_WAIT_GAPS = 8;
+
+  /** Time until the first event or the response of an endpoint that has nothing else to do. */
+  private static final long MINIMUM_ANSWER_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** Share of the target latency by which a call is due before its latest start in time. */
+  private static final double DUE_BEFORE_TARGET_SHARE = 0.1;
+
+  /** Weight of calls without a tenant; they all count as of one. */
+  private static final double NO_TENANT_WEIGHT = 1;
+
+  /** Work that a call without a number of tokens counts for, in tokens. */
+  private static final int PLAIN_CALL_TOKENS = 1_000;
+
+  /** Priority in the queue of calls whose response has begun: before all others. */
+  private static final int RESPONSE_STARTED_PRIORITY = -1;
+
   /** Share of the time that the caller waits after which a waiting call is rejected. */
   private static final double CALLER_WAIT_SHARE = 0.4;
 
@@ -69,12 +92,6 @@
   /** As {@link #DEADLINE_SHARE}, for delay-tolerant calls. */
   private static final double DELAY_TOLERANT_DEADLINE_SHARE = 0.7;
 
-  /**
-   * Target latency from which a call is delay-tolerant, and less urgent than other calls of the
-   * same priority, in milliseconds.
-   */
-  private static final long DELAY_TOLERANT_TARGET_LATENCY_MS = 4_000;
-
   /**
    * Returns the deadline: the earlier of the route's timeout and the time that the caller waits.
    */
@@ -91,11 +108,14 @@
     return Duration.ofNanos(Math.max(0, deadlineNanos() - nowNanos));
   }
 
+  private long targetNanos() {
+    return request.arrivedNanos() + route.targetLatency().toNanos();
+  }
+
   /** Returns how soon the call must be answered, from now on. */
   CallUrgency urgencyAt(long nowNanos) {
-    long targetNanos = request.arrivedNanos() + route.targetLatency().toNanos();
     return new CallUrgency(
-        Duration.ofNanos(targetNanos - nowNanos),
+        Duration.ofNanos(targetNanos() - nowNanos),
         timeRemaining(nowNanos),
         route.targetGap(),
         priority());
@@ -127,15 +147,7 @@
     return Math.min(LEAST_URGENT, 1 + 2 * priority() + (isDelayTolerant() ? 1 : 0));
   }
 
-  /**
-   * Returns whether the call is delay-tolerant: it can wait until an artifact is loaded and still
-   * be answered in time.
-   */
-  boolean isDelayTolerant() {
-    return route.targetLatency().toMillis() >= DELAY_TOLERANT_TARGET_LATENCY_MS;
-  }
-
-  /** Returns how long the call may wait for an available endpoint. */
+  /** Returns how long the call may wait for an endpoint of which nothing is known. */
   long maximumWaitNanos() {
     long callerWaitMs =
         Math.max(MINIMUM_CALLER_WAIT_MS, CALLER_WAIT_FACTOR * route.targetLatency().toMillis());
@@ -156,6 +168,47 @@
         .ifPresent(tenant -> quota.giveBack(tenant, metadata.generation(), nowNanos));
   }
 
+  /** Returns when the caller leaves if no response has begun. */
+  private long callerLeavesNanos() {
+    if (route.kind() != CallKind.STREAM) {
+      return deadlineNanos();
+    }
+    long waitMs =
+        Math.max(
+            Math.max(MINIMUM_CALLER_WAIT_MS, CALLER_WAIT_FACTOR * route.targetLatency().toMillis()),
+            CALLER_WAIT_GAPS * route.targetGap().toMillis());
+    long leavesNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+    return leavesNanos - deadlineNanos() < 0 ? leavesNanos : deadlineNanos();
+  }
+
+  private long dueNanos() {
+    double margin = DUE_BEFORE_TARGET_SHARE * route.targetLatency().toNanos();
+    return targetNanos() - MINIMUM_ANSWER_TIME_NANOS - (long) margin;
+  }
+
+  /**
+   * Returns the call as one that waits for an endpoint.
+   *
+   * @param responseStarted whether a response has begun, which then has to go on at once
+   */
+  WaitingCall waitingCall(long number, boolean responseStarted, long nowNanos) {
+    long latestStartNanos =
+        (responseStarted ? deadlineNanos() : targetNanos()) - MINIMUM_ANSWER_TIME_NANOS;
+    return new WaitingCall(
+        number,
+        new QueueId(service, metadata.generation().map(GenerationRequest::artifact)),
+        caller.knownTenant().map(Tenant::id),
+        caller.knownTenant().map(Tenant::weight).orElse(NO_TENANT_WEIGHT),
+        responseStarted ? RESPONSE_STARTED_PRIORITY : urgencyAt(nowNanos).priority(),
+        metadata
+            .generation()
+            .map(generation -> generation.promptTokens() + generation.expectedOutputTokens())
+            .orElse(PLAIN_CALL_TOKENS),
+        responseStarted ? nowNanos : dueNanos(),
+        latestStartNanos,
+        (responseStarted ? deadlineNanos() : callerLeavesNanos()) - MINIMUM_ANSWER_TIME_NANOS);
+  }
+
   String attemptId() {
     return metadata.attemptId();
   }
--- a/src/test/java/org/magnoliavale/ArchitectureTest.java
+++ b/src/test/java/org/magnoliavale/ArchitectureTest.java
@@ -30,6 +30,7 @@
             INTERNAL + "dispatch..",
             INTERNAL + "limit..",
             INTERNAL + "tenant..",
+            INTERNAL + "queue..",
             INTERNAL + "residency..")
         .should()
         .dependOnClassesThat()
@@ -57,6 +58,7 @@
             INTERNAL + "dispatch..",
             INTERNAL + "limit..",
             INTERNAL + "tenant..",
+            INTERNAL + "queue..",
             INTERNAL + "call..",
             INTERNAL + "residency..")
         .or()
--- a/src/test/java/org/magnoliavale/internal/call/TenantCallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/TenantCallTest.java
@@ -233,7 +233,8 @@
           TestEntries.SERVICE,
           1,
           1,
-          new CrashKeys(Fingerprint.of("/", body), List.of()));
+          new CrashKeys(Fingerprint.of("/", body), List.of()),
+          false);
     }
   }
 
