--- a/src/main/java/org/magnoliavale/internal/command/GatewayCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/GatewayCommand.java
@@ -15,7 +15,16 @@
   @Parameter(
       names = "--settings",
       description = "Settings file; defaults to the one named by the environment variable")
-  private String settingsFile = System.getenv(PlatformAdapterFactory.SETTINGS_VARIABLE);
+  private String settingsFile;
+
+  /** Returns the command; its settings file is named by the environment if no option does. */
+  GatewayCommand() {
+    this(System.getenv(PlatformAdapterFactory.SETTINGS_VARIABLE));
+  }
+
+  GatewayCommand(String settingsFile) {
+    this.settingsFile = settingsFile;
+  }
 
   /** Keys that a running instance takes over from a changed file. */
   private static final Set<String> APPLICABLE_KEYS =
--- a/src/main/java/org/magnoliavale/internal/command/Main.java
+++ b/src/main/java/org/magnoliavale/internal/command/Main.java
@@ -20,6 +20,7 @@
  */
 public final class Main {
   private static final int INTERNAL_ERROR = 3;
+  private static final String GATEWAY = "gateway";
 
   private static final class HelpOption {
     @Parameter(
@@ -45,6 +46,14 @@
   }
 
   static int run(String[] arguments) {
+    // The start of an instance on a platform counts, and it has no options to parse.
+    if (arguments.length == 1 && arguments[0].equals(GATEWAY)) {
+      return run(new GatewayCommand());
+    }
+    return parseAndRun(arguments);
+  }
+
+  private static int parseAndRun(String[] arguments) {
     HelpOption help = new HelpOption();
     VersionOption version = new VersionOption();
     Map<String, Command> commands = commands(arguments);
@@ -78,7 +87,7 @@
   private static Map<String, Supplier<Command>> commandFactories() {
     Map<String, Supplier<Command>> factories = new LinkedHashMap<>();
     factories.put("serve", ServeCommand::new);
-    factories.put("gateway", GatewayCommand::new);
+    factories.put(GATEWAY, GatewayCommand::new);
     factories.put("check", CheckCommand::new);
     factories.put("document", DocumentCommand::new);
     factories.put("status", () -> new QueryCommand("/status"));
--- a/src/main/java/org/magnoliavale/internal/command/StandInCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/StandInCommand.java
@@ -24,6 +24,7 @@
 import org.magnoliavale.internal.standin.PlatformLimits;
 import org.magnoliavale.internal.standin.PlatformStandIn;
 import org.magnoliavale.internal.standin.ServiceStandIn;
+import org.magnoliavale.platform.standin.DeploymentSize;
 import org.magnoliavale.platform.standin.DeploymentStandIn;
 
 /**
@@ -68,6 +69,18 @@
       description = "Address of the platform, which serves the weights")
   private String platform = "127.0.0.1:7000";
 
+  @Parameter(names = "--plain-workers", description = "Workers of the plain service")
+  private int plainWorkers = DeploymentSize.SMALL.plainWorkers();
+
+  @Parameter(names = "--engine-workers", description = "Workers of the engine service")
+  private int engineWorkers = DeploymentSize.SMALL.engineWorkers();
+
+  @Parameter(names = "--models", description = "Models of the engine service")
+  private int models = DeploymentSize.SMALL.models();
+
+  @Parameter(names = "--other-routes", description = "Routes that no call is sent to")
+  private int otherRoutes = DeploymentSize.SMALL.otherRoutes();
+
   @Override
   public int run() throws InterruptedException {
     Logs.install("info");
@@ -76,7 +89,10 @@
           case "platform" -> List.of(platformStandIn());
           case "endpoints" -> endpointStandIns();
           case "gateway-platform" ->
-              List.of(new DeploymentStandIn(Values.address(address).getPort()));
+              List.of(
+                  new DeploymentStandIn(
+                      Values.address(address).getPort(),
+                      new DeploymentSize(plainWorkers, engineWorkers, models, otherRoutes)));
           default -> List.of();
         };
     if (services.isEmpty()) {
--- a/src/main/java/org/magnoliavale/internal/command/TrainingRunCommand.java
+++ b/src/main/java/org/magnoliavale/internal/command/TrainingRunCommand.java
@@ -5,21 +5,30 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.gateway.GatewayInstance;
 import org.magnoliavale.internal.gateway.GatewaySettingsReader;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.platform.PlatformAdapterFactory;
+import org.magnoliavale.platform.standin.DeploymentSize;
 import org.magnoliavale.platform.standin.DeploymentStandIn;
 
 /**
- * Runs two linked instances against stand-ins and sends them calls of each kind, so that a Java
- * virtual machine that records loaded classes sees those that an instance needs. Used by {@code
- * bin/build-platform}.
+ * Runs linked instances against stand-ins and sends two of them calls of each kind, so that a Java
+ * virtual machine that records loaded classes sees those that an instance needs. There are enough
+ * instances for some of them to relay heartbeats, and one of them is started by its command. Used
+ * by {@code bin/build-platform}.
  */
 @Parameters(commandDescription = "Serve sample calls with two instances, to record their classes")
 final class TrainingRunCommand implements Command {
+  /** More than a fleet without relays has, and one more by its command. */
+  private static final int INSTANCES = 13;
+
+  private static final int CALLED_INSTANCES = 2;
   private static final int ROUNDS = 12;
   private static final long ROUND_INTERVAL_MS = 250;
   private static final long READY_TIMEOUT_MS = 15_000;
@@ -29,19 +38,21 @@
   private int attempts;
 
   @Override
-  public int run() throws InterruptedException {
-    DeploymentStandIn deployment = new DeploymentStandIn(0);
+  public int run() throws InterruptedException, IOException {
+    DeploymentStandIn deployment = new DeploymentStandIn(0, DeploymentSize.SMALL);
     deployment.start();
-    List<GatewayInstance> instances =
-        List.of(
-            createInstance(1, deployment.storePort()), createInstance(2, deployment.storePort()));
+    List<GatewayInstance> instances = new ArrayList<>();
+    for (int number = 1; number <= INSTANCES; number++) {
+      instances.add(createInstance(number, deployment.storePort()));
+    }
     instances.forEach(GatewayInstance::start);
+    runCommand(deployment.storePort());
     boolean served = true;
     for (GatewayInstance instance : instances) {
       served &= awaitReady(instance.callerPort());
     }
     for (int round = 0; round < ROUNDS; round++) {
-      for (GatewayInstance instance : instances) {
+      for (GatewayInstance instance : instances.subList(0, CALLED_INSTANCES)) {
         served &= sendCalls(instance.callerPort(), round);
       }
       TimeUnit.MILLISECONDS.sleep(ROUND_INTERVAL_MS);
@@ -53,10 +64,31 @@
     return served ? SUCCESS : FAILURE;
   }
 
-  private GatewayInstance createInstance(int number, int storePort) {
+  private static GatewayInstance createInstance(int number, int storePort) {
     // The text is parsed rather than built, since reading settings belongs to a start.
-    String settings =
-        """
+    var settings = GatewaySettingsReader.read("training", settings(number, storePort));
+    Logs.install(settings.logLevel(), System.out);
+    return GatewayInstance.create(settings, PlatformAdapterFactory::create);
+  }
+
+  /** Starts an instance as a process does; it runs until this process ends. */
+  private static void runCommand(int storePort) throws IOException {
+    Path file = Files.createTempFile("training", ".ini");
+    Files.writeString(file, settings(INSTANCES + 1, storePort));
+    GatewayCommand command = new GatewayCommand(file.toString());
+    Thread.ofPlatform().daemon().name("command").start(() -> runContained(command));
+  }
+
+  private static void runContained(GatewayCommand command) {
+    try {
+      command.run();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static String settings(int number, int storePort) {
+    return """
         [instance]
         id = training-%d
         data-centre = %s
@@ -72,10 +104,7 @@
         [store]
         address = 127.0.0.1:%d
         """
-            .formatted(number, DeploymentStandIn.DATA_CENTRE, storePort);
-    var parsed = GatewaySettingsReader.read("training", settings);
-    Logs.install(parsed.logLevel(), System.out);
-    return GatewayInstance.create(parsed, PlatformAdapterFactory::create);
+        .formatted(number, DeploymentStandIn.DATA_CENTRE, storePort);
   }
 
   private boolean awaitReady(int port) throws InterruptedException {
--- a/src/main/java/org/magnoliavale/platform/standin/DeploymentStandIn.java
+++ b/src/main/java/org/magnoliavale/platform/standin/DeploymentStandIn.java
@@ -31,13 +31,12 @@
 
   private static final String PLAIN_SERVICE = "ordering";
   private static final String ENGINE_SERVICE = "assistant";
-  private static final int PLAIN_WORKERS = 2;
-  private static final int ENGINE_WORKERS = 3;
-  private static final int MODELS = 6;
+  private static final String OTHER_PREFIX = "/other-";
   private static final int ADAPTERS_PER_MODEL = 4;
   private static final long ROUTE_TIMEOUT_MS = 10_000;
   private static final long TARGET_LATENCY_MS = 500;
 
+  private final DeploymentSize size;
   private final StoreStandIn store;
   private final List<WorkerStandIn> workers = new ArrayList<>();
 
@@ -46,10 +45,11 @@
    *
    * @param storePort the port of the store; 0 if the system is to choose it
    */
-  public DeploymentStandIn(int storePort) {
+  public DeploymentStandIn(int storePort, DeploymentSize size) {
+    this.size = size;
     store = new StoreStandIn(loopback(storePort));
-    for (int index = 1; index <= PLAIN_WORKERS + ENGINE_WORKERS; index++) {
-      String service = index <= PLAIN_WORKERS ? PLAIN_SERVICE : ENGINE_SERVICE;
+    for (int index = 1; index <= size.plainWorkers() + size.engineWorkers(); index++) {
+      String service = index <= size.plainWorkers() ? PLAIN_SERVICE : ENGINE_SERVICE;
       workers.add(new WorkerStandIn("worker-" + index, service, DATA_CENTRE, store));
     }
   }
@@ -82,12 +82,15 @@
     store.stop();
   }
 
-  private static ObjectNode configuration() {
+  private ObjectNode configuration() {
     ObjectNode configuration = JsonNodeFactory.instance.objectNode().put("version", 1);
     ArrayNode routes = configuration.putArray("routes");
     routes.add(route("/read/", "safe", PLAIN_SERVICE));
     routes.add(route("/write/", "unsafe", PLAIN_SERVICE));
     routes.add(route("/draft/", "stream", ENGINE_SERVICE).put("resumable", true));
+    for (int number = 1; number <= size.otherRoutes(); number++) {
+      routes.add(route(OTHER_PREFIX + number + "/", "safe", PLAIN_SERVICE));
+    }
     ArrayNode services = configuration.putArray("services");
     services.addObject().put("name", PLAIN_SERVICE).put("connection-limit", 100);
     services
@@ -112,7 +115,7 @@
         .put("target-latency-ms", TARGET_LATENCY_MS);
   }
 
-  private static ObjectNode engine() {
+  private ObjectNode engine() {
     ObjectNode engine =
         JsonNodeFactory.instance
             .objectNode()
@@ -122,7 +125,7 @@
             .put("adapter-slots", 8)
             .put("loads-per-s", 2);
     ArrayNode models = engine.putArray("models");
-    for (int number = 1; number <= MODELS; number++) {
+    for (int number = 1; number <= size.models(); number++) {
       models
           .addObject()
           .put("name", "model-" + number)
