--- a/src/main/java/org/magnoliavale/internal/directory/EndpointIdentity.java
+++ b/src/main/java/org/magnoliavale/internal/directory/EndpointIdentity.java
@@ -23,6 +23,20 @@
         text.substring(0, separator), Long.parseLong(text.substring(separator + 1)));
   }
 
+  // Written out, since instances compare identities all the time, and the method of a record is
+  // linked at its first call and costs several times as much.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof EndpointIdentity identity
+        && startedAtMs == identity.startedAtMs
+        && id.equals(identity.id);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * id.hashCode() + Long.hashCode(startedAtMs);
+  }
+
   @Override
   public String toString() {
     return startedAtMs == 0 ? id : id + SEPARATOR + startedAtMs;
--- a/src/main/java/org/magnoliavale/internal/dispatch/Artifact.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/Artifact.java
@@ -24,6 +24,19 @@
     return adapter.isEmpty() ? this : new Artifact(model, Optional.empty());
   }
 
+  // Written out, since the method of a record is linked at its first call and costs more.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Artifact artifact
+        && model.equals(artifact.model)
+        && adapter.equals(artifact.adapter);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * model.hashCode() + adapter.hashCode();
+  }
+
   @Override
   public String toString() {
     return adapter.map(name -> model + SEPARATOR + name).orElse(model);
--- a/src/main/java/org/magnoliavale/internal/identifier/IdentifierRules.java
+++ b/src/main/java/org/magnoliavale/internal/identifier/IdentifierRules.java
@@ -1,19 +1,34 @@
 package org.magnoliavale.internal.identifier;
 
-import java.util.regex.Pattern;
-
 /** The syntax that all identifiers share. */
 public final class IdentifierRules {
   /** Maximum length of an identifier, in characters. */
   public static final int MAXIMUM_LENGTH = 128;
 
-  private static final Pattern ALLOWED = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]*");
-
   private IdentifierRules() {}
 
   /** Returns whether {@code value} is a valid identifier. */
   public static boolean isValid(String value) {
-    return value != null && value.length() <= MAXIMUM_LENGTH && ALLOWED.matcher(value).matches();
+    if (value == null || value.isEmpty() || value.length() > MAXIMUM_LENGTH) {
+      return false;
+    }
+    for (int index = 0; index < value.length(); index++) {
+      char character = value.charAt(index);
+      if (!isLetterOrDigit(character) && (index == 0 || !isSeparator(character))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean isLetterOrDigit(char character) {
+    return character >= 'a' && character <= 'z'
+        || character >= 'A' && character <= 'Z'
+        || character >= '0' && character <= '9';
+  }
+
+  private static boolean isSeparator(char character) {
+    return character == '.' || character == '_' || character == '-';
   }
 
   static void check(String type, String value) {
--- a/src/main/java/org/magnoliavale/internal/identifier/ServiceId.java
+++ b/src/main/java/org/magnoliavale/internal/identifier/ServiceId.java
@@ -12,6 +12,17 @@
     return value.compareTo(other.value);
   }
 
+  // Written out, since the method of a record is linked at its first call and costs more.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ServiceId service && value.equals(service.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
