Decode only the entries of endpoints that say something new

Each instance decoded the whole list of endpoints each 1.2 s, as trees of JSON, though a row mostly only counts on. Pages are now read from tokens, and a row that differs from that of the last read in its count only keeps the last entry with the new count. A row whose count is not certain (white space, a second key of this name, another type) is decoded as before; a property decodes random successive texts like each alone.

Rows whose version has changed can't be told apart instead: all do within 1.2 s.

--- a/src/main/java/org/magnoliavale/internal/directory/DirectoryEntry.java
+++ b/src/main/java/org/magnoliavale/internal/directory/DirectoryEntry.java
@@ -40,6 +40,21 @@
     onDisk = Set.copyOf(onDisk);
   }
 
+  /** Returns the entry with another number of heartbeats. */
+  public DirectoryEntry withHeartbeat(long newHeartbeat) {
+    return new DirectoryEntry(
+        identity,
+        service,
+        address,
+        dataCentre,
+        draining,
+        slots,
+        newHeartbeat,
+        models,
+        inMemory,
+        onDisk);
+  }
+
   /** Maps models by name; of several with the same name the first counts. */
   public static Map<String, LoadedModel> byName(java.util.List<LoadedModel> models) {
     return models.stream()
--- a/src/main/java/org/magnoliavale/platform/StoreClient.java
+++ b/src/main/java/org/magnoliavale/platform/StoreClient.java
@@ -1,6 +1,5 @@
 package org.magnoliavale.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -16,9 +15,7 @@
 import java.util.Set;
 import org.magnoliavale.internal.http.JsonCallResult;
 import org.magnoliavale.internal.http.JsonClient;
-import org.magnoliavale.internal.json.Json;
 import org.magnoliavale.internal.platform.Condition;
-import org.magnoliavale.internal.platform.Row;
 import org.magnoliavale.internal.platform.Transaction;
 import org.magnoliavale.internal.platform.Write;
 
@@ -82,10 +79,10 @@
       }
       long answered = generation.observe(headers);
       try {
-        JsonNode tree = Json.tree(body);
-        rows.addAll(decodeRows(tree));
-        if (!tree.path("has-more").asBoolean() || rows.isEmpty()) {
-          return new Result.Success(rows, tree.path("schema-version").asLong(), answered);
+        RowsPage page = RowsPage.decode(body);
+        rows.addAll(page.rows());
+        if (!page.hasMore() || rows.isEmpty()) {
+          return new Result.Success(rows, page.newestVersion(), answered);
         }
       } catch (IOException e) {
         return new Result.OutcomeUnknown("malformed response");
@@ -148,11 +145,10 @@
     try {
       return switch (status) {
         case OK -> {
-          JsonNode tree = Json.tree(body);
-          yield new Result.Success(
-              decodeRows(tree), tree.path("schema-version").asLong(), answered);
+          RowsPage page = RowsPage.decode(body);
+          yield new Result.Success(page.rows(), page.newestVersion(), answered);
         }
-        case PRECONDITION_FAILED -> new Result.ConditionFailed(decodeRows(Json.tree(body)));
+        case PRECONDITION_FAILED -> new Result.ConditionFailed(RowsPage.decode(body).rows());
         case GONE -> new Result.HistoryUnavailable();
         default -> toFailure(result);
       };
@@ -172,26 +168,6 @@
     };
   }
 
-  private static List<StoredRow> decodeRows(JsonNode tree) throws IOException {
-    List<StoredRow> rows = new ArrayList<>();
-    for (JsonNode row : tree.path("rows")) {
-      // "schema-version" is the row's version; it is not related to a schema.
-      long version = row.path("schema-version").asLong(Row.ABSENT);
-      boolean present = row.hasNonNull("value") && !row.path("tombstone").asBoolean();
-      byte[] value = present ? decode(row.path("value").asText()) : null;
-      rows.add(new StoredRow(row.path("key").asText(), value, version));
-    }
-    return rows;
-  }
-
-  private static byte[] decode(String base64) throws IOException {
-    try {
-      return Base64.getDecoder().decode(base64);
-    } catch (IllegalArgumentException e) {
-      throw new IOException("row value is not valid base64", e);
-    }
-  }
-
   private static String encode(String text) {
     return URLEncoder.encode(text, StandardCharsets.UTF_8);
   }
--- a/src/main/java/org/magnoliavale/platform/StoreDirectorySource.java
+++ b/src/main/java/org/magnoliavale/platform/StoreDirectorySource.java
@@ -32,6 +32,7 @@
   private static final Set<String> STATES = Set.of("ready", "draining");
 
   private final StoreClient store;
+  private final DirectoryEntryDecoder decoder = new DirectoryEntryDecoder();
   private Set<String> malformedKeys = Set.of();
 
   StoreDirectorySource(StoreClient store) {
@@ -58,9 +59,11 @@
     List<DirectoryEntry> entries = new ArrayList<>();
     Set<String> malformed = new TreeSet<>();
     for (StoreClient.StoredRow row : rows) {
-      decodeEntry(row.key(), row.value())
+      decoder
+          .decode(row.key(), row.value())
           .ifPresentOrElse(entries::add, () -> malformed.add(row.key()));
     }
+    decoder.retain(rows);
     logChange(malformed);
     return entries;
   }
