--- a/src/test/java/org/magnoliavale/internal/gateway/ConfigurationChangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/ConfigurationChangeTest.java
@@ -60,6 +60,8 @@
     void isAnsweredIfTheLimitOfBodiesShrinks() throws Exception {
       try (Socket caller = connect()) {
         write(caller, post("/unsafe/x", "id-1", BODY.length()) + BODY.substring(1));
+        // The limit that counts is the one at the time at which the head is read.
+        assertThat(awaitMetric("requests_in_progress 1.0")).contains("requests_in_progress 1.0");
         configure(configuration(2, 1, standardRoutes()));
         write(caller, BODY.substring(0, 1));
         endpoint.nextRequest().respond(200, "done");
