Choose endpoints by a forecast of each

Load was a number of requests: a prompt of thousands of tokens weighed like one of thirty, the milliseconds per request and the prompt tokens per millisecond were those of one engine, and an endpoint of which an instance had heard nothing for two seconds counted with its own requests times the instances.

An endpoint's pace is now learned from its own work beside its service's, its requests count in tokens of prompt and of memory, and a forecast says when the first event of a request would come, how far apart the next ones, and whether there is room. The choice draws by cost; how far it spreads follows from what others may have sent since the reports. Each instance takes only its share of the room that a report shows. Busy and TooLate are returned where the engine is configured and the reports are fresh.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -9,6 +9,7 @@
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
+import org.magnoliavale.internal.dispatch.EndpointChoice;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
 import org.magnoliavale.internal.route.CallKind;
@@ -31,7 +32,7 @@
 
   private final Call call;
   private final ContainedAttempt contained;
-  private final DirectoryEntry endpoint;
+  private final EndpointChoice.Selected choice;
   private final long sentNanos;
   private final EventSplitter events;
 
@@ -52,10 +53,10 @@
   private long lastActivityNanos;
   private long lastEventNanos;
 
-  Attempt(Call call, DirectoryEntry endpoint, long sentNanos, Optional<Long> resumedAfter) {
+  Attempt(Call call, EndpointChoice.Selected choice, long sentNanos, Optional<Long> resumedAfter) {
     this.call = call;
     this.contained = new ContainedAttempt(call, this);
-    this.endpoint = endpoint;
+    this.choice = choice;
     this.sentNanos = sentNanos;
     this.lastActivityNanos = sentNanos;
     this.resumed = call.hasResponseStarted();
@@ -64,11 +65,11 @@
   }
 
   DirectoryEntry endpoint() {
-    return endpoint;
+    return choice.endpoint();
   }
 
   EndpointIdentity identity() {
-    return endpoint.identity();
+    return choice.endpoint().identity();
   }
 
   private EndpointPool pool() {
@@ -142,7 +143,7 @@
         return;
       }
       if (!responseHead.notExecuted()) {
-        pool().recordFirstByte(identity(), now - sentNanos);
+        pool().recordFirstByte(choice, now);
         call.context().metrics().firstByte().update(Duration.ofNanos(now - sentNanos));
       }
       streaming = responseHead.isSuccess() && call.plan().route().kind() == CallKind.STREAM;
@@ -192,7 +193,8 @@
       demand.run();
       return;
     }
-    recordEventGap();
+    pool().recordEvent(choice, lastActivityNanos);
+    lastEventNanos = lastActivityNanos;
     if (call.startResponseOnce()) {
       call.caller()
           .begin(responseHead.status(), call.context().protocol().responseHeaders(responseHeaders));
@@ -202,15 +204,6 @@
     call.caller().write(completeEvents, contained.step("write", () -> writeCompleted(demand)));
   }
 
-  private void recordEventGap() {
-    if (lastEventNanos != 0) {
-      double gapMs =
-          (double) (lastActivityNanos - lastEventNanos) / TimeUnit.MILLISECONDS.toNanos(1);
-      pool().recordEventInterval(identity(), gapMs, lastActivityNanos);
-    }
-    lastEventNanos = lastActivityNanos;
-  }
-
   private void writeCompleted(Runnable demand) {
     synchronized (call) {
       writing = false;
@@ -375,7 +368,7 @@
     close(AttemptOutcome.FAILED, now);
     if (!call.hasResponseStarted()) {
       // A request whose answer had begun did not crash the endpoint that wrote it.
-      call.context().crashDetector().connectionLost(call.plan().crashKeys(), endpoint, now);
+      call.context().crashDetector().connectionLost(call.plan().crashKeys(), endpoint(), now);
     }
     retryOrFail(reason, now);
   }
@@ -392,7 +385,7 @@
     }
     closed = true;
     body.release();
-    pool().attemptEnded(identity(), result, nowNanos);
+    pool().attemptEnded(choice, result, nowNanos);
     return true;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -210,14 +210,14 @@
   private void send(EndpointChoice.Selected choice, long nowNanos) {
     artifactWait.stop();
     state = State.SENT;
-    Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
+    Attempt attempt = new Attempt(this, choice, nowNanos, lastEvent);
     attempts.add(attempt);
     send(attempt, choice, nowNanos);
   }
 
   /** Sends the call to an endpoint beside its attempt in progress at a silent or slow one. */
   void sendBeside(EndpointChoice.Selected choice, long nowNanos) {
-    Attempt attempt = new Attempt(this, choice.endpoint(), nowNanos, lastEvent);
+    Attempt attempt = new Attempt(this, choice, nowNanos, lastEvent);
     attempts.addBeside(attempt);
     send(attempt, choice, nowNanos);
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -20,17 +20,21 @@
   void sent(EndpointChoice.Selected choice, int attempt, Duration timeRemaining) {
     LOG.infof(
         "Sent. request=%s route=%s endpoint=%s artifact=%s load=%.0f report-age-ms=%d"
-            + " directory-age-ms=%d configuration=%d attempt=%d left-ms=%d",
+            + " directory-age-ms=%d configuration=%d attempt=%d left-ms=%d first-event-ms=%.0f"
+            + " unread-tokens=%.0f time-factor=%.2f",
         plan.attemptId(),
         plan.route().name(),
         choice.endpoint().identity(),
         plan.artifactText(),
-        choice.load(),
-        choice.reportAgeMs(),
+        choice.forecast().requests(),
+        choice.forecast().reportAgeMs(),
         choice.directoryAgeMs(),
         plan.configurationVersion(),
         attempt,
-        timeRemaining.toMillis());
+        timeRemaining.toMillis(),
+        choice.forecast().firstEventMs(),
+        choice.forecast().unreadTokens(),
+        choice.forecast().timeFactor());
   }
 
   /** Returns the message about an unexpected exception, which is logged at a bounded rate. */
--- a/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
@@ -46,7 +46,7 @@
             .chooseHealthy(
                 criteria(nowNanos).excluding(inProgress), plan.connectionLimit(), nowNanos);
     if (choice.isPresent() && !retries.spendRetry(nowNanos)) {
-      context.endpoints().releaseSelection(choice.get().endpoint().identity(), nowNanos);
+      context.endpoints().releaseSelection(choice.get(), nowNanos);
       return Optional.empty();
     }
     return choice;
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
@@ -9,11 +9,12 @@
   /**
    * An endpoint was selected, and the request counts as in flight there.
    *
-   * @param load estimated requests at the endpoint before this one
-   * @param reportAgeMs age of the load that the endpoint reported, in milliseconds; -1 if none
+   * @param forecast what is expected of the request there
+   * @param request the request, by which its events and its end are recorded
    * @param directoryAgeMs time since the directory was last read, in milliseconds
    */
-  record Selected(DirectoryEntry endpoint, double load, long reportAgeMs, long directoryAgeMs)
+  record Selected(
+      DirectoryEntry endpoint, EndpointForecast forecast, SentRequest request, long directoryAgeMs)
       implements EndpointChoice {}
 
   /** No endpoint holds the artifact; the request has to wait until one does. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -1,76 +1,53 @@
 package org.magnoliavale.internal.dispatch;
 
-import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleConsumer;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
-import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.limit.EndpointLimits;
-import org.magnoliavale.internal.logging.Logs;
+import org.magnoliavale.internal.route.EngineSpecification;
 
 /**
  * Tracks the state of all endpoints as seen by this instance, and selects one for each attempt.
  * Thread-safe.
  *
- * <p>Selects the endpoint with the least expected delay. The estimate adds up the queue at the
- * endpoint, the prompt tokens that are not in its cache, its recent failures, and the distance. A
- * random factor keeps instances that see the same reports from making the same choice.
+ * <p>What is expected at each endpoint is forecast from the load that endpoints report to any
+ * instance, from this instance's own requests, and from the speed that their answers have shown.
+ * The selection draws between the endpoints that cost about the same, so that instances that know
+ * the same do not all make the same choice.
  *
  * <p>An endpoint that disappears from the directory gets no new requests; its state is kept until
  * its last attempt has ended. Times are in nanoseconds of a monotonic clock.
  */
 public final class EndpointPool {
-  private static final Logger LOG = Logs.of("directory");
+  /** Longest pause between events that is on time, until a request has stated one. */
+  private static final double DEFAULT_TARGET_GAP_MS = 300;
 
-  /** Delay that each request on an engine adds to a new one, in milliseconds. */
-  private static final double ENGINE_DELAY_PER_REQUEST_MS = 4;
-
-  /** Delay when every slot of an endpoint without an engine is taken, in milliseconds. */
-  private static final double FULL_SLOTS_DELAY_MS = 60;
-
-  /** Prompt tokens that an engine processes per millisecond. */
-  private static final double PROMPT_TOKENS_PER_MS = 19;
-
-  /** Penalty for an endpoint of which all recent attempts failed, in milliseconds. */
-  private static final double FAILURE_PENALTY_MS = 600;
-
-  /** Penalty for the cost of traffic to another data centre, in milliseconds. */
-  private static final double REMOTE_PENALTY_MS = 6;
-
-  /** Penalty for an engine at which all streams are slowed down, in milliseconds. */
-  private static final double SATURATION_PENALTY_MS = 400;
-
-  private static final double RANDOM_FACTOR = 0.15;
-
-  private final String dataCentre;
-  private final IntSupplier instances;
-  private final EndpointDepartures departures;
   private final EndpointLimits limits;
-  private final RandomGenerator random;
-  private final Map<EndpointIdentity, EndpointState> endpoints = new HashMap<>();
+  private final EndpointTable table;
+  private final LoadTable loads;
+  private final EndpointChooser chooser;
+  private final DoubleConsumer forecastErrors;
+  private double targetGapMs = DEFAULT_TARGET_GAP_MS;
   private long updatedNanos;
 
   /**
-   * Returns an empty pool.
+   * Returns an empty pool that knows nothing of engines, and so turns no request away for want of
+   * room or time.
    *
    * @param dataCentre the data centre of this instance
    * @param instances number of live instances in the fleet
    * @param departures endpoints that have left, which get no requests although they may be listed
    * @param limits how many requests endpoints take from the whole fleet
-   * @param random source of the random factor in selections
+   * @param random source of the random draws in selections
    */
   public EndpointPool(
       String dataCentre,
@@ -78,33 +55,41 @@
       EndpointDepartures departures,
       EndpointLimits limits,
       RandomGenerator random) {
-    this.dataCentre = dataCentre;
-    this.instances = instances;
-    this.departures = departures;
+    this(dataCentre, instances, departures, limits, random, service -> Optional.empty(), ms -> {});
+  }
+
+  /**
+   * Returns an empty pool, as the other constructor.
+   *
+   * @param engines the engines of a service; empty if they are not known, or it has none
+   * @param forecastErrors is told by how many milliseconds the forecast of each first event was
+   *     wrong
+   */
+  public EndpointPool(
+      String dataCentre,
+      IntSupplier instances,
+      EndpointDepartures departures,
+      EndpointLimits limits,
+      RandomGenerator random,
+      Function<ServiceId, Optional<EngineSpecification>> engines,
+      DoubleConsumer forecastErrors) {
     this.limits = limits;
-    this.random = random;
+    this.forecastErrors = forecastErrors;
+    table = new EndpointTable(departures, random);
+    loads = new LoadTable(table);
+    chooser =
+        new EndpointChooser(
+            table,
+            instances,
+            limits,
+            new EndpointForecaster(instances, engines),
+            new EndpointDraw(dataCentre, random));
   }
 
   /** Applies a read of the directory. Attempts at endpoints that have disappeared continue. */
   public synchronized void update(Collection<DirectoryEntry> entries, long nowNanos) {
-    Set<EndpointIdentity> present = new HashSet<>();
     updatedNanos = nowNanos;
-    for (DirectoryEntry entry : entries) {
-      present.add(entry.identity());
-      endpoints.computeIfAbsent(entry.identity(), ignored -> add(entry, nowNanos)).update(entry);
-    }
-    endpoints.forEach((identity, state) -> state.setListed(present.contains(identity)));
-    Set<EndpointIdentity> ended = new HashSet<>(endpoints.keySet());
-    ended.removeIf(identity -> endpoints.get(identity).isInUse());
-    endpoints.keySet().removeAll(ended);
-    ended.forEach(limits::forget);
-  }
-
-  private static EndpointState add(DirectoryEntry entry, long nowNanos) {
-    LOG.infof(
-        "Endpoint added. endpoint=%s service=%s address=%s draining=%s heartbeat=%d",
-        entry.identity(), entry.service(), entry.address(), entry.draining(), entry.heartbeat());
-    return new EndpointState(entry, nowNanos);
+    table.update(entries, nowNanos).forEach(limits::forget);
   }
 
   /**
@@ -114,27 +99,21 @@
    */
   public synchronized EndpointChoice choose(
       SelectionCriteria criteria, int connectionLimit, long nowNanos) {
-    List<EndpointState> available = availableEndpoints(criteria);
-    if (available.isEmpty()) {
-      return new EndpointChoice.Unavailable("no endpoint available");
-    }
-    List<EndpointState> eligible = new ArrayList<>(available);
-    eligible.removeIf(state -> !holdsArtifact(state, criteria, nowNanos));
-    if (eligible.isEmpty()) {
-      return new EndpointChoice.AwaitArtifact(criteria.generation().orElseThrow().artifact());
-    }
-    removeFullyUsed(eligible, connectionLimit);
-    if (eligible.isEmpty()) {
-      return new EndpointChoice.Unavailable("connection limit reached at all endpoints");
-    }
-    eligible.forEach(state -> limits.recordWanted(state.entry().identity(), nowNanos));
-    Optional<Duration> timeToNext = removeLimited(eligible, nowNanos);
-    if (eligible.isEmpty()) {
-      return new EndpointChoice.Deferred(timeToNext.orElse(Duration.ZERO));
+    criteria
+        .urgency()
+        .map(CallUrgency::targetGap)
+        .ifPresent(gap -> recordTargetGap(gap.toMillis()));
+    return switch (chooser.choose(criteria, connectionLimit, nowNanos)) {
+      case EndpointChooser.Choice.Chosen(EndpointDraw.Candidate candidate) ->
+          select(candidate, criteria, nowNanos);
+      case EndpointChooser.Choice.None(EndpointChoice reason) -> reason;
+    };
+  }
+
+  private void recordTargetGap(long milliseconds) {
+    if (milliseconds > 0) {
+      targetGapMs = milliseconds;
     }
-    List<EndpointState> healthy = new ArrayList<>(eligible);
-    healthy.removeIf(state -> !state.isHealthy(nowNanos));
-    return select(healthy.isEmpty() ? eligible : healthy, criteria, nowNanos);
   }
 
   /**
@@ -145,207 +124,147 @@
    */
   public synchronized Optional<EndpointChoice.Selected> chooseHealthy(
       SelectionCriteria criteria, int connectionLimit, long nowNanos) {
-    List<EndpointState> healthy = availableEndpoints(criteria);
-    healthy.removeIf(state -> !state.isHealthy(nowNanos));
-    healthy.removeIf(state -> !holdsArtifact(state, criteria, nowNanos));
-    removeFullyUsed(healthy, connectionLimit);
-    removeLimited(healthy, nowNanos);
-    return healthy.isEmpty() ? Optional.empty() : Optional.of(select(healthy, criteria, nowNanos));
-  }
-
-  /** Removes the endpoints at which this instance uses all its connections. */
-  private void removeFullyUsed(List<EndpointState> states, int connectionLimit) {
-    int connectionShare = Math.max(1, connectionLimit / Math.max(1, instances.getAsInt()));
-    states.removeIf(state -> state.inFlight() >= connectionShare);
+    return chooser
+        .chooseHealthy(criteria, connectionLimit, nowNanos)
+        .map(candidate -> select(candidate, criteria, nowNanos));
   }
 
   /**
-   * Removes the endpoints that take no request of this instance now; returns the time until the
-   * first of them may take one.
+   * Returns what is expected of a request at each endpoint of its service, and why one would not
+   * get it. Changes nothing: the next choice is the same as without this call.
+   *
+   * @param connectionLimit connections that an endpoint accepts from the whole fleet
    */
-  private Optional<Duration> removeLimited(List<EndpointState> states, long nowNanos) {
-    List<EndpointIdentity> limited =
-        states.stream()
-            .map(state -> state.entry().identity())
-            .filter(identity -> !limits.allows(identity, nowNanos))
-            .toList();
-    states.removeIf(state -> limited.contains(state.entry().identity()));
-    return limited.stream()
-        .map(identity -> limits.timeToNext(identity, nowNanos))
-        .min(Comparator.naturalOrder());
+  public synchronized List<EndpointForecast> forecasts(
+      SelectionCriteria criteria, int connectionLimit, long nowNanos) {
+    return chooser.forecasts(criteria, connectionLimit, nowNanos);
   }
 
   private EndpointChoice.Selected select(
-      List<EndpointState> candidates, SelectionCriteria criteria, long nowNanos) {
-    EndpointState best = leastDelayed(candidates, criteria, nowNanos);
-    double load = best.load(instances.getAsInt(), nowNanos);
-    best.attemptStarted(criteria.generation(), nowNanos);
-    limits.take(best.entry().identity());
-    return new EndpointChoice.Selected(
-        best.entry(),
-        load,
-        best.reportAgeMs(nowNanos),
-        TimeUnit.NANOSECONDS.toMillis(nowNanos - updatedNanos));
-  }
-
-  /** Returns whether an endpoint holds what a request needs; one for no model needs nothing. */
-  private static boolean holdsArtifact(
-      EndpointState state, SelectionCriteria criteria, long nowNanos) {
-    return criteria
-        .generation()
-        .map(generation -> state.holds(generation.artifact(), nowNanos))
-        .orElse(true);
-  }
-
-  private List<EndpointState> availableEndpoints(SelectionCriteria criteria) {
-    List<EndpointState> available = new ArrayList<>();
-    for (EndpointState state : endpoints.values()) {
-      DirectoryEntry entry = state.entry();
-      if (entry.service().equals(criteria.service())
-          && !criteria.excluded().contains(entry.identity())
-          && accepts(state)) {
-        available.add(state);
-      }
-    }
-    return available;
-  }
-
-  private boolean accepts(EndpointState state) {
-    return state.isAvailable() && !departures.includes(state.entry());
-  }
-
-  private EndpointState leastDelayed(
-      List<EndpointState> candidates, SelectionCriteria criteria, long nowNanos) {
-    EndpointState best = null;
-    double bestDelay = Double.MAX_VALUE;
-    for (EndpointState state : candidates) {
-      double delay = expectedDelayMs(state, criteria, nowNanos);
-      delay *= 1 + RANDOM_FACTOR * random.nextDouble();
-      if (best == null || delay < bestDelay) {
-        best = state;
-        bestDelay = delay;
-      }
-    }
-    return best;
-  }
-
-  private double expectedDelayMs(EndpointState state, SelectionCriteria criteria, long nowNanos) {
-    double load = state.load(instances.getAsInt(), nowNanos);
-    double delay =
+      EndpointDraw.Candidate candidate, SelectionCriteria criteria, long nowNanos) {
+    EndpointState state = candidate.state();
+    EndpointForecast forecast = candidate.forecast();
+    int uncachedTokens =
         criteria
             .generation()
-            .map(generation -> engineDelayMs(state, generation, load, nowNanos))
-            .orElseGet(() -> plainDelayMs(state, load));
-    if (!state.entry().dataCentre().equals(dataCentre)) {
-      delay += REMOTE_PENALTY_MS;
-    }
-    return delay + FAILURE_PENALTY_MS * state.failureRate() + 1;
-  }
-
-  private static double engineDelayMs(
-      EndpointState state, GenerationRequest generation, double load, long nowNanos) {
-    double overload = Math.max(0, load - state.entry().slots() + 1);
-    return state.firstByteMs() / 2
-        + load * ENGINE_DELAY_PER_REQUEST_MS
-        + overload * overload * ENGINE_DELAY_PER_REQUEST_MS
-        + state.saturation(nowNanos) * SATURATION_PENALTY_MS
-        + state.prefixCache().uncachedTokens(generation) / PROMPT_TOKENS_PER_MS;
-  }
-
-  private static double plainDelayMs(EndpointState state, double load) {
-    return state.firstByteMs() / 2
-        + load / Math.max(1, state.entry().slots()) * FULL_SLOTS_DELAY_MS;
+            .map(generation -> generation.promptTokens() - forecast.cachedTokens())
+            .orElse(0);
+    SentRequest request = SentRequest.of(criteria.generation(), uncachedTokens, forecast, nowNanos);
+    state.attemptStarted(request, criteria.generation(), nowNanos);
+    limits.take(state.entry().identity());
+    return new EndpointChoice.Selected(
+        state.entry(), forecast, request, TimeUnit.NANOSECONDS.toMillis(nowNanos - updatedNanos));
   }
 
   /** Records that bytes were received from an endpoint. */
   public synchronized void recordActivity(EndpointIdentity identity, long nowNanos) {
-    EndpointState state = endpoints.get(identity);
-    if (state != null) {
-      state.recordActivity(nowNanos);
-    }
+    table.find(identity).ifPresent(state -> state.recordActivity(nowNanos));
   }
 
   /** Records the load that an endpoint reported with a response. */
   public synchronized void recordLoad(EndpointIdentity identity, ReportedLoad load, long nowNanos) {
-    EndpointState state = endpoints.get(identity);
-    if (state != null) {
-      state.recordLoad(load, nowNanos);
-    }
+    table
+        .find(identity)
+        .ifPresent(state -> state.loadEstimate().heard(load, state.outstanding(), nowNanos));
+  }
+
+  /** Records the first byte of the response to a request. */
+  public synchronized void recordFirstByte(EndpointChoice.Selected choice, long nowNanos) {
+    find(choice).ifPresent(state -> state.recordFirstByte(choice.request(), nowNanos));
   }
 
-  /** Records the time to the first byte of a response. */
-  public synchronized void recordFirstByte(EndpointIdentity identity, long nanos) {
-    EndpointState state = endpoints.get(identity);
-    if (state != null) {
-      state.recordFirstByte((double) nanos / TimeUnit.MILLISECONDS.toNanos(1));
+  /** Records an event of the stream that answers a request. */
+  public synchronized void recordEvent(EndpointChoice.Selected choice, long nowNanos) {
+    if (!choice.request().hasBegun()) {
+      double firstEventMs =
+          (double) (nowNanos - choice.request().sentNanos()) / TimeUnit.MILLISECONDS.toNanos(1);
+      forecastErrors.accept(Math.abs(firstEventMs - choice.forecast().firstEventMs()));
     }
+    find(choice).ifPresent(state -> state.recordEvent(choice.request(), nowNanos));
+  }
+
+  private Optional<EndpointState> find(EndpointChoice.Selected choice) {
+    return table.find(choice.endpoint().identity());
   }
 
   /** Takes back a selection after which no attempt was made. */
-  public synchronized void releaseSelection(EndpointIdentity identity, long nowNanos) {
-    limits.giveBack(identity);
-    attemptEnded(identity, AttemptOutcome.INCONCLUSIVE, nowNanos);
+  public synchronized void releaseSelection(EndpointChoice.Selected choice, long nowNanos) {
+    limits.giveBack(choice.endpoint().identity());
+    attemptEnded(choice, AttemptOutcome.INCONCLUSIVE, nowNanos);
   }
 
   /** Ends an attempt and records its outcome. */
   public synchronized void attemptEnded(
-      EndpointIdentity identity, AttemptOutcome outcome, long nowNanos) {
-    EndpointState state = endpoints.get(identity);
-    if (state != null) {
-      state.attemptEnded(outcome, nowNanos);
+      EndpointChoice.Selected choice, AttemptOutcome outcome, long nowNanos) {
+    if (choice.request().endOnce()) {
+      find(choice).ifPresent(state -> state.attemptEnded(choice.request(), outcome, nowNanos));
     }
   }
 
+  /** Ends the oldest attempt at an endpoint and records its outcome. */
+  public synchronized void attemptEnded(
+      EndpointIdentity identity, AttemptOutcome outcome, long nowNanos) {
+    table
+        .find(identity)
+        .ifPresent(
+            state ->
+                state
+                    .outstanding()
+                    .oldest()
+                    .filter(SentRequest::endOnce)
+                    .ifPresent(request -> state.attemptEnded(request, outcome, nowNanos)));
+  }
+
   /** Records that another incarnation answers at the address, so that this one has ended. */
   public synchronized void markReplaced(EndpointIdentity identity) {
-    EndpointState state = endpoints.get(identity);
-    if (state != null) {
-      state.markReplaced();
-    }
+    table.find(identity).ifPresent(EndpointState::markReplaced);
   }
 
   /** Records that an endpoint rejected a request because it does not hold an artifact. */
   public synchronized void recordMissing(
       EndpointIdentity identity, Artifact artifact, long nowNanos) {
-    EndpointState state = endpoints.get(identity);
-    if (state != null) {
-      state.recordMissing(artifact, nowNanos);
-    }
+    table.find(identity).ifPresent(state -> state.holdings().recordMissing(artifact, nowNanos));
   }
 
   /** Records that an artifact was loaded, before the endpoint's own entry shows it. */
   public synchronized void recordLoaded(String endpointId, Artifact artifact) {
-    endpoints.values().stream()
-        .filter(state -> state.entry().identity().id().equals(endpointId))
-        .forEach(state -> state.recordLoaded(artifact));
+    table.ofEndpoint(endpointId).forEach(state -> state.holdings().recordLoaded(artifact));
   }
 
   /** Records that an artifact is being unloaded, before the endpoint's own entry shows it. */
   public synchronized void recordUnloading(String endpointId, Artifact artifact, long nowNanos) {
-    endpoints.values().stream()
-        .filter(state -> state.entry().identity().id().equals(endpointId))
-        .forEach(state -> state.recordUnloading(artifact, nowNanos));
+    table
+        .ofEndpoint(endpointId)
+        .forEach(state -> state.holdings().recordUnloading(artifact, nowNanos));
+  }
+
+  /** Returns the reported loads that peers are to be told now, and counts them as told. */
+  public synchronized List<LoadObservation> takeChangedLoads(boolean relayed, long nowNanos) {
+    return loads.takeChanged(relayed, nowNanos);
+  }
+
+  /**
+   * Returns whether there are loads to tell and the last ones were told long enough ago.
+   *
+   * @param intervalNanos least time between two tellings
+   */
+  public synchronized boolean hasChangedLoads(long intervalNanos, long nowNanos) {
+    return loads.hasChanged(intervalNanos, nowNanos);
+  }
+
+  /** Applies the loads that a peer has told; of two reports the newer one counts. */
+  public synchronized void learnLoads(Collection<LoadObservation> observations, long nowNanos) {
+    loads.learn(observations, nowNanos);
   }
 
   /** Returns whether an endpoint has attempts in flight and has sent nothing for too long. */
   public synchronized boolean isUnresponsive(EndpointIdentity identity, long nowNanos) {
-    EndpointState state = endpoints.get(identity);
-    return state != null && state.isUnresponsive(nowNanos);
+    return table.find(identity).map(state -> state.isUnresponsive(nowNanos)).orElse(false);
   }
 
   /** Returns whether the last connection attempt to an endpoint failed a short time ago. */
   public synchronized boolean isUnreachable(EndpointIdentity identity, long nowNanos) {
-    EndpointState state = endpoints.get(identity);
-    return state != null && state.isUnreachable(nowNanos);
-  }
-
-  /** Records the time between two events of a stream, in milliseconds. */
-  public synchronized void recordEventInterval(
-      EndpointIdentity identity, double milliseconds, long nowNanos) {
-    EndpointState state = endpoints.get(identity);
-    if (state != null) {
-      state.recordEventInterval(milliseconds, nowNanos);
-    }
+    return table.find(identity).map(state -> state.isUnreachable(nowNanos)).orElse(false);
   }
 
   /**
@@ -353,22 +272,20 @@
    * for an endpoint that takes fewer than there are.
    */
   public synchronized double saturation(EndpointIdentity identity, long nowNanos) {
-    if (limits.isExceeded(identity)) {
-      return 1;
-    }
-    EndpointState state = endpoints.get(identity);
-    return state == null ? 0 : state.saturation(nowNanos);
+    return limits.isExceeded(identity)
+        ? 1
+        : table.find(identity).map(state -> state.saturation(targetGapMs, nowNanos)).orElse(0.0);
   }
 
   /** Returns whether an endpoint is listed and accepts new requests. */
   public synchronized boolean isAvailable(EndpointIdentity identity) {
-    EndpointState state = endpoints.get(identity);
-    return state != null && accepts(state);
+    return table.find(identity).map(table::accepts).orElse(false);
   }
 
   /** Returns the identities of endpoints whose entries show them as draining. */
   public synchronized List<String> draining() {
-    return endpoints.values().stream()
+    return table
+        .all()
         .map(EndpointState::entry)
         .filter(DirectoryEntry::draining)
         .map(entry -> entry.identity().toString())
@@ -377,9 +294,6 @@
 
   /** Returns the number of endpoints of a service that accept new requests. */
   public synchronized int size(ServiceId service) {
-    return (int)
-        endpoints.values().stream()
-            .filter(state -> state.entry().service().equals(service) && accepts(state))
-            .count();
+    return (int) table.ofService(service).stream().filter(table::accepts).count();
   }
 }
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -1,23 +1,15 @@
 package org.magnoliavale.internal.dispatch;
 
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.DirectoryEntry;
-import org.magnoliavale.internal.directory.LoadedModel;
 import org.magnoliavale.internal.logging.Logs;
 
 /** State of one incarnation of an endpoint as seen by this instance. Not thread-safe. */
 final class EndpointState {
   private static final Logger LOG = Logs.of("directory");
 
-  /** Age after which a reported load is ignored. */
-  private static final long REPORT_VALIDITY_MS = 2_000;
-
   /** Time without data after which an endpoint with attempts in flight gets no new requests. */
   private static final long UNRESPONSIVE_AFTER_MS = 900;
 
@@ -27,14 +19,6 @@
   /** Time for which an endpoint with repeated failures gets no new requests. */
   private static final long EJECTION_MS = 1_000;
 
-  /** Time for which a missing adapter is not requested again; loading it takes about as long. */
-  private static final long MISSING_ADAPTER_PAUSE_MS = 60;
-
-  private static final long MISSING_MODEL_PAUSE_MS = 1_000;
-
-  /** Time after which an endpoint's own entry shows that an artifact was unloaded. */
-  private static final long UNLOAD_VISIBLE_AFTER_MS = 2_500;
-
   private static final long UNREACHABLE_MS = 1_500;
 
   /** Slot utilization up to which requests do not slow each other down. */
@@ -43,27 +27,30 @@
   /** Slot utilization at which all requests are slowed down. */
   private static final double SATURATED_SLOT_UTILIZATION = 0.75;
 
-  /** Mean time between stream events up to which an engine counts as unsaturated. */
-  private static final double UNSATURATED_EVENT_INTERVAL_MS = 80;
+  /** Share of the longest pause on time up to which the mean pause counts as unsaturated. */
+  private static final double UNSATURATED_GAP_SHARE = 0.27;
 
-  /** Mean time between stream events at which most streams have pauses that are too long. */
-  private static final double SATURATED_EVENT_INTERVAL_MS = 240;
+  /** Share of the longest pause on time at which most streams have pauses that are too long. */
+  private static final double SATURATED_GAP_SHARE = 0.8;
 
   private static final double EVENT_INTERVAL_SMOOTHING = 0.08;
 
+  /** How much an event's interval says of an endpoint's speed, beside a whole prompt. */
+  private static final double EVENT_INTERVAL_WEIGHT = 0.2;
+
   private static final int FAILURES_BEFORE_EJECTION = 3;
   private static final double SMOOTHING = 0.2;
 
+  private final ServicePace pace;
+  private final int loadKey;
   private final PrefixCacheEstimate prefixCache = new PrefixCacheEstimate();
-  private final Map<Artifact, Long> missingUntil = new HashMap<>();
-  private final Set<Artifact> announcedLoaded = new HashSet<>();
+  private final ArtifactHoldings holdings = new ArtifactHoldings();
+  private final OutstandingRequests outstanding = new OutstandingRequests();
+  private final LoadEstimate loadEstimate;
+  private final EndpointSpeed speed = new EndpointSpeed();
   private DirectoryEntry entry;
   private boolean listed = true;
   private boolean replaced;
-  private int inFlight;
-  private int inFlightAtReport;
-  private ReportedLoad report;
-  private long reportNanos;
   private long lastActivityNanos;
   private long pausedUntilNanos;
   private int consecutiveFailures;
@@ -74,8 +61,17 @@
   private double eventIntervalMs;
   private long lastEventNanos;
 
-  EndpointState(DirectoryEntry entry, long nowNanos) {
+  /**
+   * Returns the state of an endpoint that has just been listed.
+   *
+   * @param pace how long work takes at the endpoints of its service
+   * @param seed of the random rounding of this instance's share of its room
+   */
+  EndpointState(DirectoryEntry entry, ServicePace pace, long seed, long nowNanos) {
     this.entry = entry;
+    this.pace = pace;
+    this.loadEstimate = new LoadEstimate(seed);
+    this.loadKey = entry.identity().toString().hashCode();
     this.lastActivityNanos = nowNanos;
     this.pausedUntilNanos = nowNanos;
   }
@@ -84,8 +80,29 @@
     return entry;
   }
 
-  int inFlight() {
-    return inFlight;
+  /** Returns the hash by which instances name the endpoint when they tell each other its load. */
+  int loadKey() {
+    return loadKey;
+  }
+
+  ServicePace pace() {
+    return pace;
+  }
+
+  ArtifactHoldings holdings() {
+    return holdings;
+  }
+
+  OutstandingRequests outstanding() {
+    return outstanding;
+  }
+
+  LoadEstimate loadEstimate() {
+    return loadEstimate;
+  }
+
+  EndpointSpeed speed() {
+    return speed;
   }
 
   PrefixCacheEstimate prefixCache() {
@@ -102,8 +119,7 @@
 
   void update(DirectoryEntry newEntry) {
     if (newEntry.heartbeat() != entry.heartbeat()) {
-      missingUntil.clear();
-      announcedLoaded.removeIf(artifact -> shows(newEntry, artifact));
+      holdings.update(newEntry);
     }
     if (newEntry.draining() != entry.draining()) {
       LOG.infof(
@@ -118,14 +134,14 @@
     if (value != listed) {
       LOG.infof(
           "Endpoint listing changed. endpoint=%s listed=%s in-flight=%d",
-          entry.identity(), value, inFlight);
+          entry.identity(), value, outstanding.size());
     }
     listed = value;
   }
 
   /** Returns whether the endpoint is listed or has attempts in flight. */
   boolean isInUse() {
-    return listed || inFlight > 0;
+    return listed || outstanding.size() > 0;
   }
 
   /** Records that another incarnation answers at the address. */
@@ -147,51 +163,22 @@
   }
 
   boolean isUnresponsive(long nowNanos) {
-    return inFlight > 0 && milliseconds(nowNanos - lastActivityNanos) > UNRESPONSIVE_AFTER_MS;
+    return outstanding.size() > 0
+        && milliseconds(nowNanos - lastActivityNanos) > UNRESPONSIVE_AFTER_MS;
   }
 
   boolean holds(Artifact artifact, long nowNanos) {
-    if (isMissing(artifact, nowNanos) || isMissing(artifact.baseModel(), nowNanos)) {
-      return false;
-    }
-    return announcedLoaded.contains(artifact) || shows(entry, artifact);
-  }
-
-  private boolean isMissing(Artifact artifact, long nowNanos) {
-    Long until = missingUntil.get(artifact);
-    return until != null && until - nowNanos > 0;
-  }
-
-  private static boolean shows(DirectoryEntry entry, Artifact artifact) {
-    Optional<LoadedModel> model = entry.model(artifact.model());
-    return model.isPresent()
-        && artifact.adapter().map(model.get().adapters()::contains).orElse(true);
-  }
-
-  /** Records that the endpoint does not hold an artifact now, although it may be loading it. */
-  void recordMissing(Artifact artifact, long nowNanos) {
-    long pause = artifact.adapter().isPresent() ? MISSING_ADAPTER_PAUSE_MS : MISSING_MODEL_PAUSE_MS;
-    missingUntil.put(artifact, nowNanos + TimeUnit.MILLISECONDS.toNanos(pause));
-  }
-
-  /** Records that an artifact is being unloaded. */
-  void recordUnloading(Artifact artifact, long nowNanos) {
-    announcedLoaded.remove(artifact);
-    missingUntil.put(artifact, nowNanos + TimeUnit.MILLISECONDS.toNanos(UNLOAD_VISIBLE_AFTER_MS));
+    return holdings.holds(entry, artifact, nowNanos);
   }
 
-  void recordLoaded(Artifact artifact) {
-    missingUntil.remove(artifact);
-    announcedLoaded.add(artifact);
-  }
-
-  void attemptStarted(Optional<GenerationRequest> generation, long nowNanos) {
-    if (inFlight == 0) {
+  void attemptStarted(SentRequest request, Optional<GenerationRequest> generation, long nowNanos) {
+    if (outstanding.size() == 0) {
       // The time without data counts only while a response is due.
       lastActivityNanos = nowNanos;
     }
-    inFlight++;
+    outstanding.add(request);
     generation.ifPresent(prefixCache::recordPrompt);
+    generation.ifPresent(ignored -> pace.recordRequest(request));
   }
 
   void recordActivity(long nowNanos) {
@@ -199,34 +186,58 @@
     lastActivityNanos = nowNanos;
   }
 
-  void recordLoad(ReportedLoad load, long nowNanos) {
-    report = load;
-    reportNanos = nowNanos;
-    inFlightAtReport = inFlight;
+  void recordFirstByte(SentRequest request, long nowNanos) {
+    double milliseconds = milliseconds(nowNanos - request.sentNanos());
+    firstByteMs += SMOOTHING * (milliseconds - firstByteMs);
+    if (!request.isForEngine()) {
+      pace.recordPlain(milliseconds);
+    }
   }
 
-  void recordFirstByte(double milliseconds) {
-    firstByteMs += SMOOTHING * (milliseconds - firstByteMs);
+  /** Records an event of a stream. */
+  void recordEvent(SentRequest request, long nowNanos) {
+    Optional<Long> previous = request.recordEvent(nowNanos);
+    if (previous.isPresent()) {
+      recordEventInterval(milliseconds(nowNanos - previous.get()), nowNanos);
+    } else {
+      outstanding.promptRead(request);
+      recordFirstEvent(request, nowNanos);
+    }
   }
 
-  /** Records the time between two events of a stream, in milliseconds. */
-  void recordEventInterval(double milliseconds, long nowNanos) {
+  private void recordFirstEvent(SentRequest request, long nowNanos) {
+    EndpointForecast forecast = request.forecast();
+    if (forecast.requests() >= entry.slots()) {
+      // It may have waited for a slot, which says nothing of the speed.
+      return;
+    }
+    double unreadTokens = forecast.unreadTokens() + request.uncachedTokens();
+    double usualMs = milliseconds(nowNanos - request.sentNanos()) / loadEstimate.slowdown(nowNanos);
+    speed.record(usualMs, pace.firstEventMs(unreadTokens), 1, nowNanos);
+    pace.recordFirstEvent(unreadTokens, usualMs);
+  }
+
+  private void recordEventInterval(double milliseconds, long nowNanos) {
     boolean first =
-        milliseconds(nowNanos - lastEventNanos) > REPORT_VALIDITY_MS || eventIntervalMs == 0;
+        milliseconds(nowNanos - lastEventNanos) > LoadEstimate.VALIDITY_MS || eventIntervalMs == 0;
     eventIntervalMs =
         first
             ? milliseconds
             : eventIntervalMs + EVENT_INTERVAL_SMOOTHING * (milliseconds - eventIntervalMs);
     lastEventNanos = nowNanos;
+    if (loadEstimate.isValid(nowNanos)) {
+      double usualMs = milliseconds / loadEstimate.slowdown(nowNanos);
+      double running = loadEstimate.report().running();
+      speed.record(usualMs, pace.eventIntervalMs(running), EVENT_INTERVAL_WEIGHT, nowNanos);
+      pace.recordEventInterval(running, usualMs);
+    }
   }
 
-  /** Returns the recent mean time between stream events; 0 if there were none. */
-  double eventIntervalMs(long nowNanos) {
-    return milliseconds(nowNanos - lastEventNanos) > REPORT_VALIDITY_MS ? 0 : eventIntervalMs;
-  }
-
-  void attemptEnded(AttemptOutcome outcome, long nowNanos) {
-    inFlight--;
+  void attemptEnded(SentRequest request, AttemptOutcome outcome, long nowNanos) {
+    if (outcome == AttemptOutcome.ANSWERED && request.hasBegun()) {
+      pace.recordResidence(milliseconds(nowNanos - request.sentNanos()));
+    }
+    outstanding.remove(request, nowNanos);
     switch (outcome) {
       case ANSWERED -> {
         consecutiveFailures = 0;
@@ -253,15 +264,17 @@
     pausedUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(milliseconds);
   }
 
-  long reportAgeMs(long nowNanos) {
-    return report == null ? -1 : milliseconds(nowNanos - reportNanos);
-  }
-
-  /** Returns how much requests slow each other down, from 0 (not at all) to 1 (all of them). */
-  double saturation(long nowNanos) {
+  /**
+   * Returns how much requests slow each other down, from 0 (not at all) to 1 (all of them).
+   *
+   * @param targetGapMs longest pause between events that is on time
+   */
+  double saturation(double targetGapMs, long nowNanos) {
+    double recentMs =
+        milliseconds(nowNanos - lastEventNanos) > LoadEstimate.VALIDITY_MS ? 0 : eventIntervalMs;
     double fromEventInterval =
-        (eventIntervalMs(nowNanos) - UNSATURATED_EVENT_INTERVAL_MS)
-            / (SATURATED_EVENT_INTERVAL_MS - UNSATURATED_EVENT_INTERVAL_MS);
+        (recentMs / targetGapMs - UNSATURATED_GAP_SHARE)
+            / (SATURATED_GAP_SHARE - UNSATURATED_GAP_SHARE);
     double fromSlots =
         (slotUtilization(nowNanos) - UNSATURATED_SLOT_UTILIZATION)
             / (SATURATED_SLOT_UTILIZATION - UNSATURATED_SLOT_UTILIZATION);
@@ -270,22 +283,14 @@
 
   /** Returns the slot utilization in the last report; more than 1 if requests are queued. */
   private double slotUtilization(long nowNanos) {
-    if (report == null || milliseconds(nowNanos - reportNanos) > REPORT_VALIDITY_MS) {
+    if (!loadEstimate.isValid(nowNanos)) {
       return 0;
     }
+    ReportedLoad report = loadEstimate.report();
     return (double) (report.running() + report.waiting()) / Math.max(1, report.slots());
   }
 
-  /** Estimates the current requests at the endpoint, including those of other instances. */
-  double load(int instances, long nowNanos) {
-    if (report == null || milliseconds(nowNanos - reportNanos) > REPORT_VALIDITY_MS) {
-      return (double) inFlight * Math.max(1, instances);
-    }
-    int others = Math.max(0, report.running() + report.waiting() - inFlightAtReport);
-    return others + inFlight;
-  }
-
-  private static long milliseconds(long nanos) {
-    return TimeUnit.NANOSECONDS.toMillis(nanos);
+  private static double milliseconds(long nanos) {
+    return (double) nanos / TimeUnit.MILLISECONDS.toNanos(1);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/dispatch/PrefixCacheEstimate.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/PrefixCacheEstimate.java
@@ -39,11 +39,13 @@
     prefixes.clear();
   }
 
-  private static long initialHash(GenerationRequest generation) {
+  /** Returns the hash of no segment of a prompt. */
+  static long initialHash(GenerationRequest generation) {
     return generation.artifact().hashCode();
   }
 
-  private static long extendHash(long hash, PromptSegment segment) {
+  /** Returns the hash of the segments before and a further one. */
+  static long extendHash(long hash, PromptSegment segment) {
     return List.of(hash, segment.id()).hashCode() * 0x9E3779B97F4A7C15L + hash;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
@@ -1,11 +1,15 @@
 package org.magnoliavale.internal.gateway;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
+import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.route.ConfigurationPollResult;
 import org.magnoliavale.internal.route.ConfigurationSource;
+import org.magnoliavale.internal.route.EngineSpecification;
 import org.magnoliavale.internal.route.RouteTable;
+import org.magnoliavale.internal.route.ServiceSpecification;
 
 /**
  * Polls the configuration source on a virtual thread of its own and publishes the newest version.
@@ -35,6 +39,13 @@
     return current == null ? 0 : current.version();
   }
 
+  /** Returns the engines of a service; empty if it has none, or before the first configuration. */
+  Optional<EngineSpecification> engine(ServiceId service) {
+    return Optional.ofNullable(routes)
+        .flatMap(current -> current.service(service))
+        .flatMap(ServiceSpecification::engine);
+  }
+
   /** Returns the maximum size of a caller's body, also before the first configuration was read. */
   int maximumBodyBytes() {
     RouteTable current = routes;
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
-import java.util.Random;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -122,8 +121,8 @@
     membership = new Membership(PEER_EXPIRY);
     registry = createRegistry();
     endpoints =
-        new EndpointPool(
-            settings.dataCentre(), this::liveInstanceCount, departures, limits, new Random());
+        EndpointPools.create(
+            settings, this::liveInstanceCount, departures, limits, configuration, metrics);
     CrashRegistry crashes = new CrashRegistry(incarnation, InstantSource.system());
     crashDetector = new CrashDetector(crashes, createProbe());
     ArtifactDemand demand = new ArtifactDemand(this::announceDemand);
--- a/src/test/java/org/magnoliavale/internal/dispatch/TestEntries.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/TestEntries.java
@@ -46,6 +46,21 @@
     return withStartTime(entry, 0);
   }
 
+  /** Returns the same entry of an endpoint that runs a number of requests at once. */
+  public static DirectoryEntry withSlots(DirectoryEntry entry, int slots) {
+    return new DirectoryEntry(
+        entry.identity(),
+        entry.service(),
+        entry.address(),
+        entry.dataCentre(),
+        entry.draining(),
+        slots,
+        entry.heartbeat(),
+        entry.models(),
+        entry.inMemory(),
+        entry.onDisk());
+  }
+
   private static DirectoryEntry withStartTime(DirectoryEntry entry, long startedAtMs) {
     return new DirectoryEntry(
         new EndpointIdentity(entry.identity().id(), startedAtMs),
