Tell loads of endpoints between instances

With 28 or 80 instances each hears of an endpoint only from answers to its own requests, one in five seconds or more, so what it knew of loads was mostly out of date. Heartbeats now carry the reports that have changed: an instance tells its own, a relay all that it knows; ages add up, the newer report counts. Beyond a full mesh they are told between heartbeats too, at most every 200 ms.

--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -335,7 +335,7 @@
     calls.tick();
     failures.contain("Local state could not be applied.", peerState::applyLocalState);
     onDemandChanged();
-    if (lease.consumeSurrendered() | statements.takeNews()) {
+    if (lease.consumeSurrendered() | statements.takeNews() | peerState.hasLoadNews()) {
       links.sendHeartbeatsNow();
     }
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
@@ -27,8 +27,8 @@
 
 /**
  * Builds the heartbeats that this instance sends to its peers and applies those that it receives:
- * artifact demand, residency changes, crash records, draining and departed endpoints, limits of
- * endpoints and the state of the command lease.
+ * artifact demand, residency changes, crash records, draining and departed endpoints, limits and
+ * loads of endpoints and the state of the command lease.
  *
  * <p>Called on link threads and on the instance's own threads; must not block. {@link #initialize}
  * must be called before the links start.
@@ -55,6 +55,7 @@
   private final EndpointPool endpoints;
   private final EndpointDepartures departures;
   private final LimitExchange limits;
+  private final LoadExchange loads;
   private final LongSupplier nanoClock;
   private ResidencyChangeLog changeLog = new ResidencyChangeLog();
   private Runnable residencyChanged = () -> {};
@@ -83,6 +84,7 @@
     this.endpoints = endpoints;
     this.departures = departures;
     this.limits = new LimitExchange(limits);
+    this.loads = new LoadExchange(endpoints);
     this.nanoClock = nanoClock;
   }
 
@@ -109,6 +111,12 @@
     leaving = true;
   }
 
+  /** Returns whether peers are to be told loads of endpoints before the next heartbeat. */
+  boolean hasLoadNews() {
+    long now = nanoClock.getAsLong();
+    return loads.isDue(membership.instanceCount(now), now);
+  }
+
   /** Applies this instance's own demand and residency changes, as if a peer had sent them. */
   void applyLocalState() {
     fleetDemand.update(localInstanceId, localUsage(), nanoClock.getAsLong());
@@ -136,6 +144,11 @@
 
   @Override
   public Heartbeat heartbeat() {
+    return heartbeat(false);
+  }
+
+  @Override
+  public Heartbeat heartbeat(boolean relays) {
     Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setLeaving(leaving);
     if (lease.isHeld()) {
       heartbeat.setGivesOrders(true);
@@ -152,6 +165,7 @@
           .setHeartbeat(departure.lastHeartbeat());
     }
     limits.addTo(heartbeat, nanoClock.getAsLong());
+    loads.addTo(heartbeat, relays, nanoClock.getAsLong());
     localUsage()
         .forEach(
             (artifact, use) ->
@@ -188,6 +202,7 @@
     recordLeaseHolder(instance, heartbeat, now);
     applyDepartures(heartbeat, now);
     limits.apply(instance, heartbeat, now);
+    loads.apply(heartbeat, now);
     Map<Artifact, ArtifactUse> uses = new HashMap<>();
     boolean hasWaiting = false;
     for (var use : heartbeat.getUsesList()) {
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -61,7 +61,10 @@
   /** Returns this instance's next heartbeat, to be sent on all outgoing links. */
   Heartbeat nextHeartbeat() {
     Heartbeat heartbeat =
-        state.heartbeat().toBuilder().setStartedMs(startedMs).setNumber(++lastNumber).build();
+        state.heartbeat(isRelaying()).toBuilder()
+            .setStartedMs(startedMs)
+            .setNumber(++lastNumber)
+            .build();
     if (heartbeat.getGivesOrders()) {
       leaseHolder = self;
     }
@@ -71,6 +74,10 @@
     return heartbeat;
   }
 
+  private boolean isRelaying() {
+    return !topology.mesh() && (topology.isRelay(self) || isServing());
+  }
+
   /** Applies a heartbeat that its sender sent on a link to this instance. */
   void received(String peer, Heartbeat heartbeat) {
     receive(peer, heartbeat, peer, 0);
@@ -109,7 +116,7 @@
 
   /**
    * Removes what an instance said of its last reads if it may have failed to read since, and adds
-   * the heartbeat's age to that of what it said of limits.
+   * the heartbeat's age to that of what it said of limits and loads.
    */
   private static Heartbeat aged(Heartbeat heartbeat, long ageMs) {
     if (ageMs == 0) {
@@ -120,6 +127,7 @@
       aged.clearDirectoryReadMs();
     }
     aged.getLimitsBuilderList().forEach(limit -> limit.setAgeMs(agedMs(limit.getAgeMs(), ageMs)));
+    LoadRows.addAge(aged, ageMs);
     return aged.build();
   }
 
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
@@ -19,6 +19,9 @@
  * one is passed on now and then, so that the receiver knows that its sender lives. A heartbeat's
  * age travels with it, and no instance passes on one that has expired, so a failed instance
  * disappears everywhere.
+ *
+ * <p>Loads of endpoints are passed on in the relay's own heartbeat, which has the newest of all
+ * that it knows, and so in each interval; the heartbeats of others are passed on without them.
  */
 final class HeartbeatRelay {
   /** Age at which a heartbeat is dropped. */
@@ -41,7 +44,35 @@
    */
   record Receiver(String peer, boolean demand, Predicate<String> origins) {}
 
-  private record Known(Heartbeat heartbeat, String receivedFrom, long originNanos) {}
+  /** The newest heartbeat of an instance; what is passed on of it is built when it first is. */
+  private static final class Known {
+    private final Heartbeat heartbeat;
+    private final String receivedFrom;
+    private final long originNanos;
+    private final boolean own;
+    private Heartbeat withDemand;
+    private Heartbeat withoutDemand;
+
+    private Known(Heartbeat heartbeat, String receivedFrom, long originNanos, boolean own) {
+      this.heartbeat = heartbeat;
+      this.receivedFrom = receivedFrom;
+      this.originNanos = originNanos;
+      this.own = own;
+    }
+
+    private Heartbeat passedOn(boolean demand) {
+      if (withDemand == null) {
+        withDemand = own ? heartbeat : LoadRows.without(heartbeat);
+      }
+      if (!demand && withoutDemand == null) {
+        withoutDemand =
+            withDemand.getUsesCount() == 0
+                ? withDemand
+                : withDemand.toBuilder().clearUses().build();
+      }
+      return demand ? withDemand : withoutDemand;
+    }
+  }
 
   private record Sent(long startedMs, long number, List<DepartedEndpoint> departed, long nanos) {}
 
@@ -70,12 +101,12 @@
       return false;
     }
     long originNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMs);
-    newest.put(origin, new Known(heartbeat, receivedFrom, originNanos));
+    newest.put(origin, new Known(heartbeat, receivedFrom, originNanos, false));
     return true;
   }
 
   private static boolean isNewer(Heartbeat heartbeat, Known known, long nowNanos) {
-    Heartbeat previous = known.heartbeat();
+    Heartbeat previous = known.heartbeat;
     if (heartbeat.getStartedMs() == previous.getStartedMs()) {
       return heartbeat.getNumber() > previous.getNumber();
     }
@@ -86,7 +117,7 @@
 
   /** Records a heartbeat of this instance itself, for links on which it is not sent directly. */
   void recordOwn(Heartbeat heartbeat, long nowNanos) {
-    newest.put(self, new Known(heartbeat, self, nowNanos));
+    newest.put(self, new Known(heartbeat, self, nowNanos, true));
   }
 
   /** Returns whether a heartbeat must not wait for the next interval. */
@@ -100,7 +131,7 @@
   /** Returns whether the heartbeat of an instance arrived from that instance itself. */
   boolean isDirect(String origin) {
     Known known = newest.get(origin);
-    return known != null && known.receivedFrom().equals(origin);
+    return known != null && known.receivedFrom.equals(origin);
   }
 
   /** Returns the heartbeats to send on a link now, and records that they were sent. */
@@ -111,24 +142,25 @@
     newest.forEach(
         (origin, known) -> {
           boolean echo =
-              origin.equals(receiver.peer()) || known.receivedFrom().equals(receiver.peer());
+              origin.equals(receiver.peer()) || known.receivedFrom.equals(receiver.peer());
           if (!echo
               && receiver.origins().test(origin)
-              && isDue(known.heartbeat(), receiver, progress.sent.get(origin), nowNanos)) {
+              && isDue(origin, known, receiver, progress.sent.get(origin), nowNanos)) {
             pending.add(toRelayed(origin, known, receiver.demand(), nowNanos));
             progress.sent.put(
                 origin,
                 new Sent(
-                    known.heartbeat().getStartedMs(),
-                    known.heartbeat().getNumber(),
-                    known.heartbeat().getDepartedEndpointsList(),
+                    known.heartbeat.getStartedMs(),
+                    known.heartbeat.getNumber(),
+                    known.heartbeat.getDepartedEndpointsList(),
                     nowNanos));
           }
         });
     return pending;
   }
 
-  private static boolean isDue(Heartbeat heartbeat, Receiver receiver, Sent sent, long nowNanos) {
+  private boolean isDue(String origin, Known known, Receiver receiver, Sent sent, long nowNanos) {
+    Heartbeat heartbeat = known.heartbeat;
     if (sent == null) {
       return true;
     }
@@ -139,22 +171,21 @@
     }
     return receiver.demand()
         || mattersAtOnce(heartbeat)
+        || origin.equals(self) && heartbeat.getLoadEndpointsCount() > 0
         || !sent.departed().containsAll(heartbeat.getDepartedEndpointsList())
         || TimeUnit.NANOSECONDS.toMillis(nowNanos - sent.nanos()) >= REFRESH_INTERVAL_MS;
   }
 
   private static RelayedHeartbeat toRelayed(
       String origin, Known known, boolean demand, long nowNanos) {
-    Heartbeat heartbeat =
-        demand ? known.heartbeat() : known.heartbeat().toBuilder().clearUses().build();
     return RelayedHeartbeat.newBuilder()
         .setInstance(origin)
         .setAgeMs((int) ageMs(known, nowNanos))
-        .setHeartbeat(heartbeat)
+        .setHeartbeat(known.passedOn(demand))
         .build();
   }
 
   private static long ageMs(Known known, long nowNanos) {
-    return TimeUnit.NANOSECONDS.toMillis(nowNanos - known.originNanos());
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos - known.originNanos);
   }
 }
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
@@ -132,6 +132,19 @@
       public void documentReceived(DocumentText document) {}
     }
 
+    private void relayLoad(int ageMs) {
+      Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setNumber(1);
+      LoadRows.add(heartbeat, new LoadRows.Row(7, 40, 1, 2, 3, 100));
+      LoadRows.add(heartbeat, new LoadRows.Row(8, 50, 1, 2, 3, 100));
+      RelayedHeartbeat relayed =
+          RelayedHeartbeat.newBuilder()
+              .setInstance("a")
+              .setAgeMs(ageMs)
+              .setHeartbeat(heartbeat)
+              .build();
+      exchange.relayed("relay", List.of(relayed));
+    }
+
     private void relay(int ageMs) {
       RelayedHeartbeat relayed =
           RelayedHeartbeat.newBuilder()
@@ -163,6 +176,14 @@
       relay(1_500);
       assertThat(applied.getFirst().getLimits(0).getAgeMs()).isEqualTo(1_540);
     }
+
+    @Test
+    void addsItsAgeToThatOfLoads() {
+      relayLoad(1_500);
+      assertThat(LoadRows.of(applied.getFirst()))
+          .containsExactly(
+              new LoadRows.Row(7, 1_540, 1, 2, 3, 100), new LoadRows.Row(8, 1_550, 1, 2, 3, 100));
+    }
   }
 
   private static final class Silent implements PeerState {
@@ -236,6 +257,19 @@
           .isLessThanOrEqualTo(messagesPerSecond(small, false) + 2);
     }
 
+    /** Load: 63 endpoints that all answer in each interval, 700 answers a second in all. */
+    @Test
+    void staysWithinTheBudgetOfBytesWithTheLoadsOfAllEndpoints() {
+      SimulatedLinks links = new SimulatedLinks(3, 9);
+      links.tellLoads(63, 13);
+      links.run(SECONDS * 1_000);
+      for (SimulatedLinks.Instance instance : links.all()) {
+        if (!instance.isRelay()) {
+          assertThat(instance.bytes() / SECONDS).isLessThan(BUDGET_BYTES_PER_SECOND);
+        }
+      }
+    }
+
     @Test
     void staysWithinTheBudgetOfBytesForInstancesThatDoNotRelay() {
       SimulatedLinks links = new SimulatedLinks(22, 16);
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatRelayTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatRelayTest.java
@@ -139,6 +139,25 @@
       assertThat(pending("b", true, 100).getFirst().getHeartbeat().getUsesCount()).isOne();
     }
 
+    @Test
+    void sendsItsOwnHeartbeatWithLoadsAtOnceAndThoseOfOthersWithoutLoads() {
+      LoadRows.Row row = new LoadRows.Row(7, 40, 1, 2, 3, 100);
+      for (int number = 1; number <= 3; number++) {
+        Heartbeat.Builder own = heartbeat(number);
+        LoadRows.add(own, row);
+        relay.recordOwn(own.build(), at(100 * number));
+        assertThat(pending("b", false, 100 * number))
+            .singleElement()
+            .satisfies(sent -> assertThat(LoadRows.of(sent.getHeartbeat())).containsExactly(row));
+      }
+      Heartbeat.Builder other = heartbeat(1);
+      LoadRows.add(other, row);
+      acceptDirect("a", other, 400);
+      assertThat(pending("b", false, 400))
+          .singleElement()
+          .satisfies(sent -> assertThat(LoadRows.of(sent.getHeartbeat())).isEmpty());
+    }
+
     @Test
     void addsUpTheAgeAndForgetsAFailedInstance() {
       acceptRelayed("a", heartbeat(1), 1_000, 0);
--- a/src/test/java/org/magnoliavale/internal/link/SimulatedLinks.java
+++ b/src/test/java/org/magnoliavale/internal/link/SimulatedLinks.java
@@ -50,6 +50,16 @@
       return heartbeat.build();
     }
 
+    @Override
+    public Heartbeat heartbeat(boolean relays) {
+      Heartbeat.Builder heartbeat = heartbeat().toBuilder();
+      int rows = relays ? relayedLoads : ownLoads;
+      for (int endpoint = 0; endpoint < rows; endpoint++) {
+        LoadRows.add(heartbeat, new LoadRows.Row(endpoint, 400, 12, 3, 16, 130));
+      }
+      return heartbeat.build();
+    }
+
     @Override
     public DocumentText document() {
       return new DocumentText(0, List.of());
@@ -194,6 +204,8 @@
 
   private final List<ListedInstance> listed = new ArrayList<>();
   private final Map<String, Instance> instances = new HashMap<>();
+  private int relayedLoads;
+  private int ownLoads;
   private long nowMs = TimeUnit.HOURS.toMillis(1);
   private long failedAtMs;
 
@@ -207,6 +219,17 @@
     listed.forEach(entry -> instances.put(entry.id(), new Instance(entry)));
   }
 
+  /**
+   * Lets heartbeats tell loads of endpoints.
+   *
+   * @param relayed loads that an instance that relays tells in each heartbeat
+   * @param own loads that any other instance does
+   */
+  void tellLoads(int relayed, int own) {
+    relayedLoads = relayed;
+    ownLoads = own;
+  }
+
   private long nanos() {
     return TimeUnit.MILLISECONDS.toNanos(nowMs);
   }
