Count an endpoint's slots as its reports do

An entry that states fewer slots than the endpoint reports would make it full too early. Also tests that each instance of a fleet with relays hears the loads in every interval.

--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointForecast.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointForecast.java
@@ -18,7 +18,7 @@
  *     is not known
  * @param reportAgeMs age of the endpoint's newest report in milliseconds; -1 if there is none
  * @param timeFactor how many times as long as usual work takes there
- * @param exclusion why the endpoint gets the request not, empty if it may get it
+ * @param exclusion why the endpoint does not get the request, empty if it may get it
  */
 public record EndpointForecast(
     EndpointIdentity endpoint,
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointForecaster.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointForecaster.java
@@ -150,7 +150,8 @@
   }
 
   private static double maximumRequests(EndpointState state) {
-    int slots = Math.max(1, state.entry().slots());
+    ReportedLoad report = state.loadEstimate().report();
+    int slots = Math.max(state.entry().slots(), report == null ? 1 : report.slots());
     return slots + Math.ceil(QUEUE_SHARE * slots);
   }
 
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
@@ -64,6 +64,14 @@
       }
     }
 
+    @Test
+    void tellsEveryInstanceTheLoadsOfEndpointsInEveryInterval() {
+      links.run(SETTLING_MS);
+      links.tellLoads(7, 0);
+      links.run(SimulatedLinks.INTERVAL_MS);
+      assertThat(links.all()).allMatch(instance -> instance.knownLoads() == 7);
+    }
+
     @Test
     void bringsTheDemandOfAllInstancesToTheLeaseHolder() {
       SimulatedLinks.Instance holder = follower();
--- a/src/test/java/org/magnoliavale/internal/link/SimulatedLinks.java
+++ b/src/test/java/org/magnoliavale/internal/link/SimulatedLinks.java
@@ -110,6 +110,11 @@
       return known;
     }
 
+    /** Returns the number of loads in the newest heartbeats that this one knows. */
+    int knownLoads() {
+      return heard.values().stream().mapToInt(beat -> LoadRows.of(beat).size()).max().orElse(0);
+    }
+
     /** Returns the instances that this one knows to be reading the directory. */
     Set<String> knownReaders() {
       Set<String> readers = new HashSet<>();
