--- a/src/main/java/org/magnoliavale/internal/call/CallContext.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallContext.java
@@ -6,6 +6,7 @@
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointStatementListener;
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
+import org.magnoliavale.internal.dispatch.EndpointChoice;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
@@ -132,8 +133,8 @@
   }
 
   /** Records the end of an attempt, after which its endpoint may take waiting calls. */
-  void attemptEnded(DirectoryEntry endpoint, AttemptOutcome outcome, long nowNanos) {
-    endpoints.attemptEnded(endpoint.identity(), outcome, nowNanos);
-    queue.attemptEnded(endpoint);
+  void attemptEnded(EndpointChoice.Selected choice, AttemptOutcome outcome, long nowNanos) {
+    endpoints.attemptEnded(choice, outcome, nowNanos);
+    queue.attemptEnded(choice.endpoint());
   }
 }
