--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -84,6 +84,7 @@
   private final EndpointPool endpoints;
   private final DirectoryPoller directory;
   private final CallRegistry calls;
+  private final QuotaKeeper quotas;
   private final PeerStateExchange peerState;
   private final InstanceRegistry registry;
   private final PeerLinks links;
@@ -108,7 +109,7 @@
   private GatewayInstance(GatewaySettings settings, PlatformAdapters.Factory factory) {
     this.settings = settings;
     gracePeriod = settings.gracePeriod();
-    retryBudget = createRetryBudget();
+    retryBudget = settings.createRetryBudget(this::liveInstanceCount, System.nanoTime());
     String incarnation = settings.instanceId() + "/" + UUID.randomUUID().toString().substring(0, 8);
     controlClient =
         transport.createClient(
@@ -128,6 +129,7 @@
     crashDetector = new CrashDetector(crashes, createProbe());
     ArtifactDemand demand = new ArtifactDemand(this::announceDemand);
     FleetDemand fleetDemand = new FleetDemand();
+    quotas = QuotaKeeper.create(this::fleet, configuration::routes, settings.quotaBounds());
     calls = new CallRegistry(createCallContext(demand), ThreadLocalRandom.current());
     peerState =
         new PeerStateExchange(
@@ -163,7 +165,6 @@
     servers =
         new GatewayServers(
             settings, transport, callerHandler, new ReadinessHandler(this::isReady), metrics);
-    registerMetrics();
   }
 
   /** Returns an instance that is not started yet. */
@@ -234,15 +235,6 @@
         System::nanoTime);
   }
 
-  private FleetRetryBudget createRetryBudget() {
-    return new FleetRetryBudget(
-        settings.retryRatio(),
-        settings.retryReserve(),
-        settings.retryWindow().toNanos(),
-        this::liveInstanceCount,
-        System.nanoTime());
-  }
-
   private void registerMetrics() {
     new InstanceGauges(metrics.registry())
         .number("calls_in_progress", calls::size)
@@ -289,6 +281,8 @@
 
   @Override
   public void start() {
+    registerMetrics();
+    quotas.start(new InstanceGauges(metrics.registry()), peerState);
     HttpClients.start(controlClient);
     transport.startEndpointClient(endpointClient);
     servers.start();
@@ -336,7 +330,7 @@
     calls.tick();
     failures.contain("Local state could not be applied.", peerState::applyLocalState);
     onDemandChanged();
-    if (lease.consumeSurrendered() | statements.takeNews()) {
+    if (lease.consumeSurrendered() | statements.takeNews() | quotas.takeNews()) {
       links.sendHeartbeatsNow();
     }
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
@@ -2,6 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.function.IntSupplier;
+import org.magnoliavale.internal.dispatch.FleetRetryBudget;
+import org.magnoliavale.internal.quota.QuotaBounds;
 import org.magnoliavale.internal.settings.PeerSettings;
 
 /**
@@ -20,6 +23,7 @@
  * @param retryReserve retries that the fleet may send in a window regardless of requests
  * @param retryWindow window in which requests and retries are counted
  * @param loadLimitWindow window in which the weight store's load limit applies
+ * @param quotaBounds how exactly the quotas of tenants must be kept
  * @param logLevel least severe log level that is written
  */
 public record GatewaySettings(
@@ -36,4 +40,11 @@
     double retryReserve,
     Duration retryWindow,
     Duration loadLimitWindow,
-    String logLevel) {}
+    QuotaBounds quotaBounds,
+    String logLevel) {
+  /** Returns a retry budget with these limits; {@code instances} counts the live instances. */
+  FleetRetryBudget createRetryBudget(IntSupplier instances, long nowNanos) {
+    return new FleetRetryBudget(
+        retryRatio, retryReserve, retryWindow.toNanos(), instances, nowNanos);
+  }
+}
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
@@ -15,6 +15,7 @@
 import org.magnoliavale.internal.ini.Schema;
 import org.magnoliavale.internal.ini.SectionDefinition;
 import org.magnoliavale.internal.ini.ValueType;
+import org.magnoliavale.internal.quota.QuotaBounds;
 import org.magnoliavale.internal.settings.PeerSettings;
 
 /** Parses and validates the settings of an instance on a platform. */
@@ -119,6 +120,29 @@
                           "20",
                           "Retries per window regardless of requests."),
                       optional("window-s", SECONDS, "seconds", "10", "Length of the window."))),
+              new SectionDefinition(
+                  "quotas",
+                  false,
+                  "How exactly the quotas of tenants are kept.",
+                  List.of(
+                      optional(
+                          "window-s",
+                          new ValueType.OrDefault(SECONDS),
+                          "seconds",
+                          "8",
+                          "Length of each window in which use is counted."),
+                      optional(
+                          "overage",
+                          new ValueType.OrDefault(new ValueType.Decimal(0, 10)),
+                          "",
+                          "0.1",
+                          "Ratio by which a quota may be exceeded in a window."),
+                      optional(
+                          "slack",
+                          new ValueType.OrDefault(new ValueType.Decimal(0, 1_000_000_000)),
+                          "units of the quota",
+                          "0",
+                          "Units that may be used in a window in addition."))),
               new SectionDefinition(
                   "log",
                   false,
@@ -154,6 +178,7 @@
     CheckedSection peers = sections.get("peers");
     CheckedSection commands = sections.get("orders");
     CheckedSection retries = sections.get("repeats");
+    CheckedSection quotas = sections.get("quotas");
     String host = peers.text("host");
     return new GatewaySettings(
         instance.text("id"),
@@ -173,6 +198,10 @@
         retries.decimal("reserve"),
         Duration.ofSeconds(retries.number("window-s")),
         Duration.ofSeconds(commands.number("ceiling-window-s")),
+        new QuotaBounds(
+            Duration.ofSeconds(quotas.number("window-s")),
+            quotas.decimal("overage"),
+            quotas.decimal("slack")),
         sections.get("log").text("level"));
   }
 }
--- a/src/main/java/org/magnoliavale/internal/gateway/LimitExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/LimitExchange.java
@@ -15,7 +15,7 @@
  *
  * @param limits the limits that this instance knows
  */
-record LimitExchange(EndpointLimits limits) {
+record LimitExchange(EndpointLimits limits) implements HeartbeatPart {
   /** Longest time since a statement that is believed; it also bounds what a peer may send. */
   private static final long MAXIMUM_AGE_MS = TimeUnit.DAYS.toMillis(1);
 
@@ -23,7 +23,8 @@
   private static final double MAXIMUM_RATE = 1_000_000_000;
 
   /** Adds what endpoints have said to this instance, and how much it would send to them. */
-  void addTo(Heartbeat.Builder heartbeat, long nowNanos) {
+  @Override
+  public void addTo(Heartbeat.Builder heartbeat, long nowNanos) {
     for (EndpointLimits.Statement statement : limits.statements(nowNanos)) {
       heartbeat
           .addLimitsBuilder()
@@ -39,8 +40,8 @@
     }
   }
 
-  /** Applies a peer's heartbeat; values that make no sense are ignored. */
-  void apply(String peer, Heartbeat heartbeat, long nowNanos) {
+  @Override
+  public void apply(String peer, Heartbeat heartbeat, long nowNanos) {
     for (EndpointLimit limit : heartbeat.getLimitsList()) {
       if (isRate(limit.getRequestsPerSecond()) && isAge(limit.getAgeMs())) {
         limits.learn(toStatement(limit), nowNanos);
--- a/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.magnoliavale.internal.call.ArtifactDemand;
@@ -55,6 +56,7 @@
   private final EndpointPool endpoints;
   private final EndpointDepartures departures;
   private final LimitExchange limits;
+  private final List<HeartbeatPart> parts = new CopyOnWriteArrayList<>();
   private final LongSupplier nanoClock;
   private ResidencyChangeLog changeLog = new ResidencyChangeLog();
   private Runnable residencyChanged = () -> {};
@@ -98,6 +100,11 @@
     demandChanged = onDemandChanged;
   }
 
+  /** Adds a further part to heartbeats; must be called before the links start. */
+  void add(HeartbeatPart part) {
+    parts.add(part);
+  }
+
   /** Returns whether a heartbeat from the lease holder has arrived recently. */
   boolean isLeaseHolderAlive() {
     long lastHeartbeat = lastHolderHeartbeatNanos;
@@ -152,6 +159,7 @@
           .setHeartbeat(departure.lastHeartbeat());
     }
     limits.addTo(heartbeat, nanoClock.getAsLong());
+    parts.forEach(part -> part.addTo(heartbeat, nanoClock.getAsLong()));
     localUsage()
         .forEach(
             (artifact, use) ->
@@ -188,6 +196,7 @@
     recordLeaseHolder(instance, heartbeat, now);
     applyDepartures(heartbeat, now);
     limits.apply(instance, heartbeat, now);
+    parts.forEach(part -> part.apply(instance, heartbeat, now));
     Map<Artifact, ArtifactUse> uses = new HashMap<>();
     boolean hasWaiting = false;
     for (var use : heartbeat.getUsesList()) {
--- a/src/main/java/org/magnoliavale/internal/ini/CheckedSection.java
+++ b/src/main/java/org/magnoliavale/internal/ini/CheckedSection.java
@@ -26,10 +26,15 @@
         .entry(key)
         .map(IniEntry::value)
         .filter(value -> keyDefinition.type().validationError(value) == null)
+        .filter(value -> !isDefault(keyDefinition.type(), value))
         .or(keyDefinition::optionalDefault)
         .orElse("");
   }
 
+  private static boolean isDefault(ValueType type, String value) {
+    return type instanceof ValueType.OrDefault && value.isEmpty();
+  }
+
   /** Returns a whole number, or 0 if the key has neither a valid value nor a default. */
   public long number(String key) {
     String text = text(key);
--- a/src/main/java/org/magnoliavale/internal/ini/ValueType.java
+++ b/src/main/java/org/magnoliavale/internal/ini/ValueType.java
@@ -33,6 +33,9 @@
   /** A text that matches a pattern. */
   record Text(String expectation, Pattern pattern) implements ValueType {}
 
+  /** A value, or nothing, which stands for the key's default. */
+  record OrDefault(ValueType type) implements ValueType {}
+
   /** Returns null if {@code value} is valid, otherwise an error message. */
   default String validationError(String value) {
     boolean valid =
@@ -46,6 +49,7 @@
           case Addresses() -> Values.split(value).stream().allMatch(Values::isAddress);
           case Choice(List<String> words) -> words.contains(value);
           case Text(String ignored, Pattern pattern) -> pattern.matcher(value).matches();
+          case OrDefault(ValueType type) -> value.isEmpty() || type.validationError(value) == null;
         };
     return valid ? null : "expected " + expectation() + ", but was '" + value + "'";
   }
@@ -63,6 +67,7 @@
       case Addresses() -> "numeric addresses and ports separated by commas";
       case Choice(List<String> words) -> "one of " + String.join(", ", words);
       case Text(String expectation, Pattern ignored) -> expectation;
+      case OrDefault(ValueType type) -> type.expectation() + ", or nothing for the default";
     };
   }
 
--- a/src/main/java/org/magnoliavale/internal/limit/EndpointLimit.java
+++ b/src/main/java/org/magnoliavale/internal/limit/EndpointLimit.java
@@ -1,5 +1,6 @@
 package org.magnoliavale.internal.limit;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -13,13 +14,18 @@
   /** Share of a limit that is parted evenly, so that instances without demand can start. */
   private static final double EVEN_SHARE = 0.1;
 
+  private static final Duration DEMAND_MEAN_AGE = Duration.ofSeconds(2);
+
+  /** Time for which a share accrues. */
+  private static final double MAXIMUM_SAVED_SECONDS = 0.25;
+
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
   private static final long SHARE_VALIDITY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final String endpoint;
-  private final RequestRate wanted = new RequestRate();
+  private final DecayingRate wanted = new DecayingRate(DEMAND_MEAN_AGE);
   private final Map<String, Double> peerDemand = new HashMap<>();
-  private final SavedRequests saved;
+  private final TokenBucket saved;
   private OptionalDouble limit = OptionalDouble.empty();
   private long statedNanos;
   private boolean stated;
@@ -38,7 +44,7 @@
 
   EndpointLimit(String endpoint, long nowNanos) {
     this.endpoint = endpoint;
-    this.saved = new SavedRequests(nowNanos);
+    this.saved = new TokenBucket(nowNanos);
     this.announcedNanos = nowNanos;
     this.pausedUntilNanos = nowNanos;
   }
@@ -113,7 +119,7 @@
 
   /** Records that a call could be sent to the endpoint. */
   void recordWanted(long nowNanos) {
-    wanted.record(nowNanos);
+    wanted.record(1, nowNanos);
   }
 
   /** Records how much a peer would send. */
@@ -139,7 +145,11 @@
   /** Returns whether a request may be sent to the endpoint. */
   boolean allows(FleetView fleet, long nowNanos) {
     updateShare(fleet, nowNanos);
-    return !isPaused(nowNanos) && (!isInForce() || saved.isAvailable(nowNanos));
+    return !isPaused(nowNanos) && (!isInForce() || isRequestSaved(nowNanos));
+  }
+
+  private boolean isRequestSaved(long nowNanos) {
+    return saved.available(nowNanos) >= 1 && saved.perSecond() > 0;
   }
 
   private boolean isPaused(long nowNanos) {
@@ -162,7 +172,8 @@
     shareOutdated = false;
     shareNanos = nowNanos;
     announcedDemand(fleet, nowNanos);
-    saved.setRate(fleet.listed() ? share(fleet) : 0, nowNanos);
+    double share = fleet.listed() ? share(fleet) : 0;
+    saved.setRate(share, Math.max(1, share * MAXIMUM_SAVED_SECONDS), nowNanos);
   }
 
   private double share(FleetView fleet) {
@@ -188,21 +199,21 @@
   /** Takes a request that is allowed. */
   void take() {
     if (isInForce()) {
-      saved.take();
+      saved.take(1);
     }
   }
 
   /** Takes a request back that has not been sent. */
   void giveBack() {
     if (isInForce()) {
-      saved.giveBack();
+      saved.giveBack(1);
     }
   }
 
   /** Returns the time until this instance, or else any one, may send a request. */
   double secondsToNext(long nowNanos) {
     double pauseSeconds = Math.max(0, pausedUntilNanos - nowNanos) / NANOS_PER_SECOND;
-    double limitSeconds = isInForce() ? Math.min(saved.secondsToNext(), 1 / rate(limit)) : 0;
+    double limitSeconds = isInForce() ? Math.min(saved.secondsTo(1), 1 / rate(limit)) : 0;
     return Math.max(pauseSeconds, limitSeconds);
   }
 }
--- a/src/main/java/org/magnoliavale/internal/limit/FleetView.java
+++ b/src/main/java/org/magnoliavale/internal/limit/FleetView.java
@@ -3,7 +3,7 @@
 import java.util.Set;
 
 /**
- * The instances that share endpoints, as one of them sees them.
+ * The instances that share endpoints and quotas, as one of them sees them.
  *
  * @param self name of this instance
  * @param peers names of the other instances that it hears
@@ -24,7 +24,7 @@
   }
 
   /** Returns the number of instances, including this one. */
-  int size() {
+  public int size() {
     return 1 + peers.size() + silentInstances;
   }
 }
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -109,7 +109,7 @@
 
   /**
    * Removes what an instance said of its last reads if it may have failed to read since, and adds
-   * the heartbeat's age to that of what it said of limits.
+   * the heartbeat's age to that of what it said of limits and tenants.
    */
   private static Heartbeat aged(Heartbeat heartbeat, long ageMs) {
     if (ageMs == 0) {
@@ -119,6 +119,7 @@
     if (ageMs > MAXIMUM_READ_STATE_AGE_MS) {
       aged.clearDirectoryReadMs();
     }
+    aged.getTenantUsesBuilderList().forEach(use -> use.setAgeMs(agedMs(use.getAgeMs(), ageMs)));
     aged.getLimitsBuilderList().forEach(limit -> limit.setAgeMs(agedMs(limit.getAgeMs(), ageMs)));
     return aged.build();
   }
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
@@ -9,16 +9,17 @@
 import org.magnoliavale.internal.link.protocol.DepartedEndpoint;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.link.protocol.RelayedHeartbeat;
+import org.magnoliavale.internal.link.protocol.TenantUse;
 
 /**
  * The newest heartbeat of each instance, and which of them are still to be sent on each link. Does
  * no I/O and reads no clock; not thread-safe.
  *
  * <p>A heartbeat that matters at once (of a lease holder or a leaving instance, with crash records,
- * or with endpoints that have left since the last one) is passed on as soon as possible; any other
- * one is passed on now and then, so that the receiver knows that its sender lives. A heartbeat's
- * age travels with it, and no instance passes on one that has expired, so a failed instance
- * disappears everywhere.
+ * with urgent uses of tenants, or with endpoints that have left since the last one) is passed on as
+ * soon as possible; any other one is passed on now and then, so that the receiver knows that its
+ * sender lives. A heartbeat's age travels with it, and no instance passes on one that has expired,
+ * so a failed instance disappears everywhere.
  */
 final class HeartbeatRelay {
   /** Age at which a heartbeat is dropped. */
@@ -94,7 +95,8 @@
     return heartbeat.getGivesOrders()
         || heartbeat.getLeaving()
         || heartbeat.getCrashesCount() > 0
-        || heartbeat.getChangesCount() > 0;
+        || heartbeat.getChangesCount() > 0
+        || heartbeat.getTenantUsesList().stream().anyMatch(TenantUse::getUrgent);
   }
 
   /** Returns whether the heartbeat of an instance arrived from that instance itself. */
--- a/src/test/java/org/magnoliavale/ArchitectureTest.java
+++ b/src/test/java/org/magnoliavale/ArchitectureTest.java
@@ -29,6 +29,7 @@
             INTERNAL + "directory..",
             INTERNAL + "dispatch..",
             INTERNAL + "limit..",
+            INTERNAL + "quota..",
             INTERNAL + "residency..")
         .should()
         .dependOnClassesThat()
@@ -55,6 +56,7 @@
             INTERNAL + "directory..",
             INTERNAL + "dispatch..",
             INTERNAL + "limit..",
+            INTERNAL + "quota..",
             INTERNAL + "call..",
             INTERNAL + "residency..")
         .or()
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -25,6 +25,7 @@
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.metrics.UnexpectedFailures;
+import org.magnoliavale.internal.quota.QuotaBounds;
 import org.magnoliavale.internal.residency.EndpointCommand;
 import org.magnoliavale.internal.residency.EndpointCommandResult;
 import org.magnoliavale.internal.residency.EndpointControl;
@@ -123,6 +124,7 @@
         RETRY_BUDGET,
         second.multipliedBy(10),
         second.multipliedBy(5),
+        new QuotaBounds(second.multipliedBy(8), 0.1, 0),
         "warn");
   }
 
