--- a/src/main/java/org/magnoliavale/internal/gateway/QuotaKeeper.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/QuotaKeeper.java
@@ -26,7 +26,12 @@
   static QuotaKeeper create(
       LongFunction<FleetView> fleet, Supplier<RouteTable> routes, QuotaBounds bounds) {
     return new QuotaKeeper(
-        new TenantQuotas(fleet, () -> tenants(routes.get()), bounds, System.nanoTime()),
+        new TenantQuotas(
+            fleet,
+            () -> tenants(routes.get()),
+            bounds,
+            System.currentTimeMillis(),
+            System.nanoTime()),
         System::nanoTime);
   }
 
--- a/src/main/java/org/magnoliavale/internal/quota/FleetContact.java
+++ b/src/main/java/org/magnoliavale/internal/quota/FleetContact.java
@@ -1,6 +1,8 @@
 package org.magnoliavale.internal.quota;
 
+import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -24,14 +26,23 @@
   private static final long MESH_NEWS_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final long startNanos;
+  private final long startMs;
+  private final long windowMs;
+  private final Set<String> knownUses = new HashSet<>();
   private final Map<String, Long> heardNanos = new HashMap<>();
   private FleetView view = new FleetView("", Set.of(), 0, false, 0);
-  private int heardSinceStart;
   private boolean inTouch;
   private long toldNanos;
   private long knownToldNanos;
 
-  FleetContact(long nowNanos) {
+  /**
+   * Returns contact to nobody yet.
+   *
+   * @param startMs wall clock at the start of this instance, in Unix milliseconds
+   */
+  FleetContact(Duration window, long startMs, long nowNanos) {
+    windowMs = window.toMillis();
+    this.startMs = startMs;
     startNanos = nowNanos;
     toldNanos = nowNanos;
     knownToldNanos = nowNanos;
@@ -40,7 +51,6 @@
   void update(FleetView newView, long nowNanos) {
     view = newView;
     heardNanos.keySet().retainAll(view.peers());
-    heardSinceStart = Math.max(heardSinceStart, heardNanos.size());
     long lateNanos = (long) (LATE_NEWS * view.newsNanos());
     inTouch =
         view.listed()
@@ -49,8 +59,16 @@
             && heardNanos.values().stream().allMatch(heard -> nowNanos - heard <= lateNanos);
   }
 
-  /** Records a heartbeat of a peer; returns when it sent the one before. */
-  long heard(String peer, long saidNanos) {
+  /**
+   * Records a heartbeat of a peer; returns when it sent the one before.
+   *
+   * @param peerStartMs wall clock at the start of the peer, in Unix milliseconds
+   */
+  long heard(String peer, long peerStartMs, long saidNanos) {
+    // A peer that has not run for a window before this instance knows no more of that time.
+    if (peerStartMs <= startMs - windowMs) {
+      knownUses.add(peer);
+    }
     Long last = heardNanos.put(peer, saidNanos);
     return last == null ? saidNanos : last;
   }
@@ -77,7 +95,7 @@
   double unknownPart(QuotaBounds bounds, long nowNanos) {
     double runningSeconds = (nowNanos - startNanos) / (double) TimeUnit.SECONDS.toNanos(1);
     double before = Math.clamp(1 - runningSeconds / bounds.windowSeconds(), 0, 1);
-    return before * Math.max(0, view.size() - heardSinceStart) / view.size();
+    return before * Math.max(0, view.size() - knownUses.size()) / view.size();
   }
 
   Set<String> peers() {
--- a/src/main/java/org/magnoliavale/internal/quota/TenantQuota.java
+++ b/src/main/java/org/magnoliavale/internal/quota/TenantQuota.java
@@ -36,14 +36,11 @@
    */
   private static final double LIGHT_ALLOWANCE = 0.5;
 
-  /** Part of a window's units that is used, since news is on its way: in a mesh. */
-  private static final double MESH_PART = 0.98;
-
-  /** The same where heartbeats are relayed, and increases are known less exactly. */
-  private static final double RELAYED_PART = 0.96;
+  /** Part of a window's units that is used, since news is on its way. */
+  private static final double KEPT_PART = 0.98;
 
   /** Part of a window's units that is left if few are used. */
-  private static final double LIGHT_PART = 0.15;
+  private static final double LIGHT_PART = 0.1;
 
   /** Part of its allowance after whose use an instance tells its peers at once. */
   private static final double URGENT_PART = 0.5;
@@ -51,6 +48,9 @@
   /** Part of the quota's rate by which the demand must change for peers to be told at once. */
   private static final double URGENT_CHANGE = 0.1;
 
+  /** Longest time before a peer's heartbeat in which its latest use is counted. */
+  private static final long RECENT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private final QuotaBounds bounds;
@@ -118,7 +118,7 @@
   boolean take(double units, FleetContact fleet, long nowNanos) {
     double left = left(fleet, nowNanos);
     double unheard = unheard(fleet, nowNanos);
-    boolean light = fleet.isInTouch() && left > LIGHT_PART * mostInWindow(fleet);
+    boolean light = fleet.isInTouch() && left > LIGHT_PART * mostInWindow();
     double shared = share * (left + unheard);
     double allowance = light ? Math.max(shared, LIGHT_ALLOWANCE * left) : shared;
     urgent |= unheard + units > URGENT_PART * shared;
@@ -148,12 +148,12 @@
   }
 
   private double left(FleetContact fleet, long nowNanos) {
-    double earlier = bounds.regularUnits(quota) * fleet.unknownPart(bounds, nowNanos);
-    return Math.max(0, mostInWindow(fleet) - earlier - fleetUse.total(nowNanos));
+    double earlier = mostInWindow() * fleet.unknownPart(bounds, nowNanos);
+    return Math.max(0, mostInWindow() - earlier - fleetUse.total(nowNanos));
   }
 
-  private double mostInWindow(FleetContact fleet) {
-    return bounds.unitsInWindow(quota) * (fleet.isMesh() ? MESH_PART : RELAYED_PART);
+  private double mostInWindow() {
+    return bounds.unitsInWindow(quota) * KEPT_PART;
   }
 
   /** Returns what this instance has used and not all peers know of. */
@@ -165,7 +165,7 @@
   Duration timeToNext(double units, FleetContact fleet, long nowNanos) {
     double rate = Math.max(share, FleetContact.UNLISTED_SHARE) * quota.perSecond();
     double debtSeconds = -bucket.available(nowNanos) / rate;
-    double limit = mostInWindow(fleet) - units;
+    double limit = mostInWindow() - units;
     double windowSeconds = fleetUse.timeUntil(limit, nowNanos).toNanos() / NANOS_PER_SECOND;
     double unitSeconds = units / quota.perSecond();
     double seconds = Math.max(unitSeconds, Math.max(debtSeconds, windowSeconds));
@@ -175,25 +175,24 @@
   /**
    * Applies what a peer has said.
    *
-   * @param sinceNanos when it spoke before
+   * @param sinceNanos when it spoke before; {@code saidNanos} if this is the first time
    */
   void learn(
-      String peer, TenantUse use, long runId, long sinceNanos, long saidNanos, long nowNanos) {
+      String peer, TenantUse use, long startMs, long sinceNanos, long saidNanos, long nowNanos) {
     PeerUse last = peers.get(peer);
-    if (last == null) {
-      long windowStart = saidNanos - bounds.window().toNanos();
-      fleetUse.addEvenly(use.recent(), windowStart, saidNanos, nowNanos);
-    } else {
-      double increase = last.increase(runId, use.used(), use.recent());
-      long middleNanos = sinceNanos + (saidNanos - sinceNanos) / 2;
-      fleetUse.addEvenly(increase, middleNanos, saidNanos, nowNanos);
-    }
-    peers.put(peer, new PeerUse(runId, use.demand(), use.used()));
+    double increase =
+        last == null ? use.recent() : last.increase(startMs, use.used(), use.recent());
+    // Rather counted too long than too short: a peer speaks at once after a jump.
+    long betweenNanos = Math.min((saidNanos - sinceNanos) / 2, RECENT_NANOS);
+    boolean first = sinceNanos == saidNanos;
+    long fromNanos = saidNanos - (first ? bounds.window().toNanos() : betweenNanos);
+    fleetUse.addEvenly(increase, fromNanos, saidNanos, nowNanos);
+    peers.put(peer, new PeerUse(startMs, use.demand(), use.used()));
   }
 
   /** Applies that a peer has said nothing of this tenant. */
   void learnNoDemand(String peer) {
-    peers.computeIfPresent(peer, (id, last) -> new PeerUse(last.runId(), 0, last.used()));
+    peers.computeIfPresent(peer, (id, last) -> new PeerUse(last.startMs(), 0, last.used()));
   }
 
   /** Returns whether peers should be told at once. */
--- a/src/main/java/org/magnoliavale/internal/quota/TenantQuotas.java
+++ b/src/main/java/org/magnoliavale/internal/quota/TenantQuotas.java
@@ -71,16 +71,18 @@
    *
    * @param fleet the instances that share the quotas, at a time
    * @param tenants the tenants of the present configuration
+   * @param startMs wall clock at the start of this instance, in Unix milliseconds
    */
   public TenantQuotas(
       LongFunction<FleetView> fleet,
       Supplier<TenantTable> tenants,
       QuotaBounds bounds,
+      long startMs,
       long nowNanos) {
     this.fleet = fleet;
     this.tenants = tenants;
     this.bounds = bounds;
-    contact = new FleetContact(nowNanos);
+    contact = new FleetContact(bounds.window(), startMs, nowNanos);
     updatedNanos = nowNanos;
     lastUrgentNanos = nowNanos - URGENT_INTERVAL_NANOS;
   }
@@ -145,6 +147,9 @@
     outdated = false;
     updatedNanos = nowNanos;
     configure(tenants.get(), nowNanos);
+    if (quotas.isEmpty()) {
+      return;
+    }
     contact.update(fleet.apply(nowNanos), nowNanos);
     quotas.values().forEach(quota -> quota.updateShare(contact, nowNanos));
   }
@@ -214,13 +219,16 @@
   /**
    * Applies what a peer has said.
    *
-   * @param runId changes when the peer starts again
+   * @param startMs wall clock at the peer's start, in Unix milliseconds
    * @param saidNanos when it said so
    */
   public synchronized void learn(
-      String peer, long runId, Collection<TenantUse> uses, long saidNanos, long nowNanos) {
+      String peer, long startMs, Collection<TenantUse> uses, long saidNanos, long nowNanos) {
     update(nowNanos);
-    long sinceNanos = contact.heard(peer, saidNanos);
+    if (quotas.isEmpty()) {
+      return;
+    }
+    long sinceNanos = contact.heard(peer, startMs, saidNanos);
     Map<TenantId, TenantUse> byTenant = new HashMap<>();
     uses.stream().limit(MAXIMUM_TOLD).forEach(use -> byTenant.put(use.tenant(), use));
     quotas.forEach(
@@ -229,7 +237,7 @@
           if (use == null) {
             quota.learnNoDemand(peer);
           } else {
-            quota.learn(peer, use, runId, sinceNanos, saidNanos, nowNanos);
+            quota.learn(peer, use, startMs, sinceNanos, saidNanos, nowNanos);
           }
         });
   }
--- a/src/test/java/org/magnoliavale/internal/quota/SimulatedQuotaFleet.java
+++ b/src/test/java/org/magnoliavale/internal/quota/SimulatedQuotaFleet.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -52,7 +54,7 @@
     private TenantQuotas quotas;
     private FleetView view;
     private long viewMs;
-    private long runId;
+    private long startMs;
     private long relayedMs = -REFRESH_MS;
     private long deafUntilMs;
     private int side;
@@ -65,10 +67,10 @@
     }
 
     private void start() {
-      runId++;
-      java.util.Arrays.fill(heardMs, -EXPIRY_MS - 1);
+      startMs = nowMs;
+      Arrays.fill(heardMs, -EXPIRY_MS - 1);
       viewMs = -1;
-      quotas = new TenantQuotas(ignored -> view(), () -> table, BOUNDS, nanos());
+      quotas = new TenantQuotas(ignored -> view(), () -> table, BOUNDS, nowMs, nanos());
     }
 
     private FleetView view() {
@@ -101,7 +103,7 @@
       TenantQuotas.Announcement announcement = quotas.announce(nanos());
       heartbeats++;
       long saidNanos = nanos();
-      long id = runId;
+      long id = startMs;
       long delayMs = LINK_MS;
       if (heardMs.length > MESH) {
         if (!announcement.atOnce() && nowMs - relayedMs < REFRESH_MS) {
@@ -225,7 +227,7 @@
   void moveCallers(int count) {
     List<Integer> all = new ArrayList<>();
     instances.forEach(instance -> all.add(instance.number));
-    java.util.Collections.shuffle(all, random);
+    Collections.shuffle(all, random);
     callersAt = all.subList(0, Math.min(count, all.size()));
   }
 
