Merge the quotas of tenants

A call's entry takes what the call counts for from its tenant's quota; a call that is over it gets 429 with the time until the quota has room.

--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -15,7 +15,6 @@
 import org.magnoliavale.internal.call.CrashDetector;
 import org.magnoliavale.internal.call.EndpointProbe;
 import org.magnoliavale.internal.call.GracefulDrain;
-import org.magnoliavale.internal.call.QuotaCheck;
 import org.magnoliavale.internal.call.ResponseMemory;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.DirectoryEntry;
@@ -77,6 +76,7 @@
   private final EndpointPool endpoints;
   private final DirectoryReads directory;
   private final CallRegistry calls;
+  private final QuotaKeeper quotas;
   private final PeerStateExchange peerState;
   private final InstanceRegistry registry;
   private final PeerLinks links;
@@ -117,6 +117,7 @@
     crashDetector = new CrashDetector(crashes, createProbe());
     ArtifactDemand demand = new ArtifactDemand(this::announceDemand);
     FleetDemand fleetDemand = new FleetDemand();
+    quotas = QuotaKeeper.create(this::fleet, configuration::routes, settings.quotaBounds());
     calls = new CallRegistry(createCallContext(demand), ThreadLocalRandom.current());
     peerState =
         new PeerStateExchange(
@@ -129,7 +130,13 @@
             departures,
             limits,
             System::nanoTime);
-    lease = createLease(incarnation);
+    lease =
+        CommandLeaseManager.of(
+            incarnation,
+            settings.leaseDuration(),
+            adapters.table(),
+            peerState::isLeaseHolderAlive,
+            failures);
     residency = createResidencyController(fleetDemand);
     directory = createDirectoryReads();
     links = createLinks(incarnation);
@@ -157,15 +164,6 @@
         settings.instanceId(), membership.peers(nowNanos), registry.lastInstances());
   }
 
-  private CommandLeaseManager createLease(String incarnation) {
-    return CommandLeaseManager.of(
-        incarnation,
-        settings.leaseDuration(),
-        adapters.table(),
-        peerState::isLeaseHolderAlive,
-        failures);
-  }
-
   private PeerLinks createLinks(String incarnation) {
     return new PeerLinks(
         settings.peers(),
@@ -187,7 +185,7 @@
         crashDetector,
         configuration::routes,
         keyExchange.keys(),
-        QuotaCheck.unlimited(),
+        quotas,
         ResponseMemory.ofHeap(),
         new CallMetrics(metrics),
         System::nanoTime);
@@ -212,7 +210,10 @@
     return new DirectoryReads(
         adapters.directory(),
         departures,
-        new DirectoryPace(lease::isHeld, residency::isAwaitingEndpoints, this::isLargeFleet),
+        new DirectoryPace(
+            lease::isHeld,
+            residency::isAwaitingEndpoints,
+            () -> !PeerLinks.isMesh(liveInstanceCount())),
         lease::isHeld,
         configuration::routes,
         this::directoryChanged,
@@ -250,10 +251,6 @@
     return membership.instanceCount(System.nanoTime());
   }
 
-  private boolean isLargeFleet() {
-    return !PeerLinks.isMesh(liveInstanceCount());
-  }
-
   private boolean isReady() {
     return configuration.routes() != null && directory.isLoaded() && !stopping;
   }
@@ -280,6 +277,7 @@
   @Override
   public void start() {
     registerMetrics();
+    quotas.start(new InstanceGauges(metrics.registry()), peerState);
     peerState.add(keyExchange);
     peerState.add(directory);
     clients.start();
@@ -336,7 +334,10 @@
     directory.checkDue();
     failures.contain("Local state could not be applied.", peerState::applyLocalState);
     onDemandChanged();
-    if (lease.consumeSurrendered() | statements.takeNews() | peerState.hasLoadNews()) {
+    if (lease.consumeSurrendered()
+        | statements.takeNews()
+        | peerState.hasLoadNews()
+        | quotas.takeNews()) {
       links.sendHeartbeatsNow();
     }
   }
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.function.IntSupplier;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
+import org.magnoliavale.internal.quota.QuotaBounds;
 import org.magnoliavale.internal.settings.PeerSettings;
 import org.magnoliavale.internal.tenant.TenantSettings;
 
@@ -24,6 +25,7 @@
  * @param retryWindow window in which requests and retries are counted
  * @param loadLimitWindow window in which the weight store's load limit applies
  * @param tenants settings of the check of callers' keys
+ * @param quotaBounds how exactly the quotas of tenants must be kept
  * @param logLevel least severe log level that is written
  */
 public record GatewaySettings(
@@ -41,6 +43,7 @@
     Duration retryWindow,
     Duration loadLimitWindow,
     TenantSettings tenants,
+    QuotaBounds quotaBounds,
     String logLevel) {
   /** Returns settings that state nothing of callers' keys. */
   public GatewaySettings(
@@ -73,6 +76,7 @@
         retryWindow,
         loadLimitWindow,
         TenantSettings.none(),
+        QuotaBounds.ofDefaults(),
         logLevel);
   }
 
