--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPoller.java
@@ -126,7 +126,10 @@
   /** Begins the next read if it is due by now, because the pace has changed since the last one. */
   void checkDue() {
     long now = nanoClock.getAsLong();
-    if (now - readStartNanos >= TimeUnit.MILLISECONDS.toNanos(pace.intervalMs(now))) {
+    long sinceReadMs = TimeUnit.NANOSECONDS.toMillis(now - readStartNanos);
+    // The shorter intervals of a holder are waited for as they are; only the longest one may
+    // change.
+    if (sinceReadMs >= DirectoryPace.OWN_INTERVAL_MS && sinceReadMs >= pace.intervalMs(now)) {
       wakeUps.release();
     }
   }
