Wait longer for the configuration in large fleets

Each instance waits for changes of the configuration with requests of 2 s, half a request a second that mostly ends without a change. Beyond 12 instances it now waits 8 s while peers state their versions (not with strict-revoke), and relies on them for a change that its own wait misses: a newly applied version is announced at once, relays pass it on at once, and who hears of a higher version reads the whole configuration, again each 300 ms until it has it, each 2 s after five reads that changed nothing. During a long wait it also reads each 2 s if peers are silent for 2.5 s (rather than 3 s, so that the read ends within the bound of 3,000 ms), or if the store comes back from a copy, since the wait may then miss changes.

The control client's idle timeout of 4 s would have cut such a wait: requests with longer timeouts have an idle timeout of their own.

Failing first, on the code before: HeartbeatRelayTest.sendsANewerConfiguration- AtOnceAndRepeatsItSlowly (a newer version waited up to 2 s on each link), HeartbeatExchangeTest.tellsEveryInstanceOfANewerConfigurationAtOnce (instances still knew the old version), JsonClientTest.isAwaitedUntilTheTimeoutOfItsRequest (outcome unknown after the idle timeout). The other tests are of new classes.

Not bounded: the waiting connections of all instances fall silent at once; see docs/design/cost-of-an-instance.md. No fleet was run with this change, so the saving (0.5 to 0.125 requests a second and instance) is computed.

--- a/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPoller.java
@@ -1,7 +1,9 @@
 package org.magnoliavale.internal.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.route.ConfigurationPollResult;
@@ -10,7 +12,7 @@
 
 /**
  * Polls the configuration source on a virtual thread of its own and publishes the newest version.
- * Versions older than the current one are ignored.
+ * Versions older than the current one are ignored. Further threads may read at the same time.
  */
 final class ConfigurationPoller {
   private static final Logger LOG = Logs.of("instance");
@@ -19,6 +21,7 @@
 
   private final ConfigurationSource source;
   private final ConfigurationListener listener;
+  private final Supplier<Optional<Duration>> waits;
   private volatile RouteTable routes;
   private volatile boolean stopped;
 
@@ -27,8 +30,21 @@
   }
 
   ConfigurationPoller(ConfigurationSource source, ConfigurationListener listener) {
+    this(source, listener, Optional::empty);
+  }
+
+  /**
+   * Creates a poller.
+   *
+   * @param waits returns how long the next poll waits, or nothing for the usual wait of the source
+   */
+  ConfigurationPoller(
+      ConfigurationSource source,
+      ConfigurationListener listener,
+      Supplier<Optional<Duration>> waits) {
     this.source = source;
     this.listener = listener;
+    this.waits = waits;
   }
 
   /** Returns the current configuration, or null before the first one was read. */
@@ -76,8 +92,27 @@
 
   /** Polls the source and applies a newer configuration. */
   ConfigurationPollResult pollOnce() {
+    return applyFrom(this::pollSource);
+  }
+
+  /** Reads the source without waiting and applies a newer configuration. */
+  ConfigurationPollResult readOnce() {
+    return applyFrom(source::read);
+  }
+
+  /** Returns whether a poll that goes on may no longer end with the next change. */
+  boolean isWaitVoid() {
+    return source.isWaitVoid();
+  }
+
+  private ConfigurationPollResult pollSource() {
+    Optional<Duration> wait = waits.get();
+    return wait.isPresent() ? source.poll(wait.get()) : source.poll();
+  }
+
+  private ConfigurationPollResult applyFrom(Supplier<ConfigurationPollResult> request) {
     try {
-      ConfigurationPollResult result = source.poll();
+      ConfigurationPollResult result = request.get();
       switch (result) {
         case ConfigurationPollResult.Found(RouteTable newRoutes) -> {
           install(newRoutes);
@@ -93,7 +128,7 @@
     }
   }
 
-  private void install(RouteTable newRoutes) {
+  private synchronized void install(RouteTable newRoutes) {
     RouteTable current = routes;
     if (current != null && newRoutes.version() <= current.version()) {
       return;
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -86,8 +86,7 @@
   private final CrashDetector crashDetector;
   private final GatewayHandler callerHandler;
   private final GatewayServers servers;
-  private final ConfigurationPoller configuration;
-  private final KeyExchange keyExchange;
+  private final ConfigurationReads configuration;
   private final TickLoop ticks =
       new TickLoop(
           "tick",
@@ -107,8 +106,8 @@
     String incarnation = settings.instanceId() + "/" + UUID.randomUUID().toString().substring(0, 8);
     adapters =
         factory.create(clients.control(), settings, this::heardByControl).containing(failures);
-    keyExchange = KeyExchange.of(settings, this::announceLocalState, System::nanoTime);
-    configuration = new ConfigurationPoller(adapters.configuration(), keyExchange);
+    configuration =
+        ConfigurationReads.of(settings, adapters, this::isLargeFleet, this::announceLocalState);
     membership = new Membership(PEER_EXPIRY);
     registry = createRegistry();
     endpoints =
@@ -187,7 +186,7 @@
         demand,
         crashDetector,
         configuration::routes,
-        keyExchange.keys(),
+        configuration.keys(),
         QuotaCheck.unlimited(),
         ResponseMemory.ofHeap(),
         new CallMetrics(metrics),
@@ -281,7 +280,7 @@
   @Override
   public void start() {
     registerMetrics();
-    peerState.add(keyExchange);
+    peerState.add(configuration);
     peerState.add(directory);
     clients.start();
     servers.start();
@@ -335,6 +334,7 @@
   private void tick() {
     calls.tick();
     directory.checkDue();
+    configuration.checkDue();
     failures.contain("Local state could not be applied.", peerState::applyLocalState);
     onDemandChanged();
     if (lease.consumeSurrendered() | statements.takeNews()) {
--- a/src/main/java/org/magnoliavale/internal/http/JsonClient.java
+++ b/src/main/java/org/magnoliavale/internal/http/JsonClient.java
@@ -70,13 +70,17 @@
     return client.newRequest("http://" + HttpAddresses.format(address) + path).method(method);
   }
 
-  private static JsonCallResult send(Request request, Duration timeout) {
+  private JsonCallResult send(Request request, Duration timeout) {
     // The HTTP client may lose a request whose connection is closed during interim responses.
     long limitMs = timeout.toMillis() + LOST_REQUEST_MARGIN_MS;
 
     AtomicBoolean sendStarted = new AtomicBoolean();
     request.onRequestBegin(ignored -> sendStarted.set(true));
     request.timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    if (timeout.toMillis() > client.getIdleTimeout()) {
+      // A response that the server holds back is no idle connection.
+      request.idleTimeout(limitMs, TimeUnit.MILLISECONDS);
+    }
     try {
       CompletableFuture<ContentResponse> pending = new CompletableResponseListener(request).send();
       ContentResponse response = pending.get(limitMs, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -89,6 +89,7 @@
   }
 
   private void receive(String origin, Heartbeat heartbeat, String peer, long ageMs) {
+    long versionBefore = relay.configurationVersion(origin);
     if (!relay.accept(origin, heartbeat, peer, ageMs, nanoClock.getAsLong())) {
       return;
     }
@@ -102,7 +103,8 @@
         HeartbeatRelay.mattersAtOnce(heartbeat)
             || isWaiting(heartbeat)
             || heartbeat.getDepartedEndpointsCount() > 0
-            || heartbeat.getRevokedKeysCount() > 0;
+            || heartbeat.getRevokedKeysCount() > 0
+            || heartbeat.getConfigurationVersion() > versionBefore;
     if (urgent && !topology.mesh()) {
       urgentListener.run();
     }
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
@@ -16,10 +16,10 @@
  * no I/O and reads no clock; not thread-safe.
  *
  * <p>A heartbeat that matters at once (of a lease holder or a leaving instance, with crash records,
- * or with endpoints that have left or callers' keys that were taken away since the last one) is
- * passed on as soon as possible; any other one is passed on now and then, so that the receiver
- * knows that its sender lives. A heartbeat's age travels with it, and no instance passes on one
- * that has expired, so a failed instance disappears everywhere.
+ * or with endpoints that have left, callers' keys that were taken away or a newer configuration
+ * since the last one) is passed on as soon as possible; any other one is passed on now and then, so
+ * that the receiver knows that its sender lives. A heartbeat's age travels with it, and no instance
+ * passes on one that has expired, so a failed instance disappears everywhere.
  */
 final class HeartbeatRelay {
   /** Age at which a heartbeat is dropped. */
@@ -49,6 +49,7 @@
       long number,
       List<DepartedEndpoint> departed,
       List<RevokedKey> revokedKeys,
+      long configurationVersion,
       long nanos) {}
 
   private final String self;
@@ -103,6 +104,12 @@
         || heartbeat.getChangesCount() > 0;
   }
 
+  /** Returns the configuration's version that an instance stated last; 0 if it is not known. */
+  long configurationVersion(String origin) {
+    Known known = newest.get(origin);
+    return known == null ? 0 : known.heartbeat().getConfigurationVersion();
+  }
+
   /** Returns whether the heartbeat of an instance arrived from that instance itself. */
   boolean isDirect(String origin) {
     Known known = newest.get(origin);
@@ -129,6 +136,7 @@
                     known.heartbeat().getNumber(),
                     known.heartbeat().getDepartedEndpointsList(),
                     known.heartbeat().getRevokedKeysList(),
+                    known.heartbeat().getConfigurationVersion(),
                     nowNanos));
           }
         });
@@ -148,6 +156,7 @@
         || mattersAtOnce(heartbeat)
         || !sent.departed().containsAll(heartbeat.getDepartedEndpointsList())
         || !sent.revokedKeys().containsAll(heartbeat.getRevokedKeysList())
+        || heartbeat.getConfigurationVersion() > sent.configurationVersion()
         || TimeUnit.NANOSECONDS.toMillis(nowNanos - sent.nanos()) >= REFRESH_INTERVAL_MS;
   }
 
--- a/src/main/java/org/magnoliavale/platform/StoreConfigurationSource.java
+++ b/src/main/java/org/magnoliavale/platform/StoreConfigurationSource.java
@@ -8,7 +8,7 @@
 
 /**
  * Reads the operator's configuration from the platform's store and waits for changes by long
- * polling. Used by one thread.
+ * polling. Polled by one thread; others may read at the same time.
  */
 final class StoreConfigurationSource implements ConfigurationSource {
   private static final String TABLE = "op";
@@ -18,7 +18,7 @@
   private final StoreClient store;
   private final Duration pollTimeout;
   private long seenVersion = UNKNOWN;
-  private long seenGeneration;
+  private volatile long seenGeneration;
 
   StoreConfigurationSource(StoreClient store, Duration pollTimeout) {
     this.store = store;
@@ -27,10 +27,26 @@
 
   @Override
   public ConfigurationPollResult poll() {
+    return poll(pollTimeout);
+  }
+
+  @Override
+  public ConfigurationPollResult read() {
+    return toPollResult(store.readAll(TABLE, KEY));
+  }
+
+  @Override
+  public boolean isWaitVoid() {
+    // Versions are given out again: the wait ends only once they pass the one that was seen.
+    return store.generation() > seenGeneration;
+  }
+
+  @Override
+  public ConfigurationPollResult poll(Duration wait) {
     if (seenVersion == UNKNOWN) {
       return apply(store.readAll(TABLE, KEY));
     }
-    StoreClient.Result changes = store.awaitChanges(TABLE, seenVersion, pollTimeout);
+    StoreClient.Result changes = store.awaitChanges(TABLE, seenVersion, wait);
     if (isComplete(changes)) {
       return apply(changes);
     }
@@ -52,12 +68,18 @@
   }
 
   private ConfigurationPollResult apply(StoreClient.Result result) {
+    if (result
+        instanceof
+        StoreClient.Result.Success(var ignoredRows, long newestVersion, long generation)) {
+      seenVersion = newestVersion;
+      seenGeneration = generation;
+    }
+    return toPollResult(result);
+  }
+
+  private static ConfigurationPollResult toPollResult(StoreClient.Result result) {
     return switch (result) {
-      case StoreClient.Result.Success(var rows, long newestVersion, long generation) -> {
-        seenVersion = newestVersion;
-        seenGeneration = generation;
-        yield toPollResult(rows);
-      }
+      case StoreClient.Result.Success success -> decode(success.rows());
       case StoreClient.Result.HistoryUnavailable() ->
           new ConfigurationPollResult.Unavailable("change history no longer available");
       case StoreClient.Result.Unavailable(String reason) ->
@@ -69,7 +91,7 @@
     };
   }
 
-  private static ConfigurationPollResult toPollResult(List<StoreClient.StoredRow> rows) {
+  private static ConfigurationPollResult decode(List<StoreClient.StoredRow> rows) {
     ConfigurationPollResult pollResult = new ConfigurationPollResult.Unchanged();
     for (StoreClient.StoredRow row : rows) {
       if (row.key().equals(KEY) && row.value() != null) {
--- a/src/test/java/org/magnoliavale/internal/http/JsonClientTest.java
+++ b/src/test/java/org/magnoliavale/internal/http/JsonClientTest.java
@@ -2,6 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -10,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -52,6 +59,46 @@
     }
   }
 
+  /** Guards against a wait for a change that ends with the idle timeout of the connection. */
+  @Nested
+  class ResponseThatTheServerHoldsBack {
+    private static final Duration IDLE_TIMEOUT = Duration.ofMillis(200);
+
+    private final HttpClient impatient = HttpClients.create("idle", 4, TIMEOUT, IDLE_TIMEOUT);
+
+    @BeforeEach
+    void start() {
+      HttpClients.start(impatient);
+    }
+
+    @AfterEach
+    void stop() {
+      HttpClients.stop(impatient);
+    }
+
+    @Test
+    void isAwaitedUntilTheTimeoutOfItsRequest() throws Exception {
+      try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        Thread.ofVirtual().start(() -> answerLate(server));
+        InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+        assertThat(JsonClient.of(impatient).get(address, "/x", LONG_TIMEOUT))
+            .isInstanceOf(JsonCallResult.Response.class);
+      }
+    }
+
+    private static void answerLate(ServerSocket server) {
+      try (Socket socket = server.accept()) {
+        Thread.sleep(IDLE_TIMEOUT.multipliedBy(4));
+        socket
+            .getOutputStream()
+            .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+        socket.getInputStream().read(new byte[1_000]);
+      } catch (IOException | InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+
   /** Guards against an answer that was reset while its request was sent and looks complete. */
   @Nested
   class ResponseThatIsResetWhileTheRequestIsSent {
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatExchangeTest.java
@@ -64,6 +64,20 @@
       }
     }
 
+    @Test
+    void tellsEveryInstanceOfANewerConfigurationAtOnce() {
+      links.all().forEach(instance -> instance.applyConfiguration(1));
+      links.run(SETTLING_MS);
+      SimulatedLinks.Instance first = follower();
+      first.applyConfiguration(2);
+      links.announce(first);
+      for (SimulatedLinks.Instance instance : links.all()) {
+        if (instance != first) {
+          assertThat(instance.newestKnownConfiguration()).isEqualTo(2);
+        }
+      }
+    }
+
     @Test
     void bringsTheDemandOfAllInstancesToTheLeaseHolder() {
       SimulatedLinks.Instance holder = follower();
--- a/src/test/java/org/magnoliavale/internal/link/HeartbeatRelayTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/HeartbeatRelayTest.java
@@ -147,6 +147,16 @@
       assertThat(pending("b", false, 600)).isEmpty();
     }
 
+    @Test
+    void sendsANewerConfigurationAtOnceAndRepeatsItSlowly() {
+      acceptDirect("a", heartbeat(1).setConfigurationVersion(4), 0);
+      pending("b", false, 0);
+      acceptDirect("a", heartbeat(2).setConfigurationVersion(5), 100);
+      assertThat(pending("b", false, 100)).hasSize(1);
+      acceptDirect("a", heartbeat(3).setConfigurationVersion(5), 600);
+      assertThat(pending("b", false, 600)).isEmpty();
+    }
+
     @Test
     void sendsDemandOnlyToThoseThatNeedIt() {
       ArtifactUse use = ArtifactUse.newBuilder().setArtifact("model").setWaiting(1).build();
--- a/src/test/java/org/magnoliavale/internal/link/SimulatedLinks.java
+++ b/src/test/java/org/magnoliavale/internal/link/SimulatedLinks.java
@@ -33,6 +33,7 @@
     private boolean failed;
     private boolean leaseHolder;
     private boolean urgent;
+    private long configurationVersion;
     private long messages;
     private long bytes;
 
@@ -45,7 +46,10 @@
     @Override
     public Heartbeat heartbeat() {
       Heartbeat.Builder heartbeat =
-          Heartbeat.newBuilder().setGivesOrders(leaseHolder).setDirectoryReadMs(nowMs);
+          Heartbeat.newBuilder()
+              .setGivesOrders(leaseHolder)
+              .setDirectoryReadMs(nowMs)
+              .setConfigurationVersion(configurationVersion);
       heartbeat.addUsesBuilder().setArtifact("model-of-" + entry.id()).setRequestsPerSecond(1);
       return heartbeat.build();
     }
@@ -76,6 +80,15 @@
       leaseHolder = held;
     }
 
+    void applyConfiguration(long version) {
+      configurationVersion = version;
+    }
+
+    /** Returns the newest version of the configuration that any other instance applies. */
+    long newestKnownConfiguration() {
+      return heard.values().stream().mapToLong(Heartbeat::getConfigurationVersion).max().orElse(0);
+    }
+
     /** Returns the instances that this one heard of within the last {@code windowMs}. */
     Set<String> heardWithin(long windowMs) {
       Set<String> recent = new HashSet<>();
@@ -237,6 +250,12 @@
     }
   }
 
+  /** Lets an instance send a heartbeat between two intervals; no time passes. */
+  void announce(Instance instance) {
+    instance.sendHeartbeats();
+    relayUntilQuiet();
+  }
+
   private void relayUntilQuiet() {
     List<Instance> urgent = alive().stream().filter(instance -> instance.urgent).toList();
     while (!urgent.isEmpty()) {
--- a/src/test/java/org/magnoliavale/platform/StoreConfigurationSourceTest.java
+++ b/src/test/java/org/magnoliavale/platform/StoreConfigurationSourceTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliavale.internal.route.ConfigurationPollResult;
@@ -47,6 +48,31 @@
     assertThat(version(source.poll())).isEqualTo(2);
   }
 
+  @Test
+  void readFindsTheConfigurationAndLeavesTheChangeToThePoll() {
+    StoreConfigurationSource source = new StoreConfigurationSource(client, POLL_TIMEOUT);
+    write(configuration(1, "\"service\":\"s\""));
+    assertThat(version(source.poll())).isEqualTo(1);
+    write(SECOND);
+    assertThat(version(source.read())).isEqualTo(2);
+    assertThat(version(source.poll(TIMEOUT.dividedBy(2)))).isEqualTo(2);
+  }
+
+  /** Guards against a wait for a version that a restored store gives out again much later. */
+  @Test
+  void waitIsVoidOnceAnyAnswerNamesAnotherGeneration() {
+    StoreConfigurationSource source = new StoreConfigurationSource(client, POLL_TIMEOUT);
+    write(configuration(1, "\"service\":\"s\""));
+    StoreStandIn.Copy copy = store.copy();
+    assertThat(version(source.poll())).isEqualTo(1);
+    assertThat(source.isWaitVoid()).isFalse();
+    store.restore(copy);
+    client.readAll("servers", "");
+    assertThat(source.isWaitVoid()).isTrue();
+    source.poll();
+    assertThat(source.isWaitVoid()).isFalse();
+  }
+
   /** Guards against changes that are missed when the store gives versions out again. */
   @ParameterizedTest
   @ValueSource(ints = {0, 1, 2, 3, 10})
