--- a/src/main/java/org/magnoliavale/internal/gateway/EndpointPools.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/EndpointPools.java
@@ -20,7 +20,7 @@
       IntSupplier instances,
       EndpointDepartures departures,
       EndpointLimits limits,
-      ConfigurationPoller configuration,
+      ConfigurationReads configuration,
       InstanceMetrics metrics) {
     Histogram errors = metrics.registry().histogram(FORECAST_ERROR);
     return new EndpointPool(
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -85,8 +85,7 @@
   private final CrashDetector crashDetector;
   private final GatewayHandler callerHandler;
   private final GatewayServers servers;
-  private final ConfigurationPoller configuration;
-  private final KeyExchange keyExchange;
+  private final ConfigurationReads configuration;
   private final TickLoop ticks =
       new TickLoop(
           "tick",
@@ -106,8 +105,8 @@
     String incarnation = settings.instanceId() + "/" + UUID.randomUUID().toString().substring(0, 8);
     adapters =
         factory.create(clients.control(), settings, this::heardByControl).containing(failures);
-    keyExchange = KeyExchange.of(settings, this::announceLocalState, System::nanoTime);
-    configuration = new ConfigurationPoller(adapters.configuration(), keyExchange);
+    configuration =
+        ConfigurationReads.of(settings, adapters, this::isLargeFleet, this::announceLocalState);
     membership = new Membership(PEER_EXPIRY);
     registry = createRegistry();
     endpoints =
@@ -184,7 +183,7 @@
         demand,
         crashDetector,
         configuration::routes,
-        keyExchange.keys(),
+        configuration.keys(),
         quotas,
         ResponseMemory.ofHeap(),
         new CallMetrics(metrics),
@@ -210,10 +209,7 @@
     return new DirectoryReads(
         adapters.directory(),
         departures,
-        new DirectoryPace(
-            lease::isHeld,
-            residency::isAwaitingEndpoints,
-            () -> !PeerLinks.isMesh(liveInstanceCount())),
+        new DirectoryPace(lease::isHeld, residency::isAwaitingEndpoints, this::isLargeFleet),
         lease::isHeld,
         configuration::routes,
         this::directoryChanged,
@@ -251,6 +247,10 @@
     return membership.instanceCount(System.nanoTime());
   }
 
+  private boolean isLargeFleet() {
+    return !PeerLinks.isMesh(liveInstanceCount());
+  }
+
   private boolean isReady() {
     return configuration.routes() != null && directory.isLoaded() && !stopping;
   }
@@ -278,7 +278,7 @@
   public void start() {
     registerMetrics();
     quotas.start(new InstanceGauges(metrics.registry()), peerState);
-    peerState.add(keyExchange);
+    peerState.add(configuration);
     peerState.add(directory);
     clients.start();
     servers.start();
@@ -332,6 +332,7 @@
   private void tick() {
     calls.tick();
     directory.checkDue();
+    configuration.checkDue();
     failures.contain("Local state could not be applied.", peerState::applyLocalState);
     onDemandChanged();
     if (lease.consumeSurrendered()
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
@@ -17,10 +17,11 @@
  * no I/O and reads no clock; not thread-safe.
  *
  * <p>A heartbeat that matters at once (of a lease holder or a leaving instance, with crash records,
- * with urgent uses of tenants, or with endpoints that have left or callers' keys that were taken
- * away since the last one) is passed on as soon as possible; any other one is passed on now and
- * then, so that the receiver knows that its sender lives. A heartbeat's age travels with it, and no
- * instance passes on one that has expired, so a failed instance disappears everywhere.
+ * with urgent uses of tenants, or with endpoints that have left, callers' keys that were taken away
+ * or a newer configuration since the last one) is passed on as soon as possible; any other one is
+ * passed on now and then, so that the receiver knows that its sender lives. A heartbeat's age
+ * travels with it, and no instance passes on one that has expired, so a failed instance disappears
+ * everywhere.
  *
  * <p>Loads of endpoints are passed on in the relay's own heartbeat, which has the newest of all
  * that it knows, and so in each interval; the heartbeats of others are passed on without them.
@@ -81,6 +82,7 @@
       long number,
       List<DepartedEndpoint> departed,
       List<RevokedKey> revokedKeys,
+      long configurationVersion,
       long nanos) {}
 
   private final String self;
@@ -136,6 +138,12 @@
         || heartbeat.getTenantUsesList().stream().anyMatch(TenantUse::getUrgent);
   }
 
+  /** Returns the configuration's version that an instance stated last; 0 if it is not known. */
+  long configurationVersion(String origin) {
+    Known known = newest.get(origin);
+    return known == null ? 0 : known.heartbeat.getConfigurationVersion();
+  }
+
   /** Returns whether the heartbeat of an instance arrived from that instance itself. */
   boolean isDirect(String origin) {
     Known known = newest.get(origin);
@@ -162,6 +170,7 @@
                     known.heartbeat.getNumber(),
                     known.heartbeat.getDepartedEndpointsList(),
                     known.heartbeat.getRevokedKeysList(),
+                    known.heartbeat.getConfigurationVersion(),
                     nowNanos));
           }
         });
@@ -183,6 +192,7 @@
         || origin.equals(self) && heartbeat.getLoadEndpointsCount() > 0
         || !sent.departed().containsAll(heartbeat.getDepartedEndpointsList())
         || !sent.revokedKeys().containsAll(heartbeat.getRevokedKeysList())
+        || heartbeat.getConfigurationVersion() > sent.configurationVersion()
         || TimeUnit.NANOSECONDS.toMillis(nowNanos - sent.nanos()) >= REFRESH_INTERVAL_MS;
   }
 
