--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointCost.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointCost.java
@@ -71,6 +71,7 @@
       long nowNanos) {
     ServicePace pace = state.pace();
     double uncached = criteria.generation().orElseThrow().promptTokens() - forecast.cachedTokens();
+    // A request in progress slows this one down, and this one it.
     double requestMs = Math.max(MINIMUM_REQUEST_COST_MS, 2 * pace.intervalPerRequestMs());
     double doubtFactor = 1 + DOUBT_FACTOR * state.speed().doubt(nowNanos);
     int slots = Math.max(1, state.entry().slots());
