--- a/src/main/java/org/magnoliavale/internal/gateway/ConfigurationReads.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ConfigurationReads.java
@@ -1,8 +1,11 @@
 package org.magnoliavale.internal.gateway;
 
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.magnoliavale.Service;
+import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
+import org.magnoliavale.internal.route.EngineSpecification;
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.tenant.CallerKeys;
 
@@ -81,6 +84,11 @@
     return poller.maximumBodyBytes();
   }
 
+  /** Returns the engines of a service; empty if it has none, or before the first configuration. */
+  Optional<EngineSpecification> engine(ServiceId service) {
+    return poller.engine(service);
+  }
+
   @Override
   public void addTo(Heartbeat.Builder heartbeat, long nowNanos) {
     keyExchange.addTo(heartbeat, nowNanos);
--- a/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PeerStateExchange.java
@@ -28,8 +28,8 @@
 
 /**
  * Builds the heartbeats that this instance sends to its peers and applies those that it receives:
- * artifact demand, residency changes, crash records, draining and departed endpoints, limits of
- * endpoints and the state of the command lease.
+ * artifact demand, residency changes, crash records, draining and departed endpoints, limits and
+ * loads of endpoints and the state of the command lease.
  *
  * <p>Called on link threads and on the instance's own threads; must not block. {@link #initialize}
  * must be called before the links start.
@@ -57,6 +57,7 @@
   private final EndpointDepartures departures;
   private final LimitExchange limits;
   private final List<HeartbeatPart> parts = new CopyOnWriteArrayList<>();
+  private final LoadExchange loads;
   private final LongSupplier nanoClock;
   private ResidencyChangeLog changeLog = new ResidencyChangeLog();
   private Runnable residencyChanged = () -> {};
@@ -85,6 +86,7 @@
     this.endpoints = endpoints;
     this.departures = departures;
     this.limits = new LimitExchange(limits);
+    this.loads = new LoadExchange(endpoints);
     this.nanoClock = nanoClock;
   }
 
@@ -116,6 +118,12 @@
     leaving = true;
   }
 
+  /** Returns whether peers are to be told loads of endpoints before the next heartbeat. */
+  boolean hasLoadNews() {
+    long now = nanoClock.getAsLong();
+    return loads.isDue(membership.instanceCount(now), now);
+  }
+
   /** Applies this instance's own demand and residency changes, as if a peer had sent them. */
   void applyLocalState() {
     fleetDemand.update(localInstanceId, localUsage(), nanoClock.getAsLong());
@@ -143,6 +151,11 @@
 
   @Override
   public Heartbeat heartbeat() {
+    return heartbeat(false);
+  }
+
+  @Override
+  public Heartbeat heartbeat(boolean relays) {
     Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setLeaving(leaving);
     if (lease.isHeld()) {
       heartbeat.setGivesOrders(true);
@@ -160,6 +173,7 @@
     }
     limits.addTo(heartbeat, nanoClock.getAsLong());
     parts.forEach(part -> part.addTo(heartbeat, nanoClock.getAsLong()));
+    loads.addTo(heartbeat, relays, nanoClock.getAsLong());
     localUsage()
         .forEach(
             (artifact, use) ->
@@ -197,6 +211,7 @@
     applyDepartures(heartbeat, now);
     limits.apply(instance, heartbeat, now);
     parts.forEach(part -> part.apply(instance, heartbeat, now));
+    loads.apply(heartbeat, now);
     Map<Artifact, ArtifactUse> uses = new HashMap<>();
     boolean hasWaiting = false;
     for (var use : heartbeat.getUsesList()) {
