--- a/src/main/java/org/magnoliavale/internal/gateway/ConfigurationReads.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ConfigurationReads.java
@@ -2,8 +2,10 @@
 
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import org.magnoliavale.Service;
 import org.magnoliavale.internal.identifier.ServiceId;
+import org.magnoliavale.internal.link.PeerLinks;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
 import org.magnoliavale.internal.route.EngineSpecification;
 import org.magnoliavale.internal.route.RouteTable;
@@ -28,14 +30,15 @@
   /**
    * Returns reads that are not started yet.
    *
-   * @param relayed whether heartbeats with a new version are passed on at once
+   * @param liveInstances the number of instances that are heard, with this one
    * @param announce sends heartbeats at once
    */
   static ConfigurationReads of(
       GatewaySettings settings,
       PlatformAdapters adapters,
-      BooleanSupplier relayed,
+      IntSupplier liveInstances,
       Runnable announce) {
+    BooleanSupplier relayed = () -> !PeerLinks.isMesh(liveInstances.getAsInt());
     KeyExchange keyExchange = KeyExchange.of(settings, announce, System::nanoTime);
     ConfigurationPace pace = new ConfigurationPace(settings.tenants().strictRevocation());
     ConfigurationPoller poller =
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
@@ -15,6 +15,7 @@
 import org.magnoliavale.internal.ini.Schema;
 import org.magnoliavale.internal.ini.SectionDefinition;
 import org.magnoliavale.internal.ini.ValueType;
+import org.magnoliavale.internal.quota.QuotaBounds;
 import org.magnoliavale.internal.settings.PeerSettings;
 import org.magnoliavale.internal.tenant.TenantSettings;
 
@@ -144,6 +145,29 @@
                           "",
                           "Whether an instance that could not know of newer keys for that time"
                               + " refuses calls that need one; false if it is empty."))),
+              new SectionDefinition(
+                  "quotas",
+                  false,
+                  "How exactly the quotas of tenants are kept.",
+                  List.of(
+                      optional(
+                          "window-s",
+                          new ValueType.OrDefault(SECONDS),
+                          "seconds",
+                          "8",
+                          "Length of each window in which use is counted."),
+                      optional(
+                          "overage",
+                          new ValueType.OrDefault(new ValueType.Decimal(0, 10)),
+                          "",
+                          "0.1",
+                          "Ratio by which a quota may be exceeded in a window."),
+                      optional(
+                          "slack",
+                          new ValueType.OrDefault(new ValueType.Decimal(0, 1_000_000_000)),
+                          "units of the quota",
+                          "0",
+                          "Units that may be used in a window in addition."))),
               new SectionDefinition(
                   "log",
                   false,
@@ -179,6 +203,7 @@
     CheckedSection peers = sections.get("peers");
     CheckedSection commands = sections.get("orders");
     CheckedSection retries = sections.get("repeats");
+    CheckedSection quotas = sections.get("quotas");
     String host = peers.text("host");
     return new GatewaySettings(
         instance.text("id"),
@@ -199,6 +224,10 @@
         Duration.ofSeconds(retries.number("window-s")),
         Duration.ofSeconds(commands.number("ceiling-window-s")),
         tenantSettings(sections.get("tenants")),
+        new QuotaBounds(
+            Duration.ofSeconds(quotas.number("window-s")),
+            quotas.decimal("overage"),
+            quotas.decimal("slack")),
         sections.get("log").text("level"));
   }
 
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatExchange.java
@@ -119,7 +119,7 @@
 
   /**
    * Removes what an instance said of its last reads if it may have failed to read since, and adds
-   * the heartbeat's age to that of what it said of limits, loads and the configuration.
+   * the heartbeat's age to that of what it said of limits, loads, tenants and the configuration.
    */
   private static Heartbeat aged(Heartbeat heartbeat, long ageMs) {
     if (ageMs == 0) {
@@ -130,6 +130,7 @@
       aged.clearDirectoryReadMs();
     }
     aged.setConfigurationAgeMs(agedMs(heartbeat.getConfigurationAgeMs(), ageMs));
+    aged.getTenantUsesBuilderList().forEach(use -> use.setAgeMs(agedMs(use.getAgeMs(), ageMs)));
     aged.getLimitsBuilderList().forEach(limit -> limit.setAgeMs(agedMs(limit.getAgeMs(), ageMs)));
     LoadRows.addAge(aged, ageMs);
     return aged.build();
--- a/src/test/java/org/magnoliavale/ArchitectureTest.java
+++ b/src/test/java/org/magnoliavale/ArchitectureTest.java
@@ -31,6 +31,7 @@
             INTERNAL + "limit..",
             INTERNAL + "tenant..",
             INTERNAL + "queue..",
+            INTERNAL + "quota..",
             INTERNAL + "residency..")
         .should()
         .dependOnClassesThat()
@@ -59,6 +60,7 @@
             INTERNAL + "limit..",
             INTERNAL + "tenant..",
             INTERNAL + "queue..",
+            INTERNAL + "quota..",
             INTERNAL + "call..",
             INTERNAL + "residency..")
         .or()
