Take only a status from 200 to 599 as an endpoint's answer

Statuses 101 and 600 to 999 were passed on to callers, signed, and made a store's transaction count as without effect; the parser refuses what is below 100 or has no three digits. Interim responses hid the answer after them, since the client's handlers for them were cleared with those for redirects. A success with X-Not-Executed was sent again, also where a call may run once only; a 408 without it reached callers as a promise.

The transport of all HTTP clients now refuses other statuses as malformed and a handler skips interim responses.

--- a/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
+++ b/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
@@ -63,7 +63,8 @@
   /** Returns whether the status tells a caller that its call was not executed. */
   boolean tellsNotExecuted() {
     return status == ErrorCode.OVERLOADED.httpStatus()
-        || status == ErrorCode.MODEL_UNAVAILABLE.httpStatus();
+        || status == ErrorCode.MODEL_UNAVAILABLE.httpStatus()
+        || status == ErrorCode.REQUEST_TIMEOUT.httpStatus();
   }
 
   /** Returns whether the status is 500 or higher. */
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
@@ -19,6 +19,7 @@
 import org.magnoliavale.internal.call.OutgoingRequest;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.http.ConnectionEnd;
+import org.magnoliavale.internal.http.ExchangeFailures;
 
 /**
  * Sends attempts with Jetty's client. Connections are pooled by endpoint incarnation, so a pooled
@@ -46,6 +47,9 @@
     private volatile boolean earlyResponse;
     private volatile long receivedBytes;
 
+    /** Status of the head that was received; a malformed response changes that of the client. */
+    private volatile int status;
+
     Exchange(AttemptListener listener) {
       this.listener = listener;
     }
@@ -61,14 +65,14 @@
     }
 
     void onHeaders(Response response) {
+      status = response.getStatus();
       listener.onResponseHead(response.getStatus(), HttpFields.build(response.getHeaders()));
     }
 
     private AttemptEnd end(Result result, String failure) {
       return new AttemptEnd(
-          result.getResponse().getStatus(),
-          AttemptEnd.Framing.of(
-              result.getResponse().getStatus(), result.getResponse().getHeaders()),
+          status,
+          AttemptEnd.Framing.of(status, result.getResponse().getHeaders()),
           requestSent,
           ConnectionEnd.of(result.getRequest()).toString(),
           failure);
@@ -98,7 +102,7 @@
         return;
       }
       Throwable cause = result.getFailure();
-      listener.onEnd(end(result, cause.toString()));
+      listener.onEnd(end(result, ExchangeFailures.describe(cause)));
       boolean notSent = !requestStarted || cause instanceof ConnectException;
       listener.onFailed(
           notSent ? AttemptFailure.NOT_SENT : AttemptFailure.LOST,
--- a/src/main/java/org/magnoliavale/internal/http/BoundedTransport.java
+++ b/src/main/java/org/magnoliavale/internal/http/BoundedTransport.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.client.transport.internal.HttpChannelOverHTTP;
 import org.eclipse.jetty.client.transport.internal.HttpConnectionOverHTTP;
 import org.eclipse.jetty.client.transport.internal.HttpReceiverOverHTTP;
+import org.eclipse.jetty.http.BadMessageException;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.ByteBufferPool;
@@ -28,6 +29,10 @@
  * well when it receives bytes after its request was aborted, or that belong to no request. Jetty
  * alone would read all of these for as long as the server sends them, and an abort would wait until
  * it stops.
+ *
+ * <p>The status of a response is 200 to 599. Before it, interim responses with any status of 1xx
+ * may come, except 101, since no request asks for another protocol. A response with another status
+ * fails its request, as one that is malformed.
  */
 public final class BoundedTransport extends HttpClientTransportOverHTTP {
   /** Maximum size of a response head, and of a trailer. */
@@ -36,6 +41,9 @@
   /** Room for a head, a trailer or interim responses, and what is read along with them. */
   static final int MAXIMUM_BYTES_WITHOUT_CONTENT = 4 * MAXIMUM_HEAD_BYTES;
 
+  private static final int MINIMUM_FINAL_STATUS = 200;
+  private static final int MAXIMUM_FINAL_STATUS = 599;
+
   private static final class UnexpectedBytes extends IOException {
     private static final long serialVersionUID = 1L;
 
@@ -119,12 +127,20 @@
       return (BoundedConnection) getHttpChannel().getHttpConnection();
     }
 
+    private static boolean isFinal(int status) {
+      return status >= MINIMUM_FINAL_STATUS && status <= MAXIMUM_FINAL_STATUS;
+    }
+
     private void progressed() {
       connection().bytesWithoutContent = 0;
     }
 
     @Override
     public void startResponse(HttpVersion version, int responseStatus, String reason) {
+      if (!isFinal(responseStatus) && !HttpStatus.isInterim(responseStatus)) {
+        // The parser takes this as a malformed response, which fails the request.
+        throw new BadMessageException("status " + responseStatus + " is none of a response");
+      }
       status = responseStatus;
       super.startResponse(version, responseStatus, reason);
     }
--- a/src/main/java/org/magnoliavale/internal/http/HttpClients.java
+++ b/src/main/java/org/magnoliavale/internal/http/HttpClients.java
@@ -41,6 +41,7 @@
       client.start();
       // The protocol handlers for redirects and authentication would resend a request.
       client.getProtocolHandlers().clear();
+      client.getProtocolHandlers().put(new InterimResponseHandler());
     } catch (Exception e) {
       throw new IllegalStateException("failed to start HTTP client " + client.getName(), e);
     }
--- a/src/main/java/org/magnoliavale/internal/traffic/EndpointClient.java
+++ b/src/main/java/org/magnoliavale/internal/traffic/EndpointClient.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpHeader;
 import org.magnoliavale.Service;
+import org.magnoliavale.internal.http.ExchangeFailures;
 import org.magnoliavale.internal.http.HeaderNames;
 import org.magnoliavale.internal.http.HttpAddresses;
 import org.magnoliavale.internal.http.HttpClients;
@@ -105,7 +106,7 @@
           e,
           "no response within " + attempt.firstByteTimeout().toMillis() + " ms");
     } catch (ExecutionException e) {
-      return failed(requestBegun.get(), e, String.valueOf(e.getCause()));
+      return failed(requestBegun.get(), e, ExchangeFailures.describe(e.getCause()));
     }
   }
 
--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.magnoliavale.internal.call.CallMetadata;
 import org.magnoliavale.internal.call.CallProtocol;
 import org.magnoliavale.internal.call.ForwardingContext;
@@ -184,11 +185,14 @@
   public ResponseHead parseResponse(int status, HttpFields fromEndpoint) {
     String id = fromEndpoint.get(ATTEMPT_ID);
     String contentType = fromEndpoint.get("Content-Type");
-    boolean notExecuted = fromEndpoint.contains(NOT_EXECUTED) || status == MISDIRECTED_REQUEST;
+    boolean success = HttpStatus.isSuccess(status);
+    boolean statesNotExecuted = fromEndpoint.contains(NOT_EXECUTED);
+    boolean notExecuted = statesNotExecuted && !success || status == MISDIRECTED_REQUEST;
     return new ResponseHead(
         status,
         id == null ? "" : id,
-        fromEndpoint.contains(SIGNATURE),
+        // A success that says it was not executed contradicts itself, so neither statement counts.
+        fromEndpoint.contains(SIGNATURE) && !(success && statesNotExecuted),
         notExecuted,
         // Another incarnation sends its own id with 421; a worker without the model does not.
         status == MISDIRECTED_REQUEST && fromEndpoint.contains(INSTANCE_ID),
