Wait 3 s for a configuration in large fleets, and end connections in a test

With waits of 8 s a change could stay unseen for 8.7 s if the connections of all instances to the store fall silent at the same moment; with 3 s it is seen within 3.7 s, before any of them counts as undisturbed again. StatusThatIsNoneTest failed in 3 of its cases once, with calls that were sent on connections that the scripted endpoint had just closed; its answers now say that they close.

--- a/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPace.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ConfigurationPace.java
@@ -16,7 +16,7 @@
  */
 final class ConfigurationPace {
   /** The wait while peers are heard; each wait is a request. */
-  static final Duration LONG_WAIT = Duration.ofSeconds(8);
+  static final Duration LONG_WAIT = Duration.ofSeconds(3);
 
   /**
    * Time without a peer's version after which peers count as silent. Relays repeat each heartbeat
--- a/src/test/java/org/magnoliavale/internal/gateway/StatusThatIsNoneTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/StatusThatIsNoneTest.java
@@ -63,8 +63,15 @@
         prefix,
         CallerConnection.CLOSE,
         id,
-        new Answer(first, Ending.CLOSED),
-        new Answer(whole(id, Framing.LENGTH, second), Ending.CLOSED));
+        new Answer(closing(first), Ending.CLOSED),
+        new Answer(closing(whole(id, Framing.LENGTH, second)), Ending.CLOSED));
+  }
+
+  /** Adds to the final head that the connection ends, so that it is not kept for the next call. */
+  private static String closing(String answer) {
+    int head = answer.lastIndexOf("HTTP/1.1 ");
+    int headers = answer.indexOf("\r\n", head) + 2;
+    return answer.substring(0, headers) + "Connection: close\r\n" + answer.substring(headers);
   }
 
   @Nested
