Leave room at endpoints for the more urgent calls, which engines admit first

Each step of priority above the least urgent has half of the slots more now. Ruled out: fewer sends of that kind by the queue's order (priority goes first there). Not ruled out: forecasts that count the whole queue of an engine before an urgent call.

--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointChooser.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointChooser.java
@@ -106,22 +106,22 @@
     withRoom.removeIf(
         candidate ->
             forecaster
-                .withoutRoom(
-                    candidate.state(), candidate.forecast(), criteria.generation(), share, nowNanos)
+                .withoutRoom(candidate.state(), candidate.forecast(), criteria, share, nowNanos)
                 .isPresent());
     if (withRoom.isEmpty()) {
-      return new Choice.None(new EndpointChoice.Busy(timeToRoom(candidates)));
+      return new Choice.None(new EndpointChoice.Busy(timeToRoom(candidates, criteria)));
     }
     return tooLate(withRoom, criteria, nowNanos)
         .<Choice>map(Choice.None::new)
         .orElseGet(() -> new Choice.Chosen(draw(withRoom, criteria, nowNanos)));
   }
 
-  private Duration timeToRoom(List<Candidate> candidates) {
+  private Duration timeToRoom(List<Candidate> candidates, SelectionCriteria criteria) {
     double milliseconds =
         candidates.stream()
             .mapToDouble(
-                candidate -> forecaster.timeToRoomMs(candidate.state(), candidate.forecast()))
+                candidate ->
+                    forecaster.timeToRoomMs(candidate.state(), candidate.forecast(), criteria))
             .min()
             .orElse(0);
     Duration time = Duration.ofMillis((long) milliseconds);
@@ -212,7 +212,7 @@
     if (!state.isHealthy(nowNanos)) {
       return Optional.of(EndpointExclusion.UNHEALTHY);
     }
-    return forecaster.withoutRoom(state, forecast, criteria.generation(), share, nowNanos);
+    return forecaster.withoutRoom(state, forecast, criteria, share, nowNanos);
   }
 
   private boolean isPossible(EndpointState state, SelectionCriteria criteria) {
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointForecaster.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointForecaster.java
@@ -23,6 +23,16 @@
    */
   private static final double QUEUE_SHARE = 0.25;
 
+  /**
+   * Further requests that an endpoint may have for each step of priority above the least urgent
+   * ones, as a share of its slots: engines admit the more urgent requests first, so these don't
+   * wait behind the others there.
+   */
+  private static final double URGENT_SHARE = 0.5;
+
+  /** Priority from which on requests have no further room; 0 is the most urgent. */
+  private static final int LEAST_URGENT_PRIORITY = 2;
+
   /** Share of an engine's memory that requests may take; their output is only estimated. */
   private static final double MEMORY_SHARE = 0.9;
 
@@ -118,14 +128,15 @@
   Optional<EndpointExclusion> withoutRoom(
       EndpointState state,
       EndpointForecast forecast,
-      Optional<GenerationRequest> generation,
+      SelectionCriteria criteria,
       double share,
       long nowNanos) {
+    Optional<GenerationRequest> generation = criteria.generation();
     LoadEstimate load = state.loadEstimate();
     if (generation.isEmpty() || forecast.memoryLeft().isEmpty() || load.report() == null) {
       return Optional.empty();
     }
-    if (isFull(state, forecast, share, nowNanos)) {
+    if (isFull(state, forecast, maximumRequests(state, criteria), share, nowNanos)) {
       return Optional.of(EndpointExclusion.FULL);
     }
     double needed = state.outstanding().additionalTokens(generation.get());
@@ -137,9 +148,8 @@
   }
 
   private static boolean isFull(
-      EndpointState state, EndpointForecast forecast, double share, long nowNanos) {
+      EndpointState state, EndpointForecast forecast, double maximum, double share, long nowNanos) {
     LoadEstimate load = state.loadEstimate();
-    double maximum = maximumRequests(state);
     if (load.isCertain(nowNanos)) {
       int sent = state.outstanding().sentAfter(load.reportNanos());
       return forecast.requests() + 1 > maximum || sent >= load.claim(maximum, share);
@@ -149,10 +159,13 @@
     return wasFull && state.outstanding().size() >= Math.max(1, (int) (maximum * share));
   }
 
-  private static double maximumRequests(EndpointState state) {
+  /** Returns how many requests an endpoint may have before one more is sent there. */
+  private static double maximumRequests(EndpointState state, SelectionCriteria criteria) {
     ReportedLoad report = state.loadEstimate().report();
     int slots = Math.max(state.entry().slots(), report == null ? 1 : report.slots());
-    return slots + Math.ceil(QUEUE_SHARE * slots);
+    int priority = criteria.urgency().map(CallUrgency::priority).orElse(LEAST_URGENT_PRIORITY);
+    int steps = Math.max(0, LEAST_URGENT_PRIORITY - priority);
+    return slots + Math.ceil((QUEUE_SHARE + steps * URGENT_SHARE) * slots);
   }
 
   /** Estimates which share of all requests to a service this instance sends. */
@@ -168,9 +181,9 @@
   }
 
   /** Returns the time until an endpoint without room is expected to have some. */
-  double timeToRoomMs(EndpointState state, EndpointForecast forecast) {
+  double timeToRoomMs(EndpointState state, EndpointForecast forecast, SelectionCriteria criteria) {
     double residenceMs = state.pace().residenceMs() * forecast.timeFactor();
-    double surplus = Math.max(0, forecast.requests() - maximumRequests(state)) + 1;
+    double surplus = Math.max(0, forecast.requests() - maximumRequests(state, criteria)) + 1;
     double ending = Math.clamp(forecast.requests(), 1, Math.max(1, state.entry().slots()));
     return surplus * residenceMs / ending;
   }
--- a/src/test/java/org/magnoliavale/internal/dispatch/EndpointForecastTest.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/EndpointForecastTest.java
@@ -3,9 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.directory.EndpointDepartures;
@@ -49,6 +52,27 @@
       assertThat(forecast(A).exclusion()).contains(EndpointExclusion.FULL);
     }
 
+    /** Load: endpoints that are full of requests of all priorities. */
+    @Test
+    void isLeftForMoreUrgentRequestsThatEnginesAdmitFirst() {
+      report(SLOTS, SLOTS / 2);
+      assertThat(chooseWithPriority(prompt(0, 100), 2)).isInstanceOf(EndpointChoice.Busy.class);
+      assertThat(chooseWithPriority(prompt(0, 100), 0)).isInstanceOf(EndpointChoice.Selected.class);
+      report(SLOTS, 2 * SLOTS);
+      assertThat(chooseWithPriority(prompt(0, 100), 0)).isInstanceOf(EndpointChoice.Busy.class);
+    }
+
+    private EndpointChoice chooseWithPriority(GenerationRequest generation, int priority) {
+      CallUrgency urgency =
+          new CallUrgency(
+              Duration.ofMillis(500), Duration.ofSeconds(10), Duration.ofMillis(300), priority);
+      return pool.choose(
+          new SelectionCriteria(
+              TestEntries.SERVICE, Optional.of(generation), Optional.of(urgency), Set.of()),
+          LIMIT,
+          now);
+    }
+
     @Test
     void atOneEndpointIsUsed() {
       report(SLOTS, 4);
