Keep the last holder's count as two fields

DirectoryPace kept it in a map that never held more than one entry. Behaviour is the same; DirectoryPaceTest, PollersTest and ArchitectureTest pass (23).

--- a/src/main/java/org/magnoliavale/internal/gateway/DirectoryPace.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/DirectoryPace.java
@@ -1,8 +1,5 @@
 package org.magnoliavale.internal.gateway;
 
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -35,7 +32,8 @@
   private final BooleanSupplier leaseHeld;
   private final BooleanSupplier awaitingEndpoints;
   private final BooleanSupplier largeFleet;
-  private final Map<String, Long> seenAppearances = new HashMap<>();
+  private String lastHolder = "";
+  private long lastAppearances;
   private boolean holderHeard;
   private long holderHeardNanos;
   private boolean newsPending;
@@ -65,9 +63,9 @@
       holderHeard = false;
       return;
     }
-    Long seen = seenAppearances.put(holder, appearances);
-    newsPending |= seen == null || seen != appearances;
-    seenAppearances.keySet().retainAll(Set.of(holder));
+    newsPending |= !holder.equals(lastHolder) || appearances != lastAppearances;
+    lastHolder = holder;
+    lastAppearances = appearances;
     holderHeard = true;
     holderHeardNanos = nowNanos;
   }
