--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -32,7 +32,6 @@
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.metrics.InstanceMetrics;
 import org.magnoliavale.internal.metrics.UnexpectedFailures;
-import org.magnoliavale.internal.platform.ListedInstance;
 import org.magnoliavale.internal.residency.DelayingExecutor;
 import org.magnoliavale.internal.residency.FleetDemand;
 import org.magnoliavale.internal.residency.ResidencyController;
@@ -221,7 +220,7 @@
     return new InstanceRegistry(
         adapters.table(),
         id,
-        () -> ListedInstance.live(id, HttpAddresses.format(links.address()), settings.dataCentre()),
+        () -> settings.listed(HttpAddresses.format(links.address())),
         System::nanoTime);
   }
 
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.function.IntSupplier;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
+import org.magnoliavale.internal.platform.ListedInstance;
 import org.magnoliavale.internal.quota.QuotaBounds;
 import org.magnoliavale.internal.settings.PeerSettings;
 import org.magnoliavale.internal.tenant.TenantSettings;
@@ -13,6 +14,8 @@
  *
  * @param instanceId id of this instance
  * @param dataCentre data centre that the instance runs in
+ * @param processorPercent processor time that the instance may use, in percent of a core; 0 if it
+ *     is not stated
  * @param callerAddress listen address for callers
  * @param readinessAddress listen address for the load balancer's readiness checks
  * @param metricsAddress listen address for metrics
@@ -31,6 +34,7 @@
 public record GatewaySettings(
     String instanceId,
     String dataCentre,
+    int processorPercent,
     InetSocketAddress callerAddress,
     InetSocketAddress readinessAddress,
     InetSocketAddress metricsAddress,
@@ -64,6 +68,7 @@
     this(
         instanceId,
         dataCentre,
+        0,
         callerAddress,
         readinessAddress,
         metricsAddress,
@@ -80,6 +85,11 @@
         logLevel);
   }
 
+  /** Returns this instance's entry in the instance list; other instances link to the address. */
+  ListedInstance listed(String peerAddress) {
+    return ListedInstance.live(instanceId, peerAddress, dataCentre, processorPercent);
+  }
+
   /** Returns a retry budget with these limits; {@code instances} counts the live instances. */
   FleetRetryBudget createRetryBudget(IntSupplier instances, long nowNanos) {
     return new FleetRetryBudget(
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
@@ -29,6 +29,7 @@
           "a whole number from 0 to 9999999, or nothing", Pattern.compile("\\d{0,7}"));
   private static final ValueType OPTIONAL_FLAG =
       new ValueType.Text("true, false or nothing", Pattern.compile("(true|false)?"));
+  private static final int PERCENT = 100;
   private static final ValueType PORT = new ValueType.WholeNumber(0, 65_535);
 
   private static final Schema SCHEMA =
@@ -45,6 +46,23 @@
                           new ValueType.Name(),
                           "",
                           "Data centre of the instance."))),
+              new SectionDefinition(
+                  "processor",
+                  false,
+                  "Processor time that this instance may use; those with more relay for others.",
+                  List.of(
+                      optional(
+                          "share",
+                          new ValueType.OrDefault(new ValueType.Decimal(0, 1_000)),
+                          "",
+                          "0",
+                          "Share of each core; 0 if it is not known."),
+                      optional(
+                          "cores",
+                          new ValueType.OrDefault(new ValueType.Decimal(0, 1_000)),
+                          "",
+                          "1",
+                          "Number of cores, or their speed in multiples of a usual one."))),
               new SectionDefinition(
                   "callers",
                   false,
@@ -208,6 +226,7 @@
     return new GatewaySettings(
         instance.text("id"),
         instance.text("data-centre"),
+        processorPercent(sections.get("processor")),
         callers.address("address"),
         callers.address("readiness-address"),
         new InetSocketAddress(host, (int) peers.number("metrics-port")),
@@ -231,6 +250,10 @@
         sections.get("log").text("level"));
   }
 
+  private static int processorPercent(CheckedSection section) {
+    return (int) Math.round(PERCENT * section.decimal("share") * section.decimal("cores"));
+  }
+
   private static TenantSettings tenantSettings(CheckedSection section) {
     long revocationMs = section.number("revocation-ms");
     return new TenantSettings(
--- a/src/main/java/org/magnoliavale/internal/link/LinkTopology.java
+++ b/src/main/java/org/magnoliavale/internal/link/LinkTopology.java
@@ -1,6 +1,5 @@
 package org.magnoliavale.internal.link;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -9,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.magnoliavale.internal.platform.ListedInstance;
 
 /**
@@ -18,6 +18,8 @@
  * heartbeats: the relays are connected to each other, and every other instance to the relays of its
  * data centre. The relays follow from the instance list by rank, without agreement: instances with
  * different views connect to different relays, and an instance relays for all that connect to it.
+ * The more processor time an instance may use, the higher its rank, since relaying takes a multiple
+ * of what the links of another instance take.
  *
  * @param mesh whether all instances are connected to each other
  * @param targets the instances to connect to
@@ -31,6 +33,13 @@
 
   static final int RELAYS_PER_DATA_CENTRE = 2;
 
+  /** Equal instances are ranked by hashes of their names, so that each can have its turn. */
+  private static final Comparator<ListedInstance> BY_RANK =
+      Comparator.comparingInt(ListedInstance::processorPercent)
+          .reversed()
+          .thenComparingInt(instance -> instance.id().hashCode())
+          .thenComparing(ListedInstance::id);
+
   /**
    * Returns the topology that one instance uses.
    *
@@ -52,7 +61,7 @@
     if (others.size() < MAXIMUM_MESH_SIZE) {
       return new LinkTopology(true, Set.copyOf(others), Set.of(), Map.copyOf(dataCentres));
     }
-    Set<String> relays = relays(dataCentres, id -> id.equals(self) || reachable.test(id));
+    Set<String> relays = relays(listed, id -> id.equals(self) || reachable.test(id));
     boolean relaying = serving || relays.contains(self);
     Set<String> targets = new HashSet<>(relays);
     targets.remove(self);
@@ -79,26 +88,14 @@
   }
 
   /** Returns the first usable instances of each data centre by rank. */
-  private static Set<String> relays(Map<String, String> dataCentres, Predicate<String> usable) {
-    Map<String, List<String>> byDataCentre = new HashMap<>();
-    dataCentres.forEach(
-        (id, dataCentre) -> {
-          if (usable.test(id)) {
-            byDataCentre.computeIfAbsent(dataCentre, ignored -> new ArrayList<>()).add(id);
-          }
-        });
-    Comparator<String> byRank = Comparator.comparingInt(LinkTopology::rank);
-    Set<String> relays = new HashSet<>();
-    for (List<String> instances : byDataCentre.values()) {
-      instances.stream()
-          .sorted(byRank.thenComparing(Comparator.naturalOrder()))
-          .limit(RELAYS_PER_DATA_CENTRE)
-          .forEach(relays::add);
-    }
-    return Set.copyOf(relays);
-  }
-
-  private static int rank(String instance) {
-    return instance.hashCode();
+  private static Set<String> relays(Collection<ListedInstance> listed, Predicate<String> usable) {
+    Map<String, List<ListedInstance>> byDataCentre =
+        listed.stream()
+            .filter(instance -> usable.test(instance.id()))
+            .collect(Collectors.groupingBy(ListedInstance::dataCentre));
+    return byDataCentre.values().stream()
+        .flatMap(instances -> instances.stream().sorted(BY_RANK).limit(RELAYS_PER_DATA_CENTRE))
+        .map(ListedInstance::id)
+        .collect(Collectors.toUnmodifiableSet());
   }
 }
--- a/src/test/java/org/magnoliavale/internal/link/LinkTopologyTest.java
+++ b/src/test/java/org/magnoliavale/internal/link/LinkTopologyTest.java
@@ -114,4 +114,44 @@
     }
     assertThat(topology("front-0", fleet).relays()).hasSize(2);
   }
+
+  /** Guards against relays that have too little processor time to keep up themselves. */
+  @Nested
+  class FleetOfUnequalMachines {
+    private final List<ListedInstance> fleet = new ArrayList<>();
+
+    private void add(int count, int processorPercent) {
+      for (int number = 0; number < count; number++) {
+        String id = "front-" + processorPercent + "-" + number;
+        fleet.add(new ListedInstance(id, "127.0.0.1:1", "live", "dc-0", processorPercent));
+      }
+    }
+
+    @Test
+    void isRelayedByTheInstancesWithMostProcessorTime() {
+      add(12, 27);
+      add(2, 150);
+      add(4, 90);
+      assertThat(topology("front-27-0", fleet).relays())
+          .containsExactlyInAnyOrder("front-150-0", "front-150-1");
+    }
+
+    @Test
+    void isRelayedByTheNextOnesIfTheFirstCannotBeReached() {
+      add(12, 27);
+      add(2, 150);
+      add(1, 90);
+      LinkTopology topology =
+          LinkTopology.of("front-27-0", fleet, id -> !id.equals("front-150-0"), false);
+      assertThat(topology.relays()).containsExactlyInAnyOrder("front-150-1", "front-90-0");
+    }
+
+    @Test
+    void isNotRelayedByThoseThatDoNotSayWhatTheyHave() {
+      add(12, 0);
+      add(2, 27);
+      assertThat(topology("front-0-0", fleet).relays())
+          .containsExactlyInAnyOrder("front-27-0", "front-27-1");
+    }
+  }
 }
