Let a stream go on within its answer only at the version that began it

Cause: the directory's entries were read without their version, so nothing could ask for one. Now an entry keeps it, the first event that a caller gets binds its call to it (ResponseProgress), and selection and queues of waiting calls know it. An entry whose version is no text names no endpoint, like other fields of another type.

Retries before the first event go to any version, as before.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -59,7 +59,7 @@
     this.choice = choice;
     this.sentNanos = sentNanos;
     this.lastActivityNanos = sentNanos;
-    this.resumed = call.hasResponseStarted();
+    this.resumed = call.progress().hasStarted();
     this.body = new ResponseBody(call.context().responseMemory());
     this.events = new EventSplitter(resumed ? resumedAfter : Optional.empty());
   }
@@ -197,15 +197,19 @@
     }
     pool().recordEvent(choice, lastActivityNanos);
     lastEventNanos = lastActivityNanos;
-    if (call.startResponseOnce()) {
-      call.caller()
-          .begin(responseHead.status(), call.context().protocol().responseHeaders(responseHeaders));
-    }
-    call.eventForwarded(events.lastId());
+    beginResponseOnce();
+    call.progress().eventForwarded(events.lastId());
     writing = true;
     call.caller().write(completeEvents, contained.step("write", () -> writeCompleted(demand)));
   }
 
+  private void beginResponseOnce() {
+    if (call.progress().startOnce(endpoint().softwareVersion())) {
+      HttpFields headers = call.context().protocol().responseHeaders(responseHeaders);
+      call.caller().begin(responseHead.status(), headers);
+    }
+  }
+
   private void writeCompleted(Runnable demand) {
     synchronized (call) {
       writing = false;
@@ -270,13 +274,10 @@
       failAfterSend("stream ended before its first event", now);
       return;
     }
-    if (call.startResponseOnce()) {
-      call.caller()
-          .begin(responseHead.status(), call.context().protocol().responseHeaders(responseHeaders));
-    }
+    beginResponseOnce();
     close(AttemptOutcome.ANSWERED, now);
     call.context().crashDetector().answered(call.plan().crashKeys(), now);
-    call.completeStream();
+    call.completion().completeStream(call.progress().lastEvent());
   }
 
   private void finishBuffered(long now) {
@@ -296,10 +297,10 @@
     if (error && !unprovenPromise && body.isSmall()) {
       call.completion().keepError(answer);
     }
-    if (error && retryServerError(now)) {
+    if (error && call.retryIfAllowed(this, "status " + responseHead.status(), now)) {
       return;
     }
-    if (call.hasResponseStarted() || unprovenPromise) {
+    if (call.progress().hasStarted() || unprovenPromise) {
       endWithoutAnswer("endpoint answered with status " + responseHead.status(), now);
       return;
     }
@@ -310,18 +311,13 @@
   }
 
   private void endWithoutAnswer(String reason, long now) {
-    boolean triedAlready = responseHead.isServerError();
-    if (triedAlready) {
+    if (responseHead.isServerError()) {
       call.failOrAbort(ErrorCode.UPSTREAM_FAILED, reason);
     } else {
       retryOrFail(reason, now);
     }
   }
 
-  private boolean retryServerError(long now) {
-    return call.retryIfAllowed(this, "status " + responseHead.status(), now);
-  }
-
   private void handleNotExecuted(long now) {
     close(
         responseHead.status() == MISDIRECTED
@@ -368,7 +364,7 @@
 
   private void failAfterSend(String reason, long now) {
     close(AttemptOutcome.FAILED, now);
-    if (!call.hasResponseStarted()) {
+    if (!call.progress().hasStarted()) {
       // A request whose answer had begun did not crash the endpoint that wrote it.
       call.context().crashDetector().connectionLost(call.plan().crashKeys(), endpoint(), now);
     }
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -16,8 +16,8 @@
  *
  * <p>A non-idempotent request is retried only after the endpoint stated that it did not execute it,
  * or when no byte of it was sent. A resumable stream continues at another endpoint after the last
- * complete event that was forwarded to the caller; an attempt at a silent or slow endpoint is kept
- * until another one has begun to answer.
+ * complete event that was forwarded to the caller, if that runs the software version that began the
+ * stream; an attempt at a silent or slow endpoint is kept until another one has begun to answer.
  *
  * <p>A call that has certainly not been executed is rejected with status 503 and Retry-After; one
  * that may have been executed ends with the endpoint's own error response, with 502, or with 504 at
@@ -39,14 +39,13 @@
   private final Consumer<Call> onEnd;
   private final CallLog log;
   private final CallCompletion completion;
+  private final ResponseProgress progress;
   private final EndpointSelection selection;
   private final RetryAllowance retries;
   private final OtherEndpointTries otherEndpoints;
   private State state = State.NEW;
   private final CallWait wait;
   private final AttemptsInProgress attempts = new AttemptsInProgress();
-  private boolean responseStarted;
-  private Optional<Long> lastEvent;
   private String lastFailure = "";
 
   Call(
@@ -58,14 +57,14 @@
     this.context = context;
     this.plan = plan;
     this.caller = caller;
-    this.selection = new EndpointSelection(context, plan);
+    this.progress = new ResponseProgress(plan.metadata().lastEventId());
+    this.selection = new EndpointSelection(context, plan, progress);
     this.retries = new RetryAllowance(context, plan, maySend);
     this.otherEndpoints = new OtherEndpointTries(this, attempts, selection, retries);
     this.wait = new CallWait(this);
     this.onEnd = onEnd;
     this.log = new CallLog(plan);
     this.completion = new CallCompletion(context, plan, caller, this::end);
-    this.lastEvent = plan.metadata().lastEventId();
   }
 
   CallPlan plan() {
@@ -121,7 +120,7 @@
   /** Gives the call up if it waits and can't be answered in time. */
   private void checkWait(long nowNanos) {
     if (state == State.WAITING && !rejectIfCrashing(nowNanos)) {
-      boolean executed = responseStarted || retries.mayHaveBeenExecuted();
+      boolean executed = progress.hasStarted() || retries.mayHaveBeenExecuted();
       wait.reasonToGiveUp(executed, nowNanos).ifPresent(reason -> giveUp(reason, nowNanos));
     }
   }
@@ -135,14 +134,14 @@
 
   /** Ends the call if it waits and no response has begun, because this instance is stopping. */
   synchronized void instanceStopping(long nowNanos) {
-    if (state == State.WAITING && !responseStarted) {
+    if (state == State.WAITING && !progress.hasStarted()) {
       giveUp("the instance is stopping", nowNanos);
     }
   }
 
   /** Logs that the call is in progress although the instance ends. */
   synchronized void logUnfinished(long nowNanos) {
-    log.unfinished(attempts.latest().map(Attempt::identity), responseStarted, lastEvent, nowNanos);
+    log.unfinished(attempts.latest().map(Attempt::identity), progress, nowNanos);
   }
 
   /**
@@ -170,7 +169,7 @@
       return;
     }
     attempts.cancel(AttemptOutcome.INCONCLUSIVE, nowNanos);
-    completion.abandon(retries.possibleExecutions(), responseStarted);
+    completion.abandon(retries.possibleExecutions(), progress.hasStarted());
   }
 
   /** Returns the tries of other endpoints while the call is at a silent or slow one. */
@@ -206,7 +205,8 @@
 
   /** Rejects a call that crashes endpoints, which becomes known only with time. */
   private boolean rejectIfCrashing(long nowNanos) {
-    boolean crashing = !responseStarted && context.crashDetector().isBlocked(plan.crashKeys());
+    boolean crashing =
+        !progress.hasStarted() && context.crashDetector().isBlocked(plan.crashKeys());
     if (crashing) {
       giveUp(ErrorCode.REQUEST_CRASHES_ENDPOINTS, "in flight in repeated crashes", nowNanos);
     }
@@ -217,14 +217,14 @@
   private void send(EndpointChoice.Selected choice, long nowNanos) {
     wait.sent(nowNanos);
     state = State.SENT;
-    Attempt attempt = new Attempt(this, choice, nowNanos, lastEvent);
+    Attempt attempt = new Attempt(this, choice, nowNanos, progress.lastEvent());
     attempts.add(attempt);
     send(attempt, choice, nowNanos);
   }
 
   /** Sends the call to an endpoint beside its attempt in progress at a silent or slow one. */
   void sendBeside(EndpointChoice.Selected choice, long nowNanos) {
-    Attempt attempt = new Attempt(this, choice, nowNanos, lastEvent);
+    Attempt attempt = new Attempt(this, choice, nowNanos, progress.lastEvent());
     attempts.addBeside(attempt);
     send(attempt, choice, nowNanos);
   }
@@ -232,7 +232,7 @@
   private void send(Attempt attempt, EndpointChoice.Selected choice, long nowNanos) {
     int number = retries.possibleExecutions() + retries.refusals() + 1;
     log.sent(choice, number, plan.timeRemaining(nowNanos));
-    attempt.send(selection.request(choice, lastEvent, nowNanos));
+    attempt.send(selection.request(choice, progress.lastEvent(), nowNanos));
   }
 
   private void handleUnavailable(String reason, long nowNanos) {
@@ -274,7 +274,8 @@
       return;
     }
     state = State.WAITING;
-    if (withinBudget.getAsBoolean() && retries.allowsRetryAfterRefusal(responseStarted, nowNanos)) {
+    if (withinBudget.getAsBoolean()
+        && retries.allowsRetryAfterRefusal(progress.hasStarted(), nowNanos)) {
       logRetry(source, reason);
       dispatch(nowNanos);
     } else {
@@ -292,7 +293,7 @@
       log.goingOnAtOtherEndpoint(source.identity(), reason);
       return true;
     }
-    if (!retries.allowsRetryAfterExecution(responseStarted, nowNanos)
+    if (!retries.allowsRetryAfterExecution(progress.hasStarted(), nowNanos)
         || !retries.spendRetry(nowNanos)) {
       return false;
     }
@@ -311,24 +312,12 @@
 
   void logRetry(Attempt source, String reason) {
     context.metrics().retried().inc();
-    log.retrying(source.identity(), reason, retries, lastEvent);
+    log.retrying(source.identity(), reason, retries, progress.lastEvent());
   }
 
-  /** Marks the response as started; returns whether it had not been started before. */
-  boolean startResponseOnce() {
-    boolean first = !responseStarted;
-    responseStarted = true;
-    return first;
-  }
-
-  boolean hasResponseStarted() {
-    return responseStarted;
-  }
-
-  void eventForwarded(Optional<Long> id) {
-    if (id.isPresent()) {
-      lastEvent = id;
-    }
+  /** Returns how far the response has come. */
+  ResponseProgress progress() {
+    return progress;
   }
 
   /** Returns the ways in which the call ends. */
@@ -336,18 +325,13 @@
     return completion;
   }
 
-  /** Ends the call after the last event of a stream. */
-  void completeStream() {
-    completion.completeStream(lastEvent);
-  }
-
   private void expire(long nowNanos) {
     boolean sent = state == State.SENT;
     attempts.cancel(AttemptOutcome.INCONCLUSIVE, nowNanos);
-    if (responseStarted || sent || retries.mayHaveBeenExecuted()) {
+    if (progress.hasStarted() || sent || retries.mayHaveBeenExecuted()) {
       failOrAbort(
           ErrorCode.DEADLINE_EXCEEDED,
-          responseStarted ? "timeout" : "no response before the deadline");
+          progress.hasStarted() ? "timeout" : "no response before the deadline");
     } else {
       reject(ErrorCode.MODEL_UNAVAILABLE, "no endpoint available before the deadline", nowNanos);
     }
@@ -358,7 +342,7 @@
   }
 
   private void giveUp(ErrorCode code, String reason, long nowNanos) {
-    if (responseStarted || retries.mayHaveBeenExecuted()) {
+    if (progress.hasStarted() || retries.mayHaveBeenExecuted()) {
       failOrAbort(ErrorCode.UPSTREAM_FAILED, reason);
     } else {
       reject(code, reason, nowNanos);
@@ -375,8 +359,8 @@
    * is aborted; else the caller gets an endpoint's own error if there was one, or {@code code}.
    */
   void failOrAbort(ErrorCode code, String reason) {
-    if (responseStarted) {
-      completion.abort(reason, lastFailure, lastEvent);
+    if (progress.hasStarted()) {
+      completion.abort(reason, lastFailure, progress.lastEvent());
     } else {
       completion.fail(code, reason, retries.possibleExecutions(), lastFailure);
     }
--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -20,12 +20,13 @@
 
   void sent(EndpointChoice.Selected choice, int attempt, Duration timeRemaining) {
     LOG.infof(
-        "Sent. request=%s route=%s endpoint=%s artifact=%s load=%.0f report-age-ms=%d"
+        "Sent. request=%s route=%s endpoint=%s software=%s artifact=%s load=%.0f report-age-ms=%d"
             + " directory-age-ms=%d configuration=%d attempt=%d left-ms=%d first-event-ms=%.0f"
             + " unread-tokens=%.0f time-factor=%.2f",
         plan.attemptId(),
         plan.route().name(),
         choice.endpoint().identity(),
+        choice.endpoint().softwareVersion(),
         plan.artifactText(),
         choice.forecast().requests(),
         choice.forecast().reportAgeMs(),
@@ -129,19 +130,15 @@
         plan.timeRemaining(nowNanos).toMillis());
   }
 
-  void unfinished(
-      Optional<EndpointIdentity> endpoint,
-      boolean responseStarted,
-      Optional<Long> lastEvent,
-      long nowNanos) {
+  void unfinished(Optional<EndpointIdentity> endpoint, ResponseProgress progress, long nowNanos) {
     LOG.infof(
         "Unfinished at the end of the stop. request=%s route=%s endpoint=%s begun=%s"
             + " last-event=%s age-ms=%d left-ms=%d",
         plan.attemptId(),
         plan.route().name(),
         text(endpoint),
-        responseStarted,
-        text(lastEvent),
+        progress.hasStarted(),
+        text(progress.lastEvent()),
         ageMs(nowNanos),
         plan.timeRemaining(nowNanos).toMillis());
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -1,9 +1,11 @@
 package org.magnoliavale.internal.call;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.magnoliavale.internal.containment.CrashKeys;
+import org.magnoliavale.internal.directory.SoftwareVersion;
 import org.magnoliavale.internal.dispatch.CallUrgency;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
 import org.magnoliavale.internal.identifier.ServiceId;
@@ -190,13 +192,15 @@
    * Returns the call as one that waits for an endpoint.
    *
    * @param responseStarted whether a response has begun, which then has to go on at once
+   * @param version the only software version that may serve it; empty if any may
    */
-  WaitingCall waitingCall(long number, boolean responseStarted, long nowNanos) {
+  WaitingCall waitingCall(
+      long number, boolean responseStarted, Optional<SoftwareVersion> version, long nowNanos) {
     long latestStartNanos =
         (responseStarted ? deadlineNanos() : targetNanos()) - MINIMUM_ANSWER_TIME_NANOS;
     return new WaitingCall(
         number,
-        new QueueId(service, metadata.generation().map(GenerationRequest::artifact)),
+        new QueueId(service, metadata.generation().map(GenerationRequest::artifact), version),
         caller.knownTenant().map(Tenant::id),
         caller.knownTenant().map(Tenant::weight).orElse(NO_TENANT_WEIGHT),
         responseStarted ? RESPONSE_STARTED_PRIORITY : urgencyAt(nowNanos).priority(),
--- a/src/main/java/org/magnoliavale/internal/call/CallWait.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallWait.java
@@ -103,7 +103,11 @@
   }
 
   private WaitingCall entry(long nowNanos) {
-    return plan.waitingCall(context.queue().nextNumber(), call.hasResponseStarted(), nowNanos);
+    return plan.waitingCall(
+        context.queue().nextNumber(),
+        call.progress().hasStarted(),
+        call.progress().version(),
+        nowNanos);
   }
 
   private void block(Blockage blockage, long nowNanos) {
--- a/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
@@ -9,11 +9,13 @@
 final class EndpointSelection {
   private final CallContext context;
   private final CallPlan plan;
+  private final ResponseProgress progress;
   private final TriedEndpoints tried = new TriedEndpoints();
 
-  EndpointSelection(CallContext context, CallPlan plan) {
+  EndpointSelection(CallContext context, CallPlan plan, ResponseProgress progress) {
     this.context = context;
     this.plan = plan;
+    this.progress = progress;
   }
 
   /** Returns the endpoints that the call has been sent to, and those that are excluded. */
@@ -26,6 +28,7 @@
         plan.service(),
         plan.metadata().generation(),
         Optional.of(plan.urgencyAt(nowNanos)),
+        progress.version(),
         tried.excluded());
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/OtherEndpointTries.java
+++ b/src/main/java/org/magnoliavale/internal/call/OtherEndpointTries.java
@@ -57,7 +57,7 @@
   }
 
   private void dropNewer(Attempt newer, String reason, long nowNanos) {
-    if (retries.allowsRetryInPlaceOfPair(call.hasResponseStarted(), nowNanos)) {
+    if (retries.allowsRetryInPlaceOfPair(call.progress().hasStarted(), nowNanos)) {
       newer.cancel(AttemptOutcome.FAILED, nowNanos);
       call.recordPossibleExecution(newer, reason, nowNanos);
       attempts.removeEnded(newer);
@@ -65,7 +65,7 @@
   }
 
   private Optional<EndpointChoice.Selected> choose(Attempt inProgress, long nowNanos) {
-    if (!retries.allowsRetryInPlaceOfAttempt(call.hasResponseStarted(), nowNanos)) {
+    if (!retries.allowsRetryInPlaceOfAttempt(call.progress().hasStarted(), nowNanos)) {
       return Optional.empty();
     }
     return selection.chooseOtherWithinBudget(inProgress.identity(), retries, nowNanos);
--- a/src/main/java/org/magnoliavale/internal/call/QueueEvents.java
+++ b/src/main/java/org/magnoliavale/internal/call/QueueEvents.java
@@ -86,18 +86,22 @@
   /** Returns the queues with calls for what an endpoint holds. */
   private List<QueueId> queuesOf(DirectoryEntry endpoint) {
     List<QueueId> queues = new ArrayList<>();
-    addWaiting(new QueueId(endpoint.service(), Optional.empty()), queues);
+    addWaiting(endpoint, Optional.empty(), queues);
     for (LoadedModel model : endpoint.models().values()) {
-      addWaiting(queueOf(endpoint, new Artifact(model.name(), Optional.empty())), queues);
+      addWaiting(endpoint, Optional.of(new Artifact(model.name(), Optional.empty())), queues);
       for (String adapter : model.adapters()) {
-        addWaiting(queueOf(endpoint, new Artifact(model.name(), Optional.of(adapter))), queues);
+        addWaiting(endpoint, Optional.of(new Artifact(model.name(), Optional.of(adapter))), queues);
       }
     }
     return queues;
   }
 
-  private static QueueId queueOf(DirectoryEntry endpoint, Artifact artifact) {
-    return new QueueId(endpoint.service(), Optional.of(artifact));
+  /** Adds the queues of calls that any version may serve, and of those bound to this one's. */
+  private void addWaiting(
+      DirectoryEntry endpoint, Optional<Artifact> artifact, List<QueueId> queues) {
+    addWaiting(new QueueId(endpoint.service(), artifact), queues);
+    addWaiting(
+        new QueueId(endpoint.service(), artifact, Optional.of(endpoint.softwareVersion())), queues);
   }
 
   private void addWaiting(QueueId queue, List<QueueId> queues) {
--- a/src/main/java/org/magnoliavale/internal/directory/DirectoryEntry.java
+++ b/src/main/java/org/magnoliavale/internal/directory/DirectoryEntry.java
@@ -13,6 +13,7 @@
  *
  * @param identity the endpoint's incarnation
  * @param service the service that it belongs to
+ * @param softwareVersion the version of the software that it runs
  * @param address the address at which it accepts requests
  * @param dataCentre the data centre that it runs in
  * @param draining whether it is about to shut down
@@ -25,6 +26,7 @@
 public record DirectoryEntry(
     EndpointIdentity identity,
     ServiceId service,
+    SoftwareVersion softwareVersion,
     InetSocketAddress address,
     String dataCentre,
     boolean draining,
@@ -40,11 +42,38 @@
     onDisk = Set.copyOf(onDisk);
   }
 
+  /** Returns the entry of an endpoint that does not state the version of its software. */
+  public DirectoryEntry(
+      EndpointIdentity identity,
+      ServiceId service,
+      InetSocketAddress address,
+      String dataCentre,
+      boolean draining,
+      int slots,
+      long heartbeat,
+      Map<String, LoadedModel> models,
+      Set<String> inMemory,
+      Set<String> onDisk) {
+    this(
+        identity,
+        service,
+        SoftwareVersion.UNSTATED,
+        address,
+        dataCentre,
+        draining,
+        slots,
+        heartbeat,
+        models,
+        inMemory,
+        onDisk);
+  }
+
   /** Returns the entry with another number of heartbeats. */
   public DirectoryEntry withHeartbeat(long newHeartbeat) {
     return new DirectoryEntry(
         identity,
         service,
+        softwareVersion,
         address,
         dataCentre,
         draining,
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointChooser.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointChooser.java
@@ -197,6 +197,9 @@
     if (!table.accepts(state)) {
       return Optional.of(EndpointExclusion.LEAVING);
     }
+    if (!criteria.allows(state.entry().softwareVersion())) {
+      return Optional.of(EndpointExclusion.OTHER_VERSION);
+    }
     if (criteria.excluded().contains(identity)) {
       return Optional.of(EndpointExclusion.TRIED);
     }
@@ -216,7 +219,9 @@
   }
 
   private boolean isPossible(EndpointState state, SelectionCriteria criteria) {
-    return table.accepts(state) && !criteria.excluded().contains(state.entry().identity());
+    return table.accepts(state)
+        && criteria.allows(state.entry().softwareVersion())
+        && !criteria.excluded().contains(state.entry().identity());
   }
 
   /** Returns whether an endpoint holds what a request needs; one for no model needs nothing. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointExclusion.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointExclusion.java
@@ -4,6 +4,8 @@
 public enum EndpointExclusion {
   /** It drains, has left, or was replaced. */
   LEAVING("leaving"),
+  /** The stream began at another version of the software. */
+  OTHER_VERSION("other version"),
   /** The request has been tried there, or is in progress there. */
   TRIED("tried already"),
   /** It does not hold the model or adapter. */
--- a/src/main/java/org/magnoliavale/platform/StoreDirectorySource.java
+++ b/src/main/java/org/magnoliavale/platform/StoreDirectorySource.java
@@ -15,6 +15,7 @@
 import org.magnoliavale.internal.directory.DirectorySource;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.directory.LoadedModel;
+import org.magnoliavale.internal.directory.SoftwareVersion;
 import org.magnoliavale.internal.identifier.IdentifierRules;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.ini.Values;
@@ -29,6 +30,10 @@
   private static final Logger LOG = Logs.of("directory");
   private static final String TABLE = "servers";
   private static final int MAXIMUM_LOGGED_KEYS = 10;
+
+  /** Longest version of a worker's software, in characters. */
+  private static final int MAXIMUM_VERSION_LENGTH = 128;
+
   private static final Set<String> STATES = Set.of("ready", "draining");
 
   private final StoreClient store;
@@ -100,9 +105,15 @@
         && isNumber(tree.path("slots"), 1, Integer.MAX_VALUE)
         && isNumber(tree.path("sequence"), 0, Long.MAX_VALUE)
         && (tree.path("born").isMissingNode() || isNumber(tree.path("born"), 0, Long.MAX_VALUE))
+        && isVersion(tree.path("version"))
         && (tree.path("models").isMissingNode() || tree.path("models").isArray());
   }
 
+  private static boolean isVersion(JsonNode node) {
+    return node.isMissingNode()
+        || node.isTextual() && node.asText().length() <= MAXIMUM_VERSION_LENGTH;
+  }
+
   private static boolean isNumber(JsonNode node, long minimum, long maximum) {
     return node.isIntegralNumber()
         && node.canConvertToLong()
@@ -114,6 +125,7 @@
     return new DirectoryEntry(
         new EndpointIdentity(id, tree.path("born").asLong()),
         new ServiceId(text(tree, "service")),
+        softwareVersion(tree),
         Values.address(text(tree, "address")),
         text(tree, "zone"),
         text(tree, "state").equals("draining"),
@@ -125,6 +137,12 @@
         decodeNames(tree.path("at-hand").path("on-disk")));
   }
 
+  /** In a directory entry "version" is that of the software; in a model, that of its weights. */
+  private static SoftwareVersion softwareVersion(JsonNode tree) {
+    String text = text(tree, "version");
+    return text.isEmpty() ? SoftwareVersion.UNSTATED : new SoftwareVersion(text);
+  }
+
   private static String text(JsonNode tree, String key) {
     JsonNode node = tree.path(key);
     return node.isTextual() ? node.asText() : "";
--- a/src/test/java/org/magnoliavale/internal/dispatch/TestEntries.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/TestEntries.java
@@ -7,6 +7,7 @@
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.directory.LoadedModel;
+import org.magnoliavale.internal.directory.SoftwareVersion;
 import org.magnoliavale.internal.identifier.ServiceId;
 
 /** Directory entries for tests. */
@@ -51,6 +52,7 @@
     return new DirectoryEntry(
         entry.identity(),
         entry.service(),
+        entry.softwareVersion(),
         entry.address(),
         entry.dataCentre(),
         entry.draining(),
@@ -61,10 +63,27 @@
         entry.onDisk());
   }
 
+  /** Returns the same entry of an endpoint that runs a version of its software. */
+  public static DirectoryEntry withVersion(DirectoryEntry entry, String version) {
+    return new DirectoryEntry(
+        entry.identity(),
+        entry.service(),
+        new SoftwareVersion(version),
+        entry.address(),
+        entry.dataCentre(),
+        entry.draining(),
+        entry.slots(),
+        entry.heartbeat(),
+        entry.models(),
+        entry.inMemory(),
+        entry.onDisk());
+  }
+
   private static DirectoryEntry withStartTime(DirectoryEntry entry, long startedAtMs) {
     return new DirectoryEntry(
         new EndpointIdentity(entry.identity().id(), startedAtMs),
         entry.service(),
+        entry.softwareVersion(),
         entry.address(),
         entry.dataCentre(),
         entry.draining(),
--- a/src/test/java/org/magnoliavale/platform/StoreDirectorySourceTest.java
+++ b/src/test/java/org/magnoliavale/platform/StoreDirectorySourceTest.java
@@ -109,6 +109,12 @@
       assertIgnored(entry("born", born));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"7", "null", "{}", "[\"v1\"]"})
+    void withASoftwareVersionThatIsNoTextIsIgnored(String version) {
+      assertIgnored(entry("version", version));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"\"resting\"", "7", "null"})
     void withAnUnknownStateIsIgnored(String state) {
