Take a stream up only at the version that began it, whichever instance began it

Cause: nobody kept at which version a stream began, and the header that names the attempt that began it was read nowhere. Now a table of the store says so for each stream that does not begin at its service's baseline, before its caller gets the first event; a stream without a record began at the baseline, which a row names. With one version in service nothing but that row is written.

Reads of single rows no longer read the rest of their table.

--- a/src/main/java/org/magnoliavale/ErrorCode.java
+++ b/src/main/java/org/magnoliavale/ErrorCode.java
@@ -28,6 +28,10 @@
   DEADLINE_EXCEEDED("deadline-exceeded", 504),
   /** No live endpoint has the model loaded. */
   MODEL_UNAVAILABLE("model-unavailable", 503),
+  /** No endpoint runs the software version that began the stream; it can only begin anew. */
+  STREAM_VERSION_GONE("stream-version-gone", 503),
+  /** It is not known which software version began the stream; it can only begin anew. */
+  STREAM_ORIGIN_UNKNOWN("stream-origin-unknown", 503),
   /** The endpoints returned invalid responses or none. */
   UPSTREAM_FAILED("upstream-failed", 502),
   /** The request is blocked because it crashed endpoints. */
--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -197,9 +197,20 @@
     }
     pool().recordEvent(choice, lastActivityNanos);
     lastEventNanos = lastActivityNanos;
+    writing = true;
+    call.streamStart().whenCertain(certain -> write(completeEvents, certain, demand));
+  }
+
+  private void write(ByteBuffer completeEvents, boolean certain, Runnable demand) {
+    if (closed) {
+      return;
+    }
+    if (!certain) {
+      call.streamStart().endUnrecorded(this);
+      return;
+    }
     beginResponseOnce();
     call.progress().eventForwarded(events.lastId());
-    writing = true;
     call.caller().write(completeEvents, contained.step("write", () -> writeCompleted(demand)));
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -40,6 +40,7 @@
   private final CallLog log;
   private final CallCompletion completion;
   private final ResponseProgress progress;
+  private final StreamStart streamStart;
   private final EndpointSelection selection;
   private final RetryAllowance retries;
   private final OtherEndpointTries otherEndpoints;
@@ -58,6 +59,7 @@
     this.plan = plan;
     this.caller = caller;
     this.progress = new ResponseProgress(plan.metadata().lastEventId());
+    this.streamStart = new StreamStart(this, progress);
     this.selection = new EndpointSelection(context, plan, progress);
     this.retries = new RetryAllowance(context, plan, maySend);
     this.otherEndpoints = new OtherEndpointTries(this, attempts, selection, retries);
@@ -88,7 +90,16 @@
     context.recordRequest(plan, nowNanos);
     if (nowNanos - plan.deadlineNanos() >= 0) {
       expire(nowNanos);
-    } else if (wait.isBehindOthers(nowNanos)) {
+    } else if (plan.takesUpStream()) {
+      streamStart.findOrigin();
+    } else {
+      enter(nowNanos);
+    }
+  }
+
+  /** Sends the first attempt, or waits for an endpoint. */
+  void enter(long nowNanos) {
+    if (wait.isBehindOthers(nowNanos)) {
       wait.behindOthers(nowNanos);
       checkWait(nowNanos);
     } else {
@@ -178,7 +189,7 @@
   }
 
   private void dispatch(long nowNanos) {
-    if (rejectIfCrashing(nowNanos)) {
+    if (streamStart.isFindingOrigin() || rejectIfCrashing(nowNanos)) {
       return;
     }
     switch (selection.choose(nowNanos)) {
@@ -232,6 +243,7 @@
   private void send(Attempt attempt, EndpointChoice.Selected choice, long nowNanos) {
     int number = retries.possibleExecutions() + retries.refusals() + 1;
     log.sent(choice, number, plan.timeRemaining(nowNanos));
+    streamStart.sentTo(choice.endpoint().softwareVersion());
     attempt.send(selection.request(choice, progress.lastEvent(), nowNanos));
   }
 
@@ -315,6 +327,11 @@
     log.retrying(source.identity(), reason, retries, progress.lastEvent());
   }
 
+  /** Returns what the first event of the call's stream waits for. */
+  StreamStart streamStart() {
+    return streamStart;
+  }
+
   /** Returns how far the response has come. */
   ResponseProgress progress() {
     return progress;
@@ -341,7 +358,7 @@
     giveUp(ErrorCode.MODEL_UNAVAILABLE, reason, nowNanos);
   }
 
-  private void giveUp(ErrorCode code, String reason, long nowNanos) {
+  void giveUp(ErrorCode code, String reason, long nowNanos) {
     if (progress.hasStarted() || retries.mayHaveBeenExecuted()) {
       failOrAbort(ErrorCode.UPSTREAM_FAILED, reason);
     } else {
@@ -370,6 +387,7 @@
     // First: whatever the steps below meet, the call has ended and is answered.
     state = State.ENDED;
     onEnd.accept(this);
+    streamStart.stop();
     wait.stop(now());
     attempts.cancel(AttemptOutcome.INCONCLUSIVE, now());
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallContext.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallContext.java
@@ -28,6 +28,7 @@
  * @param queue the calls that wait for an endpoint
  * @param routes the current configuration, null before the first one
  * @param keys decides by its key whether a call may pass
+ * @param origins knows which software version began a stream
  * @param quota decides whether a tenant's quota has room for a call
  * @param responseMemory memory for responses that are kept until they are complete
  * @param metrics metrics of calls
@@ -45,6 +46,7 @@
     QueuedCalls queue,
     Supplier<RouteTable> routes,
     CallerKeys keys,
+    StreamOrigins origins,
     QuotaCheck quota,
     ResponseMemory responseMemory,
     CallMetrics metrics,
@@ -60,6 +62,7 @@
       CrashDetector crashDetector,
       Supplier<RouteTable> routes,
       CallerKeys keys,
+      StreamOrigins origins,
       QuotaCheck quota,
       ResponseMemory responseMemory,
       CallMetrics metrics,
@@ -76,6 +79,7 @@
         new QueuedCalls(new Random()),
         routes,
         keys,
+        origins,
         quota,
         responseMemory,
         metrics,
@@ -105,6 +109,7 @@
         crashDetector,
         routes,
         CallerKeys.ofSingleInstance(),
+        StreamOrigins.ofUnstatedVersions(),
         QuotaCheck.unlimited(),
         responseMemory,
         metrics,
--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -18,6 +18,9 @@
 record CallLog(CallPlan plan) {
   private static final Logger LOG = Logs.of("call");
 
+  /** Most characters of a caller's reference to another attempt that are logged. */
+  private static final int MAXIMUM_LOGGED_ID = 64;
+
   void sent(EndpointChoice.Selected choice, int attempt, Duration timeRemaining) {
     LOG.infof(
         "Sent. request=%s route=%s endpoint=%s software=%s artifact=%s load=%.0f report-age-ms=%d"
@@ -44,6 +47,19 @@
     return "Call failed unexpectedly. request=" + plan.attemptId() + " step=" + step;
   }
 
+  void originFound(StreamOrigin origin) {
+    LOG.infof(
+        "Stream taken up. request=%s begun-by=%s after-event=%s origin=%s",
+        plan.attemptId(),
+        shortened(plan.metadata().resumedAttemptId()),
+        text(plan.metadata().lastEventId()),
+        origin);
+  }
+
+  private static String shortened(String id) {
+    return id.length() <= MAXIMUM_LOGGED_ID ? id : id.substring(0, MAXIMUM_LOGGED_ID);
+  }
+
   void waitingForArtifact(Artifact artifact) {
     LOG.infof("Waiting for artifact. request=%s artifact=%s", plan.attemptId(), artifact);
   }
--- a/src/main/java/org/magnoliavale/internal/call/CallPlan.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallPlan.java
@@ -110,6 +110,11 @@
     return Duration.ofNanos(Math.max(0, deadlineNanos() - nowNanos));
   }
 
+  /** Returns whether the caller has a part of the stream already. */
+  boolean takesUpStream() {
+    return route.isResumableStream() && metadata.lastEventId().isPresent();
+  }
+
   private long targetNanos() {
     return request.arrivedNanos() + route.targetLatency().toNanos();
   }
--- a/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
@@ -1,7 +1,9 @@
 package org.magnoliavale.internal.call;
 
 import java.util.Optional;
+import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.SoftwareVersion;
 import org.magnoliavale.internal.dispatch.EndpointChoice;
 import org.magnoliavale.internal.dispatch.SelectionCriteria;
 
@@ -28,10 +30,17 @@
         plan.service(),
         plan.metadata().generation(),
         Optional.of(plan.urgencyAt(nowNanos)),
-        progress.version(),
+        progress.version().or(this::onlyBeginning),
         tried.excluded());
   }
 
+  /** Returns the only version at which the stream of a call may begin now; empty if any may. */
+  private Optional<SoftwareVersion> onlyBeginning() {
+    return plan.route().isResumableStream()
+        ? context.origins().onlyBeginning(plan.service())
+        : Optional.empty();
+  }
+
   /** Selects an endpoint for the next attempt. */
   EndpointChoice choose(long nowNanos) {
     return context.chooser().choose(criteria(nowNanos), plan.connectionLimit(), nowNanos);
@@ -39,15 +48,18 @@
 
   /**
    * Selects an endpoint that can take the call now although it is in progress at another one, and
-   * takes a retry from the budget.
+   * takes a retry from the budget. Either of the two may begin a stream that is resumed, so both
+   * have the same version.
    */
   Optional<EndpointChoice.Selected> chooseOtherWithinBudget(
-      EndpointIdentity inProgress, RetryAllowance retries, long nowNanos) {
+      DirectoryEntry inProgress, RetryAllowance retries, long nowNanos) {
+    SelectionCriteria others = criteria(nowNanos).excluding(inProgress.identity());
+    SelectionCriteria criteria =
+        plan.route().isResumableStream()
+            ? others.withVersion(inProgress.softwareVersion())
+            : others;
     Optional<EndpointChoice.Selected> choice =
-        context
-            .endpoints()
-            .chooseHealthy(
-                criteria(nowNanos).excluding(inProgress), plan.connectionLimit(), nowNanos);
+        context.endpoints().chooseHealthy(criteria, plan.connectionLimit(), nowNanos);
     if (choice.isPresent() && !retries.spendRetry(nowNanos)) {
       context.endpoints().releaseSelection(choice.get(), nowNanos);
       return Optional.empty();
--- a/src/main/java/org/magnoliavale/internal/call/OtherEndpointTries.java
+++ b/src/main/java/org/magnoliavale/internal/call/OtherEndpointTries.java
@@ -68,7 +68,7 @@
     if (!retries.allowsRetryInPlaceOfAttempt(call.progress().hasStarted(), nowNanos)) {
       return Optional.empty();
     }
-    return selection.chooseOtherWithinBudget(inProgress.identity(), retries, nowNanos);
+    return selection.chooseOtherWithinBudget(inProgress.endpoint(), retries, nowNanos);
   }
 
   /** Keeps only an attempt whose endpoint has begun or gone on with the response. */
--- a/src/main/java/org/magnoliavale/internal/call/ResponseProgress.java
+++ b/src/main/java/org/magnoliavale/internal/call/ResponseProgress.java
@@ -51,6 +51,11 @@
     }
   }
 
+  /** Binds the response to a version before it has started. */
+  void bind(SoftwareVersion required) {
+    version = Optional.of(required);
+  }
+
   /** Returns the only software version that the call may be sent to; empty if any will do. */
   Optional<SoftwareVersion> version() {
     return version;
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -11,6 +11,7 @@
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.directory.SoftwareVersion;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.limit.EndpointLimits;
 import org.magnoliavale.internal.route.EngineSpecification;
@@ -292,6 +293,13 @@
         .toList();
   }
 
+  /** Returns whether an endpoint of a service that accepts new requests runs a version. */
+  public synchronized boolean hasVersion(ServiceId service, SoftwareVersion version) {
+    return table.ofService(service).stream()
+        .filter(table::accepts)
+        .anyMatch(state -> state.entry().softwareVersion().equals(version));
+  }
+
   /** Returns the number of endpoints of a service that accept new requests. */
   public synchronized int size(ServiceId service) {
     return (int) table.ofService(service).stream().filter(table::accepts).count();
--- a/src/main/java/org/magnoliavale/internal/gateway/ConfigurationReads.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ConfigurationReads.java
@@ -1,10 +1,12 @@
 package org.magnoliavale.internal.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.magnoliavale.Service;
 import org.magnoliavale.internal.identifier.ServiceId;
 import org.magnoliavale.internal.link.protocol.Heartbeat;
+import org.magnoliavale.internal.origin.ResumableStreams;
 import org.magnoliavale.internal.route.EngineSpecification;
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.tenant.CallerKeys;
@@ -13,7 +15,7 @@
  * Follows the operator's configuration: waits for its changes, reads it besides that when peers are
  * ahead, and tells peers of the version in force and of keys that were taken away.
  */
-final class ConfigurationReads implements Service, HeartbeatPart {
+final class ConfigurationReads implements Service, HeartbeatPart, ResumableStreams {
   private final KeyExchange keyExchange;
   private final ConfigurationPoller poller;
   private final ConfigurationCatchUp catchUp;
@@ -79,6 +81,18 @@
     return poller.engine(service);
   }
 
+  @Override
+  public boolean hasResumable(ServiceId service) {
+    RouteTable current = routes();
+    return current != null && current.hasResumable(service);
+  }
+
+  @Override
+  public Duration longestResumable() {
+    RouteTable current = routes();
+    return current == null ? Duration.ZERO : current.longestResumable();
+  }
+
   /** Returns the version of the current configuration, or 0 before the first one was read. */
   long version() {
     return poller.version();
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.Collection;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -17,7 +16,6 @@
 import org.magnoliavale.internal.call.GracefulDrain;
 import org.magnoliavale.internal.call.ResponseMemory;
 import org.magnoliavale.internal.containment.CrashRegistry;
-import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.directory.EndpointStatement;
@@ -32,6 +30,7 @@
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.metrics.InstanceMetrics;
 import org.magnoliavale.internal.metrics.UnexpectedFailures;
+import org.magnoliavale.internal.origin.RecordedOrigins;
 import org.magnoliavale.internal.residency.DelayingExecutor;
 import org.magnoliavale.internal.residency.FleetDemand;
 import org.magnoliavale.internal.residency.ResidencyController;
@@ -56,9 +55,6 @@
   private static final long TICK_INTERVAL_MS = 50;
   private static final long IDLE_TICK_INTERVAL_MS = 250;
 
-  /** Time after which a silent peer no longer counts; relayed heartbeats may be seconds apart. */
-  private static final Duration PEER_EXPIRY = Duration.ofSeconds(5);
-
   private final GatewaySettings settings;
   private final FleetRetryBudget retryBudget;
   private final PlatformAdapters adapters;
@@ -76,6 +72,7 @@
   private final DirectoryReads directory;
   private final CallRegistry calls;
   private final QuotaKeeper quotas;
+  private final RecordedOrigins origins;
   private final PeerStateExchange peerState;
   private final InstanceRegistry registry;
   private final PeerLinks links;
@@ -106,7 +103,7 @@
         factory.create(clients.control(), settings, this::heardByControl).containing(failures);
     configuration =
         ConfigurationReads.of(settings, adapters, this::isLargeFleet, this::announceLocalState);
-    membership = new Membership(PEER_EXPIRY);
+    membership = Membership.ofRelayedHeartbeats();
     registry = createRegistry();
     endpoints =
         EndpointPools.create(
@@ -116,6 +113,13 @@
     ArtifactDemand demand = new ArtifactDemand(this::announceDemand);
     FleetDemand fleetDemand = new FleetDemand();
     quotas = QuotaKeeper.create(this::fleet, configuration::routes, settings.quotaBounds());
+    origins =
+        RecordedOrigins.of(
+            adapters.streams(),
+            commandExecutor,
+            this::isLeaseHeld,
+            configuration,
+            System::nanoTime);
     calls = new CallRegistry(createCallContext(demand), ThreadLocalRandom.current());
     peerState =
         new PeerStateExchange(
@@ -147,9 +151,8 @@
             configuration::maximumBodyBytes,
             () -> stopping,
             ticks::wake);
-    servers =
-        new GatewayServers(
-            settings, transport, callerHandler, new ReadinessHandler(this::isReady), metrics);
+    ReadinessHandler readiness = new ReadinessHandler(this::isReady);
+    servers = new GatewayServers(settings, transport, callerHandler, readiness, metrics);
   }
 
   /** Returns an instance that is not started yet. */
@@ -183,6 +186,7 @@
         crashDetector,
         configuration::routes,
         configuration.keys(),
+        origins,
         quotas,
         ResponseMemory.ofHeap(),
         new CallMetrics(metrics),
@@ -211,7 +215,15 @@
         new DirectoryPace(lease::isHeld, residency::isAwaitingEndpoints, this::isLargeFleet),
         lease::isHeld,
         configuration::routes,
-        this::directoryChanged,
+        new EndpointChanges(
+            endpoints,
+            origins,
+            crashDetector,
+            residency,
+            departures,
+            calls,
+            this::announceLocalState,
+            failures),
         System::nanoTime);
   }
 
@@ -250,6 +262,10 @@
     return !PeerLinks.isMesh(liveInstanceCount());
   }
 
+  private boolean isLeaseHeld() {
+    return lease.isHeld();
+  }
+
   private boolean isReady() {
     return configuration.routes() != null && directory.isLoaded() && !stopping;
   }
@@ -300,23 +316,6 @@
         endpoint, statement, System.nanoTime() - GatewayClients.CONTROL_IDLE_TIMEOUT.toNanos());
   }
 
-  private void directoryChanged(Collection<DirectoryEntry> entries) {
-    long now = System.nanoTime();
-    endpoints.update(entries, now);
-    crashDetector.endpointsListed(entries.stream().map(DirectoryEntry::identity).toList(), now);
-    failures.contain("Endpoints could not be planned with.", () -> planWith(entries));
-    if (departures.takeNews()) {
-      announceLocalState();
-    }
-    calls.endpointsChanged();
-  }
-
-  private void planWith(Collection<DirectoryEntry> entries) {
-    if (residency.update(entries)) {
-      announceLocalState();
-    }
-  }
-
   /** Takes over the grace period and the limits of the retry budget from changed settings. */
   public void reload(GatewaySettings changed) {
     gracePeriod = changed.gracePeriod();
--- a/src/main/java/org/magnoliavale/internal/gateway/PlatformAdapters.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/PlatformAdapters.java
@@ -13,6 +13,7 @@
  * The platform adapters that an instance uses.
  *
  * @param table the fleet's own rows in the platform's store
+ * @param streams rows that say where streams began
  * @param configuration source of the operator's configuration
  * @param directory source of the endpoint list
  * @param protocol request and response headers of callers and endpoints
@@ -20,6 +21,7 @@
  */
 public record PlatformAdapters(
     Table table,
+    Table streams,
     ConfigurationSource configuration,
     DirectorySource directory,
     CallProtocol protocol,
@@ -27,7 +29,12 @@
   /** Returns the same adapters with a control that passes on no exception. */
   PlatformAdapters containing(UnexpectedFailures failures) {
     return new PlatformAdapters(
-        table, configuration, directory, protocol, new ContainedEndpointControl(control, failures));
+        table,
+        streams,
+        configuration,
+        directory,
+        protocol,
+        new ContainedEndpointControl(control, failures));
   }
 
   /** Creates the adapters of a platform. */
--- a/src/main/java/org/magnoliavale/internal/link/Membership.java
+++ b/src/main/java/org/magnoliavale/internal/link/Membership.java
@@ -14,6 +14,9 @@
 public final class Membership {
   private record Peer(Heartbeat heartbeat, long receivedNanos) {}
 
+  /** Time after which a silent peer no longer counts; relayed heartbeats may be seconds apart. */
+  private static final Duration RELAYED_EXPIRY = Duration.ofSeconds(5);
+
   private final long expiryNanos;
   private final Map<String, Peer> peers = new TreeMap<>();
 
@@ -22,6 +25,11 @@
     this.expiryNanos = expiry.toNanos();
   }
 
+  /** Returns a membership of instances whose heartbeats may be relayed. */
+  public static Membership ofRelayedHeartbeats() {
+    return new Membership(RELAYED_EXPIRY);
+  }
+
   /** Records a heartbeat; returns whether it is the first to say that the peer is leaving. */
   public synchronized boolean recordHeartbeat(String instance, Heartbeat heartbeat, long nowNanos) {
     Peer previous = peers.put(instance, new Peer(heartbeat, nowNanos));
--- a/src/main/java/org/magnoliavale/internal/route/Route.java
+++ b/src/main/java/org/magnoliavale/internal/route/Route.java
@@ -79,7 +79,12 @@
 
   /** Returns whether a call may be retried after an attempt that may have been executed. */
   public boolean isRetryable() {
-    return kind == CallKind.IDEMPOTENT || kind == CallKind.STREAM && resumable;
+    return kind == CallKind.IDEMPOTENT || isResumableStream();
+  }
+
+  /** Returns whether its responses are streams that may go on at another endpoint. */
+  public boolean isResumableStream() {
+    return kind == CallKind.STREAM && resumable;
   }
 
   /** Selects a service by weight; {@code random} is a random number, uniform in [0, 1). */
--- a/src/main/java/org/magnoliavale/internal/route/RouteTable.java
+++ b/src/main/java/org/magnoliavale/internal/route/RouteTable.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.magnoliavale.internal.identifier.ServiceId;
 
 /**
@@ -24,6 +26,8 @@
   private final Map<ServiceId, ServiceSpecification> services = new HashMap<>();
   private final TenantTable tenants;
   private final Map<ServiceId, TargetRange> targets = new HashMap<>();
+  private final Duration longestResumable;
+  private final Set<ServiceId> resumableServices = new HashSet<>();
 
   /** The shortest and the longest target latency of the routes to a service. */
   private record TargetRange(Duration least, Duration greatest) {
@@ -54,6 +58,12 @@
     services.forEach(service -> this.services.put(service.id(), service));
     this.tenants = tenants;
     routes.forEach(this::addTarget);
+    List<Route> resumable = routes.stream().filter(Route::isResumableStream).toList();
+    longestResumable =
+        resumable.stream().map(Route::timeout).max(Comparator.naturalOrder()).orElse(Duration.ZERO);
+    resumable.stream()
+        .flatMap(route -> route.services().stream())
+        .forEach(weighted -> resumableServices.add(weighted.service()));
   }
 
   private void addTarget(Route route) {
@@ -118,6 +128,16 @@
     return range != null && !range.least().equals(range.greatest());
   }
 
+  /** Returns whether a service has streams that may be resumed. */
+  public boolean hasResumable(ServiceId service) {
+    return resumableServices.contains(service);
+  }
+
+  /** Returns the longest time that a stream lasts that may be resumed; 0 if there are none. */
+  public Duration longestResumable() {
+    return longestResumable;
+  }
+
   /** Returns the tenants. */
   public TenantTable tenants() {
     return tenants;
--- a/src/main/java/org/magnoliavale/platform/PlatformAdapterFactory.java
+++ b/src/main/java/org/magnoliavale/platform/PlatformAdapterFactory.java
@@ -17,6 +17,9 @@
   /** Time for which the store holds a long poll for configuration changes. */
   private static final Duration CONFIGURATION_POLL_TIMEOUT = Duration.ofMillis(2_000);
 
+  private static final String FLEET_TABLE = "magnoliavale";
+  private static final String STREAMS_TABLE = "magnoliavale-streams";
+
   private static final Duration WORKER_TIMEOUT = Duration.ofMillis(300);
 
   private PlatformAdapterFactory() {}
@@ -26,7 +29,8 @@
       JsonClient client, GatewaySettings settings, ControlStatementListener listener) {
     StoreClient store = new StoreClient(client, settings.storeAddress(), STORE_TIMEOUT);
     return new PlatformAdapters(
-        new StoreTable(store),
+        new StoreTable(store, FLEET_TABLE),
+        new StoreTable(store, STREAMS_TABLE),
         new StoreConfigurationSource(store, CONFIGURATION_POLL_TIMEOUT),
         new StoreDirectorySource(store),
         new WorkerProtocol(),
--- a/src/main/java/org/magnoliavale/platform/StoreClient.java
+++ b/src/main/java/org/magnoliavale/platform/StoreClient.java
@@ -65,13 +65,28 @@
     return generation.newest();
   }
 
+  /** Returns the smallest key after another one in byte order. */
+  static String keyAfter(String key) {
+    return key + "\0";
+  }
+
   /** Reads all rows with keys from {@code from} on, page by page. */
   Result readAll(String table, String from) {
+    return readRange(table, from, "");
+  }
+
+  /**
+   * Reads all rows with keys from {@code from} on, page by page.
+   *
+   * @param to the first key that is not read; empty for none
+   */
+  Result readRange(String table, String from, String to) {
+    String end = to.isEmpty() ? "" : "&to=" + encode(to);
     List<StoredRow> rows = new ArrayList<>();
     Set<String> starts = new HashSet<>();
     String next = from;
     while (starts.add(next)) {
-      String path = "/-/rows-get?table=" + encode(table) + "&part=&from=" + encode(next);
+      String path = "/-/rows-get?table=" + encode(table) + "&part=&from=" + encode(next) + end;
       JsonCallResult result = client.get(address, path, timeout);
       if (!(result instanceof JsonCallResult.Response(int status, var headers, byte[] body))
           || status != OK) {
@@ -87,8 +102,7 @@
       } catch (IOException e) {
         return new Result.OutcomeUnknown("malformed response");
       }
-      // The smallest key after the last one in byte order.
-      next = rows.getLast().key() + "\0";
+      next = keyAfter(rows.getLast().key());
     }
     return new Result.Unavailable("pages that do not go on");
   }
--- a/src/main/java/org/magnoliavale/platform/StoreTable.java
+++ b/src/main/java/org/magnoliavale/platform/StoreTable.java
@@ -4,25 +4,26 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.function.Predicate;
 import org.magnoliavale.internal.platform.Row;
 import org.magnoliavale.internal.platform.Table;
 import org.magnoliavale.internal.platform.TableResult;
 import org.magnoliavale.internal.platform.Transaction;
 import org.magnoliavale.internal.platform.Write;
 
-/** The fleet's own table in the platform's store. */
+/** A table of the fleet's own in the platform's store. */
 final class StoreTable implements Table {
-  private static final String NAME = "magnoliavale";
-
   private final StoreClient store;
+  private final String name;
 
-  StoreTable(StoreClient store) {
+  StoreTable(StoreClient store, String name) {
     this.store = store;
+    this.name = name;
   }
 
   @Override
   public TableResult commit(Transaction transaction) {
-    return switch (store.apply(NAME, transaction)) {
+    return switch (store.apply(name, transaction)) {
       case StoreClient.Result.Success(var ignored, long newestVersion, long generation) ->
           toSuccess(transaction, newestVersion, generation);
       case StoreClient.Result.ConditionFailed(var rows) ->
@@ -49,17 +50,18 @@
 
   @Override
   public TableResult read(List<String> keys) {
-    return readFrom(Collections.min(keys), row -> keys.contains(row.key()));
+    String last = Collections.max(keys);
+    return readRange(
+        Collections.min(keys), StoreClient.keyAfter(last), row -> keys.contains(row.key()));
   }
 
   @Override
   public TableResult scan(String prefix) {
-    return readFrom(prefix, row -> row.key().startsWith(prefix));
+    return readRange(prefix, "", row -> row.key().startsWith(prefix));
   }
 
-  private TableResult readFrom(
-      String from, java.util.function.Predicate<StoreClient.StoredRow> filter) {
-    return switch (store.readAll(NAME, from)) {
+  private TableResult readRange(String from, String to, Predicate<StoreClient.StoredRow> filter) {
+    return switch (store.readRange(name, from, to)) {
       case StoreClient.Result.Success(var rows, long ignored, long generation) ->
           new TableResult.Success(toRows(rows.stream().filter(filter).toList()), generation);
       case StoreClient.Result.Unavailable(String reason) -> new TableResult.Unavailable(reason);
--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -27,6 +27,7 @@
   private static final String ATTEMPT_ID = "X-Request-Attempt-Id";
   private static final String TIME_REMAINING = "X-Time-Remaining";
   private static final String LAST_EVENT_ID = "Last-Event-Id";
+  private static final String RESUMES = "Resumes";
   private static final String EXPECTED_INSTANCE = "X-Expected-Instance";
   private static final String INSTANCE_ID = "X-Instance-Id";
   private static final String SIGNATURE = "X-Response-Signature";
@@ -97,12 +98,12 @@
 
   @Override
   public CallMetadata parseRequest(HttpFields fromCaller) {
-    String id = fromCaller.get(ATTEMPT_ID);
     return new CallMetadata(
-        id == null ? "" : id,
+        Objects.requireNonNullElse(fromCaller.get(ATTEMPT_ID), ""),
         BoundedNumbers.whole(fromCaller.get(TIME_REMAINING), 0, MAXIMUM_TIME_REMAINING_MS)
             .map(Duration::ofMillis),
         parseEventId(fromCaller.get(LAST_EVENT_ID)),
+        Objects.requireNonNullElse(fromCaller.get(RESUMES), ""),
         parseGeneration(fromCaller),
         parseCredential(fromCaller));
   }
--- a/src/main/java/org/magnoliavale/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/magnoliavale/platform/standin/StoreStandIn.java
@@ -57,7 +57,10 @@
       switch (Request.getPathInContext(request)) {
         case "/-/rows-get" ->
             send(
-                response, callback, readRange(query.getValue("table"), valueOr(query, "from", "")));
+                response,
+                callback,
+                readRange(
+                    query.getValue("table"), valueOr(query, "from", ""), valueOr(query, "to", "")));
         case "/-/rows-feed" ->
             send(
                 response,
@@ -161,12 +164,13 @@
     rows.put(new RowId(table, key), new Row(value, newestVersion));
   }
 
-  private synchronized Answer readRange(String table, String from) {
+  private synchronized Answer readRange(String table, String from, String to) {
     List<ObjectNode> found = new ArrayList<>();
     rows.tailMap(new RowId(table, from))
         .forEach(
             (id, row) -> {
-              if (id.table().equals(table) && row.value() != null) {
+              boolean inRange = to.isEmpty() || id.key().compareTo(to) < 0;
+              if (id.table().equals(table) && inRange && row.value() != null) {
                 found.add(toJson(id, row));
               }
             });
--- a/src/test/java/org/magnoliavale/ArchitectureTest.java
+++ b/src/test/java/org/magnoliavale/ArchitectureTest.java
@@ -32,6 +32,7 @@
             INTERNAL + "tenant..",
             INTERNAL + "queue..",
             INTERNAL + "quota..",
+            INTERNAL + "origin..",
             INTERNAL + "residency..")
         .should()
         .dependOnClassesThat()
@@ -61,6 +62,7 @@
             INTERNAL + "tenant..",
             INTERNAL + "queue..",
             INTERNAL + "quota..",
+            INTERNAL + "origin..",
             INTERNAL + "call..",
             INTERNAL + "residency..")
         .or()
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -86,6 +86,7 @@
                 queue,
                 () -> table == null ? null : createTable(),
                 CallerKeys.ofSingleInstance(),
+                origins(),
                 quota(),
                 responseMemory,
                 new CallMetrics(metrics),
@@ -106,6 +107,11 @@
     return false;
   }
 
+  /** Returns what knows which software version began a stream. */
+  StreamOrigins origins() {
+    return StreamOrigins.ofUnstatedVersions();
+  }
+
   /** Returns what decides on tenants' quotas. */
   QuotaCheck quota() {
     return QuotaCheck.unlimited();
--- a/src/test/java/org/magnoliavale/internal/gateway/FakeTable.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/FakeTable.java
@@ -11,7 +11,7 @@
 import org.magnoliavale.internal.platform.Write;
 
 /** In-memory implementation of a table. */
-final class FakeTable implements Table {
+public final class FakeTable implements Table {
   private final TreeMap<String, Row> rows = new TreeMap<>();
   private long version;
   private long generation = 1;
@@ -56,7 +56,7 @@
   }
 
   /** Returns a copy of the contents. */
-  synchronized FakeTable copy() {
+  public synchronized FakeTable copy() {
     FakeTable copy = new FakeTable();
     copy.rows.putAll(rows);
     copy.version = version;
@@ -64,7 +64,7 @@
   }
 
   /** Restores the contents from a copy, so that versions are given out again. */
-  synchronized void restore(FakeTable copy) {
+  public synchronized void restore(FakeTable copy) {
     rows.clear();
     rows.putAll(copy.rows);
     version = copy.version;
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewayFixture.java
@@ -83,6 +83,7 @@
             settings(),
             (client, settings, listener) ->
                 new PlatformAdapters(
+                    new FakeTable(),
                     new FakeTable(),
                     this::pollConfiguration,
                     () -> new DirectoryReadResult.Entries(entries(), 0),
