--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -84,6 +84,8 @@
     for (Map.Entry<String, String> field : fields.entrySet()) {
       settings = settings.replace("{{" + field.getKey() + "}}", field.getValue());
     }
+    // Fields that a deployment leaves out are empty, as on the platform.
+    settings = settings.replaceAll("\\{\\{[^{}]*}}", "");
     Path settingsFile = folder.resolve(name + ".ini");
     Files.writeString(settingsFile, settings);
     ProcessBuilder builder = new ProcessBuilder(runCommand());
