--- a/src/test/java/org/magnoliavale/internal/origin/SimulatedStreams.java
+++ b/src/test/java/org/magnoliavale/internal/origin/SimulatedStreams.java
@@ -54,7 +54,6 @@
   private long numbers;
   private int goneOn;
   private int joined;
-  private int unknown;
   private int unknownAtCalmInstances;
   private int takenUpAtCalmInstances;
 
@@ -79,10 +78,6 @@
     return (double) unknownAtCalmInstances / Math.max(1, takenUpAtCalmInstances);
   }
 
-  int unknown() {
-    return unknown;
-  }
-
   void run(int seconds) {
     int steps = seconds * 1_000 / STEP_MS;
     for (int step = 0; step < steps; step++) {
@@ -259,7 +254,6 @@
     }
 
     private void refused(boolean calm) {
-      unknown++;
       unknownAtCalmInstances += calm ? 1 : 0;
     }
 
