Handle answers of endpoints and the store on the thread that waits for them

Cause: Jetty's client takes listeners for blocking by default, so each part of an answer is handed from the thread that reads it to another, and the connection's next read is handed back. No listener here blocks; the servers' handlers have said so for long.

Evidence: ResponseThreadsTest failed before with answers on 3 threads.

HttpClients, which the other interface uses, stays as it is: its listeners may block.

--- a/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.thread.Invocable.InvocationType;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.magnoliavale.internal.http.BoundedTransport;
@@ -18,7 +19,8 @@
 
 /**
  * Creates Jetty servers and clients that share one small thread pool and one scheduler. Handlers
- * never block, so calls are processed on the threads that read from the network.
+ * and the listeners of responses never block, so calls are processed on the threads that wait for
+ * the network, and none of them is handed to another thread.
  */
 final class JettyTransport {
   private static final int MINIMUM_THREADS = 4;
@@ -109,6 +111,7 @@
     connector.setExecutor(threads);
     connector.setScheduler(scheduler);
     HttpClient client = BoundedTransport.createClient(connector);
+    client.getTransport().setInvocationType(InvocationType.NON_BLOCKING);
     client.setName(name);
     client.setExecutor(threads);
     client.setScheduler(scheduler);
