Send fewer heartbeats and replies that follow each other within milliseconds

Each result of a command announced the state of the lease holder at once: 44 heartbeats a second in the first seconds of traffic, each of which woke every instance. Each heartbeat, also the ones with loads five times a second, was answered by a frame that woke its sender again and states only that the link lives. Now two announcements are 50 ms apart at least, the first of them goes out at once, and replies 300 ms; one that states another version is never held back.

What was ruled out: no replies at all. In a small fleet they are all that comes on a link.

--- a/src/main/java/org/magnoliavale/internal/link/AcceptedLink.java
+++ b/src/main/java/org/magnoliavale/internal/link/AcceptedLink.java
@@ -5,6 +5,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.ReadTimeoutException;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.link.protocol.Challenge;
 import org.magnoliavale.internal.link.protocol.Frame;
@@ -16,17 +17,23 @@
 
 /**
  * The accepting end of a link. Authenticates the peer by challenge and response, then passes its
- * heartbeats to the listener and replies to each with the version of this instance's document. One
+ * heartbeats to the listener and replies with the version of this instance's document, which also
+ * shows the peer that the link lives. Heartbeats that follow each other quickly get one reply. One
  * handler serves one connection and runs on its event loop only.
  */
 final class AcceptedLink extends SimpleChannelInboundHandler<Frame> {
   private static final Logger LOG = Logs.of("link");
 
+  /** Minimum time between two replies that state the same version; less than between heartbeats. */
+  private static final long REPLY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   private final LinkContext link;
   private final ByteString nonce = LinkProof.newNonce();
   private final HeartbeatRelay.Progress progress = new HeartbeatRelay.Progress();
+  private final MinimumInterval replies = new MinimumInterval(REPLY_INTERVAL_NANOS);
   private ChannelHandlerContext context;
   private String peer;
+  private long repliedVersion;
 
   AcceptedLink(LinkContext link) {
     this.link = link;
@@ -77,13 +84,23 @@
   private void onHeartbeat(ChannelHandlerContext context, Heartbeat heartbeat) {
     link.exchange().received(peer, heartbeat);
     long ownVersion = link.state().document().version();
-    HeartbeatAnswer answer = HeartbeatAnswer.newBuilder().setDocumentVersion(ownVersion).build();
-    context.writeAndFlush(Frame.newBuilder().setHeartbeatAnswer(answer).build());
+    reply(context, ownVersion);
     if (heartbeat.getDocumentVersion() > ownVersion) {
       context.writeAndFlush(Frames.documentRequest());
     }
   }
 
+  private void reply(ChannelHandlerContext context, long ownVersion) {
+    long now = System.nanoTime();
+    if (ownVersion == repliedVersion && replies.remainingNanos(now) > 0) {
+      return;
+    }
+    replies.record(now);
+    repliedVersion = ownVersion;
+    HeartbeatAnswer answer = HeartbeatAnswer.newBuilder().setDocumentVersion(ownVersion).build();
+    context.writeAndFlush(Frame.newBuilder().setHeartbeatAnswer(answer).build());
+  }
+
   /** Sends the heartbeats of other instances that the peer needs. */
   void relayHeartbeats() {
     Frames.relayedHeartbeats(link.exchange().takePendingForFollower(peer, progress))
--- a/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
+++ b/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.jboss.logging.Logger;
 import org.magnoliavale.Service;
 import org.magnoliavale.internal.ini.Values;
@@ -46,6 +47,9 @@
   /** Time for which urgent heartbeats are collected before they are passed on. */
   private static final long URGENT_DELAY_MS = 20;
 
+  /** Minimum time between two heartbeats that are sent without waiting for the next interval. */
+  private static final long ANNOUNCEMENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
   /** Time for which an instance whose link failed is not used as a relay. */
   private static final long UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -60,6 +64,8 @@
       new GlobalTrafficShapingHandler(eventLoop, 0);
   private final Map<String, Outgoing> outgoing = new HashMap<>();
   private final Map<String, Long> unreachableUntil = new HashMap<>();
+  private final AtomicBoolean announcementPending = new AtomicBoolean();
+  private final MinimumInterval announcements = new MinimumInterval(ANNOUNCEMENT_INTERVAL_NANOS);
   private boolean urgentRelayScheduled;
   private volatile boolean stopped;
   private Channel serverChannel;
@@ -140,14 +146,29 @@
     return trafficHandler.trafficCounter().cumulativeWrittenBytes();
   }
 
-  /** Sends a heartbeat to all peers without waiting for the next interval. */
+  /**
+   * Sends a heartbeat to all peers without waiting for the next interval: at once, or a little
+   * later if one has just been sent. What happens until then goes with it.
+   */
   public void sendHeartbeatsNow() {
-    if (!stopped) {
-      eventLoop.execute(this::sendHeartbeats);
+    if (!stopped && announcementPending.compareAndSet(false, true)) {
+      eventLoop.execute(this::announce);
+    }
+  }
+
+  private void announce() {
+    long waitNanos = announcements.remainingNanos(System.nanoTime());
+    if (waitNanos > 0) {
+      eventLoop.schedule(this::sendHeartbeats, waitNanos, TimeUnit.NANOSECONDS);
+    } else {
+      sendHeartbeats();
     }
   }
 
   private void sendHeartbeats() {
+    // Cleared first: what is announced from now on may be missing in this heartbeat.
+    announcementPending.set(false);
+    announcements.record(System.nanoTime());
     Frame heartbeat = Frames.heartbeat(context.exchange().nextHeartbeat());
     outgoing.values().forEach(link -> link.handler().sendHeartbeat(heartbeat));
     context.accepted().forEach(AcceptedLink::relayHeartbeats);
