Find the endpoint of a load that peers tell without a new index each time

Each heartbeat with loads built a map of all endpoints, and each tick looked through all of them for loads to tell; with 84 endpoints ten and twenty times a second. The index is made anew with the list of endpoints, and a tick looks only after a report. No change in what is told; the tests of loads are as they were.

--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -167,6 +167,7 @@
     table
         .find(identity)
         .ifPresent(state -> state.loadEstimate().heard(load, state.outstanding(), nowNanos));
+    loads.heard();
   }
 
   /** Records the first byte of the response to a request. */
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointTable.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointTable.java
@@ -26,6 +26,7 @@
   private final EndpointDepartures departures;
   private final RandomGenerator random;
   private final Map<EndpointIdentity, EndpointState> endpoints = new HashMap<>();
+  private final Map<Integer, EndpointState> byLoadKey = new HashMap<>();
   private final Map<ServiceId, ServicePace> paces = new HashMap<>();
 
   EndpointTable(EndpointDepartures departures, RandomGenerator random) {
@@ -44,9 +45,19 @@
     Set<EndpointIdentity> ended = new HashSet<>(endpoints.keySet());
     ended.removeIf(identity -> endpoints.get(identity).isInUse());
     endpoints.keySet().removeAll(ended);
+    indexLoadKeys();
     return ended;
   }
 
+  /** Maps a key that two endpoints share to none of them. */
+  private void indexLoadKeys() {
+    byLoadKey.clear();
+    for (EndpointState state : endpoints.values()) {
+      boolean ambiguous = byLoadKey.containsKey(state.loadKey());
+      byLoadKey.put(state.loadKey(), ambiguous ? null : state);
+    }
+  }
+
   private EndpointState add(DirectoryEntry entry, long nowNanos) {
     LOG.infof(
         "Endpoint added. endpoint=%s service=%s address=%s draining=%s heartbeat=%d",
@@ -59,6 +70,11 @@
     return Optional.ofNullable(endpoints.get(identity));
   }
 
+  /** Returns the endpoint with a load key; empty if there is none, or more than one. */
+  Optional<EndpointState> findByLoadKey(int loadKey) {
+    return Optional.ofNullable(byLoadKey.get(loadKey));
+  }
+
   /** Returns all incarnations of the endpoint with a name. */
   List<EndpointState> ofEndpoint(String endpointId) {
     return endpoints.values().stream()
--- a/src/main/java/org/magnoliavale/internal/dispatch/LoadTable.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/LoadTable.java
@@ -21,6 +21,10 @@
   private final EndpointTable endpoints;
   private final Map<Integer, Told> told = new HashMap<>();
   private boolean lastRelayed;
+
+  /** Whether there has been a report that may be told since the last time that any were. */
+  private boolean reported;
+
   private long lastTakenNanos;
 
   LoadTable(EndpointTable endpoints) {
@@ -35,6 +39,7 @@
   List<LoadObservation> takeChanged(boolean relayed, long nowNanos) {
     lastRelayed = relayed;
     lastTakenNanos = nowNanos;
+    reported = false;
     List<LoadObservation> changed = new ArrayList<>();
     changed(relayed, nowNanos)
         .forEach(
@@ -54,10 +59,21 @@
    * @param intervalNanos least time between two tellings
    */
   boolean hasChanged(long intervalNanos, long nowNanos) {
-    return nowNanos - lastTakenNanos >= intervalNanos
+    return reported
+        && nowNanos - lastTakenNanos >= intervalNanos
         && changed(lastRelayed, nowNanos).findAny().isPresent();
   }
 
+  private void learn(EndpointState state, ReportedLoad load, long reportNanos) {
+    boolean newer = state.loadEstimate().learned(load, state.outstanding(), reportNanos);
+    reported |= newer && lastRelayed;
+  }
+
+  /** Notes that an endpoint has reported its load to this instance. */
+  void heard() {
+    reported = true;
+  }
+
   private Stream<EndpointState> changed(boolean relayed, long nowNanos) {
     return endpoints
         .all()
@@ -83,19 +99,12 @@
 
   /** Applies what a peer has told; what is not of a known endpoint is ignored. */
   void learn(Collection<LoadObservation> observations, long nowNanos) {
-    Map<Integer, EndpointState> states = new HashMap<>();
-    endpoints
-        .all()
-        .forEach(
-            state -> {
-              boolean ambiguous = states.containsKey(state.loadKey());
-              states.put(state.loadKey(), ambiguous ? null : state);
-            });
     for (LoadObservation observation : observations) {
-      EndpointState state = states.get(observation.endpoint());
-      if (state != null && observation.ageMs() <= LoadEstimate.VALIDITY_MS) {
+      if (observation.ageMs() <= LoadEstimate.VALIDITY_MS) {
         long reportNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(observation.ageMs());
-        state.loadEstimate().learned(observation.load(), state.outstanding(), reportNanos);
+        endpoints
+            .findByLoadKey(observation.endpoint())
+            .ifPresent(state -> learn(state, observation.load(), reportNanos));
       }
     }
   }
