Wake an instance less often for its periodic work

They run on threads of their own, and while calls are in progress each 100 ms instead of 50. Nothing waits for a tick but time limits, whose bounds are half a second, and loads, which are told each 200 ms. Only the lease holder applies its own demand and plans in a tick; others did so for nothing.

--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -52,7 +52,7 @@
 public final class GatewayInstance implements Service {
   private static final Logger LOG = Logs.of("instance");
 
-  private static final long TICK_INTERVAL_MS = 50;
+  private static final long TICK_INTERVAL_MS = 100;
   private static final long IDLE_TICK_INTERVAL_MS = 250;
 
   private final GatewaySettings settings;
@@ -331,8 +331,10 @@
     calls.tick();
     directory.checkDue();
     configuration.checkDue();
-    failures.contain("Local state could not be applied.", peerState::applyLocalState);
-    onDemandChanged();
+    if (lease.isHeld()) {
+      failures.contain("Local state could not be applied.", peerState::applyLocalState);
+      onDemandChanged();
+    }
     if (lease.consumeSurrendered()
         | statements.takeNews()
         | peerState.hasLoadNews()
--- a/src/main/java/org/magnoliavale/internal/gateway/TickLoop.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/TickLoop.java
@@ -7,7 +7,7 @@
 import org.magnoliavale.internal.metrics.UnexpectedFailures;
 
 /**
- * Runs a task periodically on a virtual thread: often while there is something to watch, seldom
+ * Runs a task periodically on a thread of its own: often while there is something to watch, seldom
  * otherwise, since each wake-up costs processor time. {@link #wake} runs it at once.
  *
  * <p>An exception of the task, or of the question for its interval, is counted and logged, and the
@@ -46,7 +46,8 @@
 
   @Override
   public void start() {
-    Thread.ofVirtual().name(name).start(this::run);
+    // Each timed wait of a virtual thread wakes two other threads when it ends.
+    Thread.ofPlatform().daemon().name(name).start(this::run);
   }
 
   @Override
