Leave settled links alone between two lists of instances

Each second every instance chose its relays anew from all 75 entries and compared the result with the links it has, though the list is read each 15 s; and a task of the traffic counter ran each second to compute rates that nobody reads. Links are now looked through when the list, a link or a follower has changed, or while some link is not open or some relay is not to be used.

--- a/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
+++ b/src/main/java/org/magnoliavale/internal/link/PeerLinks.java
@@ -63,12 +63,17 @@
   private final EventLoopGroup eventLoop =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final GlobalTrafficShapingHandler trafficHandler =
-      new GlobalTrafficShapingHandler(eventLoop, 0);
+      new GlobalTrafficShapingHandler(eventLoop, 0, 0, 0);
   private final Map<String, Outgoing> outgoing = new HashMap<>();
   private final Map<String, Long> unreachableUntil = new HashMap<>();
   private final AtomicBoolean announcementPending = new AtomicBoolean();
   private final MinimumInterval announcements = new MinimumInterval(ANNOUNCEMENT_INTERVAL_NANOS);
   private boolean urgentRelayScheduled;
+
+  /** The list to which all links are open; empty while some are not, or may be chosen anew. */
+  private Optional<List<ListedInstance>> connectedList = Optional.empty();
+
+  private boolean connectedServing;
   private volatile boolean stopped;
   private Channel serverChannel;
 
@@ -227,12 +232,13 @@
    * Runs on the event loop thread.
    */
   private void connectToListed(List<ListedInstance> listed) {
-    if (stopped) {
+    boolean serving = context.exchange().isServing();
+    boolean connected =
+        connectedList.filter(listed::equals).isPresent() && connectedServing == serving;
+    if (stopped || connected) {
       return;
     }
-    LinkTopology topology =
-        LinkTopology.of(
-            context.instance(), listed, this::isReachable, context.exchange().isServing());
+    LinkTopology topology = LinkTopology.of(context.instance(), listed, this::isReachable, serving);
     if (context.exchange().setTopology(topology)) {
       LOG.infof(
           "Link targets changed. mesh=%s instances=%d relays=%d targets=%s",
@@ -259,6 +265,12 @@
               return !kept && unneeded.add(entry.getValue());
             });
     unneeded.forEach(link -> link.channel().close());
+    unreachableUntil.keySet().removeIf(this::isReachable);
+    boolean settled =
+        unreachableUntil.isEmpty()
+            && topology.targets().stream().allMatch(id -> isOpen(outgoing.get(id)));
+    connectedList = settled ? Optional.of(listed) : Optional.empty();
+    connectedServing = serving;
   }
 
   private boolean isReachable(String instance) {
@@ -270,6 +282,7 @@
     Outgoing current = outgoing.get(instance);
     if (current != null && current.channel() == channel) {
       unreachableUntil.put(instance, System.nanoTime() + UNREACHABLE_NANOS);
+      connectedList = Optional.empty();
     }
   }
 
