Serve the callers of an instance that reaches no endpoint through its peers

Cause: failures were kept for each endpoint by itself; each call tried one after the other until its time was used.

Fix: an instance that no longer connects to several endpoints, or hears nothing from several that owe data, while a peer says that it does and a probe fails too, passes its calls to a peer over HTTP, once, with a proof that it is an instance. It gives the command lease up, counts no crashes, and probes endpoints until two in a row answer.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -33,6 +33,10 @@
   private final Call call;
   private final ContainedAttempt contained;
   private final EndpointChoice.Selected choice;
+
+  /** Whether the call was passed to a peer, which sends it to an endpoint. */
+  private final boolean atPeer;
+
   private final long sentNanos;
   private final EventSplitter events;
 
@@ -53,8 +57,14 @@
   private long lastActivityNanos;
   private long lastEventNanos;
 
-  Attempt(Call call, EndpointChoice.Selected choice, long sentNanos, Optional<Long> resumedAfter) {
+  Attempt(
+      Call call,
+      EndpointChoice.Selected choice,
+      boolean atPeer,
+      long sentNanos,
+      Optional<Long> resumedAfter) {
     this.call = call;
+    this.atPeer = atPeer;
     this.contained = new ContainedAttempt(call, this);
     this.choice = choice;
     this.sentNanos = sentNanos;
@@ -72,6 +82,10 @@
     return choice.endpoint().identity();
   }
 
+  boolean isAtPeer() {
+    return atPeer;
+  }
+
   private EndpointPool pool() {
     return call.context().endpoints();
   }
@@ -100,13 +114,17 @@
    */
   void tick(long nowNanos) {
     long limit = call.plan().silenceTimeoutNanos();
-    if (limit == 0 || writing) {
+    if (limit == 0 || writing || atPeer) {
       return;
     }
     long silence = nowNanos - lastActivityNanos;
     boolean noHead = responseHead == null && nowNanos - sentNanos > limit;
     boolean noEvent =
         streaming && silence > TimeUnit.MILLISECONDS.toNanos(EVENT_SILENCE_TIMEOUT_MS);
+    if ((noHead || noEvent) && call.context().peers().areNeeded()) {
+      call.passToPeer(this, nowNanos);
+      return;
+    }
     boolean endpointSilent =
         pool().isUnresponsive(identity(), nowNanos) || !pool().isAvailable(identity());
     if ((noHead || noEvent) && endpointSilent) {
@@ -124,9 +142,10 @@
       }
       long now = call.now();
       lastActivityNanos = now;
-      responseHead = call.context().protocol().parseResponse(status, headers);
+      ResponseHead head = call.context().protocol().parseResponse(status, headers);
+      responseHead = atPeer ? head.throughPeer() : head;
       responseHeaders = headers;
-      pool().recordActivity(identity(), now);
+      recordActivity(now);
       responseHead
           .load()
           .ifPresent(load -> call.context().loadReported(choice.endpoint(), load, now));
@@ -136,7 +155,7 @@
         retryOrFail("response belongs to another attempt or is encoded", now);
         return;
       }
-      if (!responseHead.otherIncarnation()) {
+      if (!responseHead.otherIncarnation() && !atPeer) {
         call.context().statements().heard(identity(), responseHead.statement(), sentNanos);
       }
       if (responseHead.isSuccess() && !responseHead.signed()) {
@@ -162,7 +181,7 @@
         return;
       }
       lastActivityNanos = call.now();
-      pool().recordActivity(identity(), lastActivityNanos);
+      recordActivity(lastActivityNanos);
       if (streaming) {
         if (bytes.hasRemaining()) {
           call.otherEndpoints().madeProgress(this, lastActivityNanos);
@@ -179,6 +198,13 @@
     demand.run();
   }
 
+  private void recordActivity(long now) {
+    if (!atPeer) {
+      pool().recordActivity(identity(), now);
+      call.context().peers().heardEndpoint(now);
+    }
+  }
+
   private void forwardEvents(ByteBuffer bytes, Runnable demand) {
     ByteBuffer completeEvents = events.append(bytes);
     if (events.isOversized()) {
@@ -366,16 +392,26 @@
       handleNotExecuted(now);
     } else if (failure == AttemptFailure.NOT_SENT) {
       close(AttemptOutcome.UNREACHABLE, now);
-      call.context().crashDetector().endpointDown(identity(), now);
+      recordUnreachable(now);
       call.attemptNotSent(this, reason, now);
     } else {
       failAfterSend(reason, now);
     }
   }
 
+  private void recordUnreachable(long now) {
+    if (atPeer) {
+      return;
+    }
+    call.context().peers().connectFailed(identity(), now);
+    if (!call.context().peers().isReachDoubtful()) {
+      call.context().crashDetector().endpointDown(identity(), now);
+    }
+  }
+
   private void failAfterSend(String reason, long now) {
     close(AttemptOutcome.FAILED, now);
-    if (!call.progress().hasStarted()) {
+    if (!call.progress().hasStarted() && !atPeer) {
       // A request whose answer had begun did not crash the endpoint that wrote it.
       call.context().crashDetector().connectionLost(call.plan().crashKeys(), endpoint(), now);
     }
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -87,9 +87,14 @@
    */
   synchronized void start(long nowNanos) {
     state = State.WAITING;
-    context.recordRequest(plan, nowNanos);
+    boolean throughPeer = context.peers().areNeeded();
+    if (!throughPeer) {
+      context.recordRequest(plan, nowNanos);
+    }
     if (nowNanos - plan.deadlineNanos() >= 0) {
       expire(nowNanos);
+    } else if (throughPeer) {
+      dispatch(nowNanos);
     } else if (plan.takesUpStream()) {
       streamStart.findOrigin();
     } else {
@@ -192,6 +197,10 @@
     if (streamStart.isFindingOrigin() || rejectIfCrashing(nowNanos)) {
       return;
     }
+    if (context.peers().areNeeded()) {
+      passToPeer(nowNanos);
+      return;
+    }
     switch (selection.choose(nowNanos)) {
       case EndpointChoice.Selected send -> send(send, nowNanos);
       case EndpointChoice.AwaitArtifact await -> {
@@ -228,14 +237,45 @@
   private void send(EndpointChoice.Selected choice, long nowNanos) {
     wait.sent(nowNanos);
     state = State.SENT;
-    Attempt attempt = new Attempt(this, choice, nowNanos, progress.lastEvent());
+    Attempt attempt = new Attempt(this, choice, false, nowNanos, progress.lastEvent());
     attempts.add(attempt);
     send(attempt, choice, nowNanos);
   }
 
+  /** Passes the call to a peer, since no endpoint is reached from here; or gives it up. */
+  private void passToPeer(long nowNanos) {
+    boolean passedOn = context.peers().isFromPeer(plan.request().headers(), plan.attemptId());
+    Optional<EndpointChoice.Selected> peer =
+        passedOn ? Optional.empty() : selection.choosePeer(nowNanos);
+    if (peer.isEmpty()) {
+      giveUp("no endpoint is reached", nowNanos);
+      return;
+    }
+    wait.sent(nowNanos);
+    state = State.SENT;
+    Attempt attempt = new Attempt(this, peer.get(), true, nowNanos, progress.lastEvent());
+    attempts.add(attempt);
+    context.metrics().passedToPeers().inc();
+    log.passedToPeer(attempt.identity(), plan.timeRemaining(nowNanos));
+    attempt.send(selection.peerRequest(peer.get(), nowNanos));
+  }
+
+  /** Passes the call to a peer instead of its attempt at an endpoint that is silent. */
+  void passToPeer(Attempt silent, long nowNanos) {
+    if (attempts.isPair()
+        || !retries.allowsRetryInPlaceOfAttempt(progress.hasStarted(), nowNanos)) {
+      return;
+    }
+    silent.cancel(AttemptOutcome.INCONCLUSIVE, nowNanos);
+    String reason = "no endpoint is reached";
+    if (!retryIfAllowed(silent, reason, nowNanos)) {
+      failOrAbort(ErrorCode.UPSTREAM_FAILED, reason);
+    }
+  }
+
   /** Sends the call to an endpoint beside its attempt in progress at a silent or slow one. */
   void sendBeside(EndpointChoice.Selected choice, long nowNanos) {
-    Attempt attempt = new Attempt(this, choice, nowNanos, progress.lastEvent());
+    Attempt attempt = new Attempt(this, choice, false, nowNanos, progress.lastEvent());
     attempts.addBeside(attempt);
     send(attempt, choice, nowNanos);
   }
@@ -268,7 +308,9 @@
     if (excludeEndpoint && !attempts.isPair()) {
       selection.tried().exclude(source.identity());
     }
-    retryOrGiveUp(source, reason, () -> retries.spendRetry(nowNanos), nowNanos);
+    // What a peer rejects has reached no endpoint.
+    BooleanSupplier withinBudget = () -> source.isAtPeer() || retries.spendRetry(nowNanos);
+    retryOrGiveUp(source, reason, withinBudget, nowNanos);
   }
 
   /** Handles an attempt that failed before any byte was sent. */
@@ -305,7 +347,9 @@
       log.goingOnAtOtherEndpoint(source.identity(), reason);
       return true;
     }
-    if (!retries.allowsRetryAfterExecution(progress.hasStarted(), nowNanos)
+    // A peer makes all attempts that the call may have.
+    if (source.isAtPeer()
+        || !retries.allowsRetryAfterExecution(progress.hasStarted(), nowNanos)
         || !retries.spendRetry(nowNanos)) {
       return false;
     }
--- a/src/main/java/org/magnoliavale/internal/call/CallContext.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallContext.java
@@ -25,6 +25,7 @@
  * @param retryBudget limits retries across the fleet
  * @param artifactDemand demand for artifacts
  * @param crashDetector attributes endpoint crashes to requests
+ * @param peers passes calls to peers while this instance reaches no endpoint
  * @param queue the calls that wait for an endpoint
  * @param routes the current configuration, null before the first one
  * @param keys decides by its key whether a call may pass
@@ -43,6 +44,7 @@
     FleetRetryBudget retryBudget,
     ArtifactDemand artifactDemand,
     CrashDetector crashDetector,
+    PeerCalls peers,
     QueuedCalls queue,
     Supplier<RouteTable> routes,
     CallerKeys keys,
@@ -60,6 +62,7 @@
       FleetRetryBudget retryBudget,
       ArtifactDemand artifactDemand,
       CrashDetector crashDetector,
+      PeerCalls peers,
       Supplier<RouteTable> routes,
       CallerKeys keys,
       StreamOrigins origins,
@@ -76,6 +79,7 @@
         retryBudget,
         artifactDemand,
         crashDetector,
+        peers,
         new QueuedCalls(new Random()),
         routes,
         keys,
@@ -107,6 +111,7 @@
         retryBudget,
         artifactDemand,
         crashDetector,
+        PeerCalls.none(),
         routes,
         CallerKeys.ofSingleInstance(),
         StreamOrigins.ofUnstatedVersions(),
--- a/src/main/java/org/magnoliavale/internal/call/CallEntry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallEntry.java
@@ -89,7 +89,8 @@
 
   private Result checkQuota(CallPlan plan) {
     Optional<Tenant> tenant = plan.caller().knownTenant();
-    if (tenant.isEmpty()) {
+    boolean counted = context.peers().isFromPeer(plan.request().headers(), plan.attemptId());
+    if (tenant.isEmpty() || counted) {
       return new Result.Passed(plan);
     }
     context.metrics().ofTenant(tenant.get().id()).inc();
--- a/src/main/java/org/magnoliavale/internal/call/CallLog.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallLog.java
@@ -42,6 +42,12 @@
         choice.forecast().timeFactor());
   }
 
+  void passedToPeer(EndpointIdentity peer, Duration timeRemaining) {
+    LOG.infof(
+        "Passed to a peer. request=%s route=%s peer=%s left-ms=%d",
+        plan.attemptId(), plan.route().name(), peer, timeRemaining.toMillis());
+  }
+
   /** Returns the message about an unexpected exception, which is logged at a bounded rate. */
   String failedUnexpectedly(String step) {
     return "Call failed unexpectedly. request=" + plan.attemptId() + " step=" + step;
--- a/src/main/java/org/magnoliavale/internal/call/CallMetrics.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallMetrics.java
@@ -25,6 +25,7 @@
   private final Counter failed;
   private final Counter rejected;
   private final Counter retried;
+  private final Counter passedToPeers;
   private final Counter abandoned;
   private final Counter rejectedByForecast;
   private final Timer firstByte;
@@ -40,6 +41,7 @@
     failed = metrics.counter("calls_failed");
     rejected = metrics.counter("calls_refused");
     retried = metrics.counter("calls_repeated");
+    passedToPeers = metrics.counter("calls_passed_to_peers");
     abandoned = metrics.counter("calls_abandoned");
     rejectedByForecast = metrics.counter("calls_refused_by_forecast");
     firstByte = metrics.timer("call_first_byte");
@@ -85,6 +87,11 @@
     return retried;
   }
 
+  /** Calls that were passed to a peer, because no endpoint was reached from here. */
+  Counter passedToPeers() {
+    return passedToPeers;
+  }
+
   Counter abandoned() {
     return abandoned;
   }
--- a/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointSelection.java
@@ -1,6 +1,7 @@
 package org.magnoliavale.internal.call;
 
 import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.directory.SoftwareVersion;
@@ -67,6 +68,31 @@
     return choice;
   }
 
+  /** Selects a peer that the call is passed to; empty if there is none. */
+  Optional<EndpointChoice.Selected> choosePeer(long nowNanos) {
+    return context.peers().choose(tried.excluded(), nowNanos);
+  }
+
+  /** Returns the request that passes the call to a peer, and records that it is sent. */
+  OutgoingRequest peerRequest(EndpointChoice.Selected choice, long nowNanos) {
+    HttpFields headers =
+        context
+            .protocol()
+            .peerRequestHeaders(
+                plan.request().headers(),
+                plan.attemptId(),
+                plan.timeRemaining(nowNanos),
+                progress.hasStarted() ? progress.lastEvent() : Optional.empty());
+    return new OutgoingRequest(
+        choice.endpoint(),
+        plan.request().method(),
+        plan.request().pathQuery(),
+        HttpFields.build(headers)
+            .put(PeerCalls.PROOF_HEADER, context.peers().proof(plan.attemptId())),
+        plan.request().body(),
+        tried.recordAttempt(choice.endpoint().identity()));
+  }
+
   /** Returns the request for an attempt at an endpoint, and records that it is sent. */
   OutgoingRequest request(EndpointChoice.Selected choice, Optional<Long> lastEvent, long nowNanos) {
     EndpointIdentity endpoint = choice.endpoint().identity();
--- a/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
+++ b/src/main/java/org/magnoliavale/internal/call/ResponseHead.java
@@ -37,6 +37,23 @@
   private static final int SERVER_ERROR = 500;
   private static final int HUNDRED = 100;
 
+  /**
+   * Returns the head as that of a response that came through a peer: what is not signed is the
+   * peer's own, whose rejections promise that the call was not executed.
+   */
+  ResponseHead throughPeer() {
+    return new ResponseHead(
+        status,
+        attemptId,
+        signed,
+        !signed && tellsNotExecuted(),
+        false,
+        eventStream,
+        contentEncoded,
+        Optional.empty(),
+        statement);
+  }
+
   /** Returns whether the status is 2xx. */
   public boolean isSuccess() {
     return status / HUNDRED == SUCCESS_CLASS;
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointChoice.java
@@ -15,7 +15,14 @@
    */
   record Selected(
       DirectoryEntry endpoint, EndpointForecast forecast, SentRequest request, long directoryAgeMs)
-      implements EndpointChoice {}
+      implements EndpointChoice {
+    /** Returns the selection of an endpoint that no pool tracks. */
+    public static Selected untracked(DirectoryEntry endpoint, long nowNanos) {
+      EndpointForecast forecast = EndpointForecast.unknown(endpoint.identity());
+      SentRequest request = SentRequest.of(Optional.empty(), 0, forecast, nowNanos);
+      return new Selected(endpoint, forecast, request, 0);
+    }
+  }
 
   /** No endpoint holds the artifact; the request has to wait until one does. */
   record AwaitArtifact(Artifact artifact) implements EndpointChoice {}
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointForecast.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointForecast.java
@@ -31,6 +31,12 @@
     long reportAgeMs,
     double timeFactor,
     Optional<EndpointExclusion> exclusion) {
+  /** Returns the forecast for an endpoint of which nothing is known. */
+  static EndpointForecast unknown(EndpointIdentity endpoint) {
+    return new EndpointForecast(
+        endpoint, 0, 0, 0, 0, 0, OptionalDouble.empty(), -1, 1, Optional.empty());
+  }
+
   /** Returns the same forecast with a reason why the endpoint does not get the request. */
   EndpointForecast excludedFor(EndpointExclusion reason) {
     return new EndpointForecast(
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -264,6 +264,13 @@
     return table.find(identity).map(state -> state.isUnresponsive(nowNanos)).orElse(false);
   }
 
+  /**
+   * Returns the number of endpoints that have attempts in flight and have sent nothing for long.
+   */
+  public synchronized int unresponsiveCount(long nowNanos) {
+    return (int) table.all().filter(state -> state.isUnresponsive(nowNanos)).count();
+  }
+
   /** Returns whether the last connection attempt to an endpoint failed a short time ago. */
   public synchronized boolean isUnreachable(EndpointIdentity identity, long nowNanos) {
     return table.find(identity).map(state -> state.isUnreachable(nowNanos)).orElse(false);
--- a/src/main/java/org/magnoliavale/internal/gateway/CommandLeaseManager.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/CommandLeaseManager.java
@@ -44,6 +44,7 @@
   private final BooleanSupplier holderAlive;
   private final TickLoop ticks;
   private volatile boolean surrendered;
+  private volatile boolean suspended;
   private long lastFence;
   private long lastClockOffsetMs;
 
@@ -96,6 +97,13 @@
     return System.currentTimeMillis() - monotonicMs();
   }
 
+  /** Gives the lease up and does not take it while it is suspended. */
+  void setSuspended(boolean value) {
+    suspended = value;
+    isHeld();
+    ticks.wake();
+  }
+
   @Override
   public boolean isHeld() {
     synchronized (leaseManager) {
@@ -163,6 +171,9 @@
     long epoch = leaseManager.surrenderedEpoch();
     leaseManager.observeGeneration(table.generation(), monotonicMs());
     leaseManager.surrender(monotonicMs());
+    if (suspended) {
+      leaseManager.giveUp(monotonicMs());
+    }
     surrendered |= leaseManager.surrenderedEpoch() > epoch;
   }
 
@@ -201,7 +212,7 @@
   }
 
   private boolean needsFrequentTicks() {
-    return isHeld() || !holderAlive.getAsBoolean();
+    return !suspended && (isHeld() || !holderAlive.getAsBoolean());
   }
 
   private void step() {
@@ -210,7 +221,7 @@
       checkValidity();
       // The row is not read while heartbeats from the holder arrive, to save store calls.
       boolean idle = !leaseManager.isHeld(monotonicMs()) && holderAlive.getAsBoolean();
-      call = idle ? Optional.empty() : leaseManager.tick(monotonicMs());
+      call = idle || suspended ? Optional.empty() : leaseManager.tick(monotonicMs());
     }
     while (call.isPresent()) {
       TableResult result = call.get().execute(table);
--- a/src/main/java/org/magnoliavale/internal/gateway/ContainedEndpointControl.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/ContainedEndpointControl.java
@@ -28,6 +28,11 @@
     return contain(() -> control.isDown(endpoint), false);
   }
 
+  @Override
+  public boolean isReachable(DirectoryEntry endpoint) {
+    return contain(() -> control.isReachable(endpoint), false);
+  }
+
   @Override
   public Optional<EndpointReport> fetchReport(DirectoryEntry endpoint) {
     return contain(() -> control.fetchReport(endpoint), Optional.empty());
--- a/src/main/java/org/magnoliavale/internal/gateway/EndpointChanges.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/EndpointChanges.java
@@ -18,6 +18,7 @@
  */
 record EndpointChanges(
     EndpointPool endpoints,
+    ReachMonitor reach,
     RecordedOrigins origins,
     CrashDetector crashDetector,
     ResidencyController residency,
@@ -31,6 +32,7 @@
     long now = System.nanoTime();
     failures.contain("Software versions could not be followed.", () -> origins.update(entries));
     endpoints.update(entries, now);
+    reach.endpointsListed(entries);
     crashDetector.endpointsListed(entries.stream().map(DirectoryEntry::identity).toList(), now);
     failures.contain("Endpoints could not be planned with.", () -> planWith(entries));
     if (departures.takeNews()) {
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayClients.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayClients.java
@@ -1,6 +1,8 @@
 package org.magnoliavale.internal.gateway;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.function.Consumer;
 import org.eclipse.jetty.client.HttpClient;
 import org.magnoliavale.Service;
 import org.magnoliavale.internal.http.HttpClients;
@@ -18,13 +20,17 @@
   private final HttpClient control;
   private final HttpClient endpoints;
 
-  /** Returns clients that are not started yet. */
-  GatewayClients(JettyTransport transport) {
+  /**
+   * Returns clients that are not started yet.
+   *
+   * @param connected is told the address of each connection that an endpoint has accepted
+   */
+  GatewayClients(JettyTransport transport, Consumer<InetSocketAddress> connected) {
     this.transport = transport;
     control =
         transport.createClient(
             "control", CONTROL_CONNECTIONS, CONNECT_TIMEOUT, CONTROL_IDLE_TIMEOUT);
-    endpoints = transport.createEndpointClient(CONNECT_TIMEOUT);
+    endpoints = transport.createEndpointClient(CONNECT_TIMEOUT, connected);
   }
 
   /** Returns the client for short requests. */
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Random;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,7 @@
 import org.magnoliavale.internal.metrics.InstanceMetrics;
 import org.magnoliavale.internal.metrics.UnexpectedFailures;
 import org.magnoliavale.internal.origin.RecordedOrigins;
+import org.magnoliavale.internal.reach.EndpointReach;
 import org.magnoliavale.internal.residency.DelayingExecutor;
 import org.magnoliavale.internal.residency.FleetDemand;
 import org.magnoliavale.internal.residency.ResidencyController;
@@ -59,7 +61,9 @@
   private final FleetRetryBudget retryBudget;
   private final PlatformAdapters adapters;
   private final JettyTransport transport = new JettyTransport();
-  private final GatewayClients clients = new GatewayClients(transport);
+  private final EndpointReach reach = new EndpointReach();
+  private final GatewayClients clients =
+      new GatewayClients(transport, address -> reach.connected(address, System.nanoTime()));
   private final InstanceMetrics metrics = new InstanceMetrics();
   private final UnexpectedFailures failures =
       new UnexpectedFailures(metrics.counter("steps_failed_unexpectedly"), LOG);
@@ -78,6 +82,8 @@
   private final PeerLinks links;
   private final CommandLeaseManager lease;
   private final ResidencyController residency;
+  private final PeerForwarding peerForwarding;
+  private final ReachMonitor reachMonitor;
   private final CrashDetector crashDetector;
   private final GatewayHandler callerHandler;
   private final GatewayServers servers;
@@ -120,6 +126,23 @@
             this::isLeaseHeld,
             configuration,
             System::nanoTime);
+    peerForwarding =
+        new PeerForwarding(
+            settings,
+            reach,
+            this::callerAddress,
+            registry::lastInstances,
+            new Random(),
+            System::nanoTime);
+    reachMonitor =
+        new ReachMonitor(
+            reach,
+            peerForwarding,
+            endpoints,
+            adapters.control(),
+            commandExecutor,
+            new Random(),
+            System::nanoTime);
     calls = new CallRegistry(createCallContext(demand), ThreadLocalRandom.current());
     peerState =
         new PeerStateExchange(
@@ -184,6 +207,7 @@
         retryBudget,
         demand,
         crashDetector,
+        peerForwarding,
         configuration::routes,
         configuration.keys(),
         origins,
@@ -217,6 +241,7 @@
         configuration::routes,
         new EndpointChanges(
             endpoints,
+            reachMonitor,
             origins,
             crashDetector,
             residency,
@@ -227,6 +252,10 @@
         System::nanoTime);
   }
 
+  private String callerAddress() {
+    return HttpAddresses.format(settings.callerAddress(), callerPort());
+  }
+
   private InstanceRegistry createRegistry() {
     String id = settings.instanceId();
     return new InstanceRegistry(
@@ -248,10 +277,13 @@
 
   private EndpointProbe createProbe() {
     return new BackgroundEndpointProbe(
-        commandExecutor,
-        adapters.control(),
-        System::nanoTime,
-        (endpoint, nowNanos) -> crashDetector.endpointDown(endpoint, nowNanos));
+        commandExecutor, adapters.control(), System::nanoTime, this::endpointDown);
+  }
+
+  private void endpointDown(EndpointIdentity endpoint, long nowNanos) {
+    if (!reach.isDoubtful()) {
+      crashDetector.endpointDown(endpoint, nowNanos);
+    }
   }
 
   private int liveInstanceCount() {
@@ -295,6 +327,7 @@
     quotas.start(new InstanceGauges(metrics.registry()), peerState);
     peerState.add(configuration);
     peerState.add(directory);
+    peerState.add(peerForwarding);
     clients.start();
     servers.start();
     configuration.start();
@@ -305,7 +338,7 @@
     LOG.infof(
         "Started. instance=%s callers=%s readiness=%s metrics=%s store=%s",
         settings.instanceId(),
-        HttpAddresses.format(settings.callerAddress(), callerPort()),
+        callerAddress(),
         settings.readinessAddress(),
         HttpAddresses.format(settings.metricsAddress(), metricsPort()),
         settings.storeAddress());
@@ -328,6 +361,9 @@
   }
 
   private void tick() {
+    failures.contain(
+        "The reach of endpoints could not be decided.",
+        () -> reachMonitor.tick(this::onReachChanged));
     calls.tick();
     directory.checkDue();
     configuration.checkDue();
@@ -343,6 +379,12 @@
     }
   }
 
+  private void onReachChanged(boolean cutOff) {
+    lease.setSuspended(cutOff);
+    links.sendHeartbeatsNow();
+    calls.endpointsChanged();
+  }
+
   @Override
   public void stop() {
     LOG.infof(
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.function.Consumer;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.UriCompliance;
@@ -82,19 +83,27 @@
   /** Returns a client for short requests; it is not started. */
   HttpClient createClient(
       String name, int maximumConnections, Duration connectTimeout, Duration idleTimeout) {
-    HttpClient client = createClient(name);
+    HttpClient client = createClient(name, address -> {});
+    setBounds(client, maximumConnections, connectTimeout, idleTimeout);
+    return client;
+  }
+
+  private static void setBounds(
+      HttpClient client, int maximumConnections, Duration connectTimeout, Duration idleTimeout) {
     client.setConnectTimeout(connectTimeout.toMillis());
     client.setIdleTimeout(idleTimeout.toMillis());
     client.setMaxConnectionsPerDestination(maximumConnections);
     client.setMaxRequestsQueuedPerDestination(maximumConnections);
-    return client;
   }
 
-  /** Returns a client for attempts at endpoints; it is not started. */
-  HttpClient createEndpointClient(Duration connectTimeout) {
-    HttpClient client =
-        createClient(
-            "endpoints", MAXIMUM_CONNECTIONS_PER_ENDPOINT, connectTimeout, ENDPOINT_IDLE_TIMEOUT);
+  /**
+   * Returns a client for attempts at endpoints; it is not started.
+   *
+   * @param connected is told the address of each connection that has been accepted
+   */
+  HttpClient createEndpointClient(Duration connectTimeout, Consumer<InetSocketAddress> connected) {
+    HttpClient client = createClient("endpoints", connected);
+    setBounds(client, MAXIMUM_CONNECTIONS_PER_ENDPOINT, connectTimeout, ENDPOINT_IDLE_TIMEOUT);
     client.setDestinationIdleTimeout(ENDPOINT_IDLE_TIMEOUT.toMillis() * 2);
     return client;
   }
@@ -105,8 +114,8 @@
     client.getContentDecoderFactories().clear();
   }
 
-  private HttpClient createClient(String name) {
-    ClientConnector connector = new EndCheckingConnector();
+  private HttpClient createClient(String name, Consumer<InetSocketAddress> connected) {
+    ClientConnector connector = new EndCheckingConnector(connected);
     connector.setSelectors(1);
     connector.setExecutor(threads);
     connector.setScheduler(scheduler);
--- a/src/main/java/org/magnoliavale/internal/lease/LeaseManager.java
+++ b/src/main/java/org/magnoliavale/internal/lease/LeaseManager.java
@@ -108,6 +108,14 @@
     }
   }
 
+  /** Surrenders the epoch for good, so that another instance takes the lease at once. */
+  public void giveUp(long nowMs) {
+    if (state instanceof State.Held held) {
+      surrenderEpoch(held.epoch());
+      markLost(nowMs);
+    }
+  }
+
   /**
    * Records the generation of the table's contents. In a new one the versions that are known mean
    * nothing, and a lease that was held may be lost; its holder surrenders it.
--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
@@ -163,6 +163,7 @@
    */
   static boolean mattersAtOnce(Heartbeat heartbeat, Heartbeat previous) {
     return heartbeat.getLeaving()
+        || heartbeat.getReachesEndpoints() != previous.getReachesEndpoints()
         || isOfLeaseHolderAndDiffers(heartbeat, previous)
         || heartbeat.getConfigurationVersion() > previous.getConfigurationVersion()
         || heartbeat.getTenantUsesList().stream().anyMatch(TenantUse::getUrgent)
--- a/src/main/java/org/magnoliavale/internal/link/LinkProof.java
+++ b/src/main/java/org/magnoliavale/internal/link/LinkProof.java
@@ -8,15 +8,16 @@
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 
-/** Creates and verifies HMAC-SHA-256 proofs that an end of a link holds the shared key. */
-final class LinkProof {
+/** Creates and verifies HMAC-SHA-256 proofs that an instance holds the shared key. */
+public final class LinkProof {
   private static final String ALGORITHM = "HmacSHA256";
   private static final int NONCE_BYTES = 32;
   private static final SecureRandom RANDOM = new SecureRandom();
 
   private final SecretKeySpec key;
 
-  LinkProof(String sharedKey) {
+  /** Creates proofs with a key. */
+  public LinkProof(String sharedKey) {
     key = new SecretKeySpec(sharedKey.getBytes(StandardCharsets.UTF_8), ALGORITHM);
   }
 
@@ -27,10 +28,10 @@
   }
 
   /**
-   * Returns the proof for a nonce, bound to a handshake message and the connecting end's
-   * incarnation.
+   * Returns the proof for a nonce, bound to what it is for and to the name or incarnation of the
+   * instance that proves.
    */
-  ByteString prove(String role, String incarnation, ByteString nonce) {
+  public ByteString prove(String role, String incarnation, ByteString nonce) {
     try {
       Mac mac = Mac.getInstance(ALGORITHM);
       mac.init(key);
@@ -41,7 +42,8 @@
     }
   }
 
-  boolean isValid(String role, String incarnation, ByteString nonce, ByteString proof) {
+  /** Returns whether a proof is the one that {@link #prove} returns. */
+  public boolean isValid(String role, String incarnation, ByteString nonce, ByteString proof) {
     return MessageDigest.isEqual(
         prove(role, incarnation, nonce).toByteArray(), proof.toByteArray());
   }
--- a/src/main/java/org/magnoliavale/internal/residency/EndpointControl.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointControl.java
@@ -14,6 +14,11 @@
    */
   boolean isDown(DirectoryEntry endpoint);
 
+  /** Returns whether an endpoint accepts a connection and answers, whatever it answers. */
+  default boolean isReachable(DirectoryEntry endpoint) {
+    return fetchReport(endpoint).isPresent();
+  }
+
   /** Fetches a report; empty if the endpoint gives no valid answer. */
   Optional<EndpointReport> fetchReport(DirectoryEntry endpoint);
 }
--- a/src/main/java/org/magnoliavale/platform/WorkerControl.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerControl.java
@@ -89,6 +89,11 @@
     };
   }
 
+  @Override
+  public boolean isReachable(DirectoryEntry endpoint) {
+    return requestReport(endpoint) instanceof JsonCallResult.Response;
+  }
+
   private JsonCallResult requestReport(DirectoryEntry endpoint) {
     return send(endpoint, "GET", "/-/report", new byte[0]);
   }
--- a/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
+++ b/src/main/java/org/magnoliavale/platform/WorkerProtocol.java
@@ -15,6 +15,7 @@
 import org.magnoliavale.internal.call.CallMetadata;
 import org.magnoliavale.internal.call.CallProtocol;
 import org.magnoliavale.internal.call.ForwardingContext;
+import org.magnoliavale.internal.call.PeerCalls;
 import org.magnoliavale.internal.call.ResponseHead;
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.GenerationRequest;
@@ -87,7 +88,8 @@
           "x-expected-instance",
           "x-time-remaining",
           "last-event-id",
-          "accept-encoding");
+          "accept-encoding",
+          PeerCalls.PROOF_HEADER);
 
   /** Request headers that are dropped as well while keys are in use. */
   private static final Set<String> KEY_HEADERS = Set.of("x-key", "x-tenant");
@@ -177,6 +179,19 @@
     return headers;
   }
 
+  @Override
+  public HttpFields peerRequestHeaders(
+      HttpFields fromCaller,
+      String attemptId,
+      Duration timeRemaining,
+      Optional<Long> resumedAfter) {
+    HttpFields.Mutable headers = endToEnd(fromCaller, PeerCalls.PROOF_HEADER::equals);
+    headers.put(TIME_REMAINING, Long.toString(timeRemaining.toMillis()));
+    resumedAfter.ifPresent(
+        event -> headers.put(LAST_EVENT_ID, Long.toString(event)).put(RESUMES, attemptId));
+    return headers;
+  }
+
   /** Returns whether a header, in lower case, is one of the key's to a server that reads _ as -. */
   private static boolean isKeyHeader(String name) {
     return KEY_HEADERS.contains(name.replace('_', '-'));
--- a/src/test/java/org/magnoliavale/internal/call/CallFixture.java
+++ b/src/test/java/org/magnoliavale/internal/call/CallFixture.java
@@ -47,8 +47,13 @@
   final EndpointLimits limits = EndpointLimits.ofSingleInstance();
   final EndpointPool pool = new EndpointPool("east", () -> 1, departures, limits, new Random(1));
 
+  /** Endpoints that are suspected to have crashed. */
+  final List<String> probed = new ArrayList<>();
+
   final CrashDetector crashDetector =
-      new CrashDetector(new CrashRegistry("self", () -> java.time.Instant.EPOCH), endpoint -> {});
+      new CrashDetector(
+          new CrashRegistry("self", () -> java.time.Instant.EPOCH),
+          endpoint -> probed.add(endpoint.identity().id()));
 
   private final InstanceMetrics metrics = new InstanceMetrics();
 
@@ -83,6 +88,7 @@
                 retryBudget,
                 new ArtifactDemand(() -> {}),
                 crashDetector,
+                peers(),
                 queue,
                 () -> table == null ? null : createTable(),
                 CallerKeys.ofSingleInstance(),
@@ -107,6 +113,11 @@
     return false;
   }
 
+  /** Returns what passes calls to peers. */
+  PeerCalls peers() {
+    return PeerCalls.none();
+  }
+
   /** Returns what knows which software version began a stream. */
   StreamOrigins origins() {
     return StreamOrigins.ofUnstatedVersions();
--- a/src/test/java/org/magnoliavale/internal/gateway/EndpointAnswerFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/EndpointAnswerFixture.java
@@ -114,7 +114,7 @@
 
   @BeforeEach
   void start() throws Exception {
-    client = transport.createEndpointClient(Duration.ofSeconds(TIMEOUT_S));
+    client = transport.createEndpointClient(Duration.ofSeconds(TIMEOUT_S), address -> {});
     transport.startEndpointClient(client);
     endpoint = new UnreadBodyServer();
   }
--- a/src/test/java/org/magnoliavale/internal/gateway/LeaseSuccessionTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/LeaseSuccessionTest.java
@@ -75,6 +75,46 @@
     assertThat(holder.isHeld(now)).isFalse();
   }
 
+  @Test
+  void holderThatGivesItsLeaseUpIsSucceededAtOnce() {
+    LeaseManager holder = manager("front-1/a").withActingLimit(1_900);
+    tick(holder);
+    long epoch = holder.epoch();
+    LeaseManager other = manager("front-2/b");
+    tick(other);
+    holder.giveUp(now);
+    assertThat(holder.isHeld(now)).isFalse();
+    other.observeSurrender(holder.surrenderedEpoch());
+    tick(other);
+    assertThat(other.isHeld(now)).isTrue();
+    assertThat(other.epoch()).isGreaterThan(epoch);
+  }
+
+  @Test
+  void leaseIsNeitherHeldNorTakenWhileItIsSuspended() throws InterruptedException {
+    CommandLeaseManager lease =
+        new CommandLeaseManager(
+            manager("front-1/a"), table, () -> false, GatewayFixture.failures());
+    lease.start();
+    awaitHeld(lease);
+    long epoch = lease.fencingToken();
+    lease.setSuspended(true);
+    assertThat(lease.isHeld()).isFalse();
+    assertThat(lease.surrenderedEpoch()).isEqualTo(epoch);
+    assertThat(lease.consumeSurrendered()).isTrue();
+    lease.setSuspended(false);
+    awaitHeld(lease);
+    assertThat(lease.fencingToken()).isGreaterThan(epoch);
+    lease.stop();
+  }
+
+  private static void awaitHeld(CommandLeaseManager lease) throws InterruptedException {
+    for (int check = 0; check < 1_000 && !lease.isHeld(); check++) {
+      Thread.sleep(10);
+    }
+    assertThat(lease.isHeld()).isTrue();
+  }
+
   @Test
   void renewalConfirmedAfterSurrenderDoesNotRestoreEpoch() {
     LeaseManager holder = manager("front-1/a").withActingLimit(1_900);
--- a/src/test/java/org/magnoliavale/internal/gateway/ResetDetectionTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/ResetDetectionTest.java
@@ -40,7 +40,7 @@
 
   @BeforeEach
   void start() throws Exception {
-    client = transport.createEndpointClient(Duration.ofSeconds(5));
+    client = transport.createEndpointClient(Duration.ofSeconds(5), address -> {});
     transport.startEndpointClient(client);
     server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
   }
--- a/src/test/java/org/magnoliavale/internal/gateway/ResponseThreadsTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/ResponseThreadsTest.java
@@ -15,7 +15,8 @@
 
   @Test
   void responsesAreNotHandedFromTheThreadThatWaitsForThemToAnother() throws Exception {
-    HttpClient client = new JettyTransport().createEndpointClient(Duration.ofSeconds(20));
+    HttpClient client =
+        new JettyTransport().createEndpointClient(Duration.ofSeconds(20), address -> {});
     Set<Thread> readers = ConcurrentHashMap.newKeySet();
     try (PlainServer server = new PlainServer()) {
       server.answerWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
--- a/src/test/java/org/magnoliavale/internal/gateway/ThrowingProtocol.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/ThrowingProtocol.java
@@ -1,5 +1,7 @@
 package org.magnoliavale.internal.gateway;
 
+import java.time.Duration;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 import org.magnoliavale.internal.call.CallMetadata;
 import org.magnoliavale.internal.call.CallProtocol;
@@ -47,6 +49,15 @@
     return protocol.requestHeaders(fromCaller, forwarding);
   }
 
+  @Override
+  public HttpFields peerRequestHeaders(
+      HttpFields fromCaller,
+      String attemptId,
+      Duration timeRemaining,
+      Optional<Long> resumedAfter) {
+    return protocol.peerRequestHeaders(fromCaller, attemptId, timeRemaining, resumedAfter);
+  }
+
   @Override
   public ResponseHead parseResponse(int status, HttpFields fromEndpoint) {
     reach(Step.PARSE_RESPONSE);
