Tell a reserve of the lease holder as seldom as of others

If the preferred relay fails, the holder may count as silent until the reserve is told, about half a second; the lease row is then read once more.

--- a/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
+++ b/src/main/java/org/magnoliavale/internal/link/HeartbeatRelay.java
@@ -231,7 +231,8 @@
     if (unchanged) {
       return false;
     }
-    long refreshMs = heartbeat.getGivesOrders() ? HOLDER_REFRESH_INTERVAL_MS : REFRESH_INTERVAL_MS;
+    boolean oftenDue = heartbeat.getGivesOrders() && !receiver.reserve();
+    long refreshMs = oftenDue ? HOLDER_REFRESH_INTERVAL_MS : REFRESH_INTERVAL_MS;
     if (TimeUnit.NANOSECONDS.toMillis(nowNanos - sent.nanos()) >= refreshMs) {
       return true;
     }
