Split what a call does after failed attempts, at peers and with endpoints into parts of their own

No change of behaviour: FailedAttempts, PeerPassing and AttemptTarget come from Call and Attempt, InstanceReach and some factories from GatewayInstance.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -10,8 +10,6 @@
 import org.magnoliavale.internal.directory.EndpointIdentity;
 import org.magnoliavale.internal.dispatch.AttemptOutcome;
 import org.magnoliavale.internal.dispatch.EndpointChoice;
-import org.magnoliavale.internal.dispatch.EndpointPool;
-import org.magnoliavale.internal.dispatch.GenerationRequest;
 import org.magnoliavale.internal.route.CallKind;
 
 /**
@@ -33,10 +31,7 @@
   private final Call call;
   private final ContainedAttempt contained;
   private final EndpointChoice.Selected choice;
-
-  /** Whether the call was passed to a peer, which sends it to an endpoint. */
-  private final boolean atPeer;
-
+  private final AttemptTarget target;
   private final long sentNanos;
   private final EventSplitter events;
 
@@ -60,11 +55,11 @@
   Attempt(
       Call call,
       EndpointChoice.Selected choice,
-      boolean atPeer,
+      AttemptTarget target,
       long sentNanos,
       Optional<Long> resumedAfter) {
     this.call = call;
-    this.atPeer = atPeer;
+    this.target = target;
     this.contained = new ContainedAttempt(call, this);
     this.choice = choice;
     this.sentNanos = sentNanos;
@@ -83,11 +78,7 @@
   }
 
   boolean isAtPeer() {
-    return atPeer;
-  }
-
-  private EndpointPool pool() {
-    return call.context().endpoints();
+    return target.isPeer();
   }
 
   void send(OutgoingRequest request) {
@@ -114,7 +105,7 @@
    */
   void tick(long nowNanos) {
     long limit = call.plan().silenceTimeoutNanos();
-    if (limit == 0 || writing || atPeer) {
+    if (limit == 0 || writing || target.isPeer()) {
       return;
     }
     long silence = nowNanos - lastActivityNanos;
@@ -122,12 +113,10 @@
     boolean noEvent =
         streaming && silence > TimeUnit.MILLISECONDS.toNanos(EVENT_SILENCE_TIMEOUT_MS);
     if ((noHead || noEvent) && call.context().peers().areNeeded()) {
-      call.passToPeer(this, nowNanos);
+      call.peerPassing().passInsteadOf(this, nowNanos);
       return;
     }
-    boolean endpointSilent =
-        pool().isUnresponsive(identity(), nowNanos) || !pool().isAvailable(identity());
-    if ((noHead || noEvent) && endpointSilent) {
+    if ((noHead || noEvent) && target.isSilent(nowNanos)) {
       call.otherEndpoints().tryOther(this, "silent", nowNanos);
     } else if (noHead && call.plan().route().kind() == CallKind.IDEMPOTENT) {
       call.otherEndpoints().tryOther(this, "slow", nowNanos);
@@ -142,10 +131,9 @@
       }
       long now = call.now();
       lastActivityNanos = now;
-      ResponseHead head = call.context().protocol().parseResponse(status, headers);
-      responseHead = atPeer ? head.throughPeer() : head;
+      responseHead = target.parse(status, headers);
       responseHeaders = headers;
-      recordActivity(now);
+      target.recordActivity(now);
       responseHead
           .load()
           .ifPresent(load -> call.context().loadReported(choice.endpoint(), load, now));
@@ -155,17 +143,14 @@
         retryOrFail("response belongs to another attempt or is encoded", now);
         return;
       }
-      if (!responseHead.otherIncarnation() && !atPeer) {
-        call.context().statements().heard(identity(), responseHead.statement(), sentNanos);
-      }
+      target.recordStatements(responseHead, sentNanos, now);
       if (responseHead.isSuccess() && !responseHead.signed()) {
         cancel(AttemptOutcome.FAILED, now);
         retryOrFail("response is not signed", now);
         return;
       }
       if (!responseHead.notExecuted()) {
-        pool().recordFirstByte(choice, now);
-        call.context().metrics().firstByte().update(Duration.ofNanos(now - sentNanos));
+        target.recordFirstByte(Duration.ofNanos(now - sentNanos), now);
       }
       streaming = responseHead.isSuccess() && call.plan().route().kind() == CallKind.STREAM;
       if (responseHead.isSuccess() && status != NO_CONTENT) {
@@ -181,7 +166,7 @@
         return;
       }
       lastActivityNanos = call.now();
-      recordActivity(lastActivityNanos);
+      target.recordActivity(lastActivityNanos);
       if (streaming) {
         if (bytes.hasRemaining()) {
           call.otherEndpoints().madeProgress(this, lastActivityNanos);
@@ -198,13 +183,6 @@
     demand.run();
   }
 
-  private void recordActivity(long now) {
-    if (!atPeer) {
-      pool().recordActivity(identity(), now);
-      call.context().peers().heardEndpoint(now);
-    }
-  }
-
   private void forwardEvents(ByteBuffer bytes, Runnable demand) {
     ByteBuffer completeEvents = events.append(bytes);
     if (events.isOversized()) {
@@ -221,7 +199,7 @@
       demand.run();
       return;
     }
-    pool().recordEvent(choice, lastActivityNanos);
+    call.context().endpoints().recordEvent(choice, lastActivityNanos);
     lastEventNanos = lastActivityNanos;
     writing = true;
     call.streamStart().whenCertain(certain -> write(completeEvents, certain, demand));
@@ -334,7 +312,8 @@
     if (error && !unprovenPromise && body.isSmall()) {
       call.completion().keepError(answer);
     }
-    if (error && call.retryIfAllowed(this, "status " + responseHead.status(), now)) {
+    if (error
+        && call.failedAttempts().retryIfAllowed(this, "status " + responseHead.status(), now)) {
       return;
     }
     if (call.progress().hasStarted() || unprovenPromise) {
@@ -361,20 +340,12 @@
             ? AttemptOutcome.INCONCLUSIVE
             : AttemptOutcome.OVERLOADED,
         now);
-    if (responseHead.otherIncarnation()) {
-      pool().markReplaced(identity());
-      call.context().crashDetector().endpointDown(identity(), now);
-    } else if (responseHead.status() == MISDIRECTED) {
-      call.plan()
-          .metadata()
-          .generation()
-          .map(GenerationRequest::artifact)
-          .ifPresent(artifact -> pool().recordMissing(identity(), artifact, now));
-    }
+    target.recordNotExecuted(responseHead, now);
     boolean excludeEndpoint =
         responseHead.otherIncarnation() || responseHead.status() != MISDIRECTED;
-    call.attemptNotExecuted(
-        this, "not executed, status " + responseHead.status(), excludeEndpoint, now);
+    call.failedAttempts()
+        .attemptNotExecuted(
+            this, "not executed, status " + responseHead.status(), excludeEndpoint, now);
   }
 
   @Override
@@ -392,34 +363,24 @@
       handleNotExecuted(now);
     } else if (failure == AttemptFailure.NOT_SENT) {
       close(AttemptOutcome.UNREACHABLE, now);
-      recordUnreachable(now);
-      call.attemptNotSent(this, reason, now);
+      target.recordUnreachable(now);
+      call.failedAttempts().attemptNotSent(this, reason, now);
     } else {
       failAfterSend(reason, now);
     }
   }
 
-  private void recordUnreachable(long now) {
-    if (atPeer) {
-      return;
-    }
-    call.context().peers().connectFailed(identity(), now);
-    if (!call.context().peers().isReachDoubtful()) {
-      call.context().crashDetector().endpointDown(identity(), now);
-    }
-  }
-
   private void failAfterSend(String reason, long now) {
     close(AttemptOutcome.FAILED, now);
-    if (!call.progress().hasStarted() && !atPeer) {
+    if (!call.progress().hasStarted()) {
       // A request whose answer had begun did not crash the endpoint that wrote it.
-      call.context().crashDetector().connectionLost(call.plan().crashKeys(), endpoint(), now);
+      target.recordLost(now);
     }
     retryOrFail(reason, now);
   }
 
   private void retryOrFail(String reason, long now) {
-    if (!call.retryIfAllowed(this, reason, now)) {
+    if (!call.failedAttempts().retryIfAllowed(this, reason, now)) {
       call.failOrAbort(ErrorCode.UPSTREAM_FAILED, reason);
     }
   }
--- a/src/main/java/org/magnoliavale/internal/call/Call.java
+++ b/src/main/java/org/magnoliavale/internal/call/Call.java
@@ -47,7 +47,8 @@
   private State state = State.NEW;
   private final CallWait wait;
   private final AttemptsInProgress attempts = new AttemptsInProgress();
-  private String lastFailure = "";
+  private final FailedAttempts failedAttempts;
+  private final PeerPassing peerPassing;
 
   Call(
       CallContext context,
@@ -63,6 +64,8 @@
     this.selection = new EndpointSelection(context, plan, progress);
     this.retries = new RetryAllowance(context, plan, maySend);
     this.otherEndpoints = new OtherEndpointTries(this, attempts, selection, retries);
+    this.failedAttempts = new FailedAttempts(this, attempts, selection, retries);
+    this.peerPassing = new PeerPassing(this, attempts, selection, retries);
     this.wait = new CallWait(this);
     this.onEnd = onEnd;
     this.log = new CallLog(plan);
@@ -87,7 +90,7 @@
    */
   synchronized void start(long nowNanos) {
     state = State.WAITING;
-    boolean throughPeer = context.peers().areNeeded();
+    boolean throughPeer = peerPassing.isNeeded();
     if (!throughPeer) {
       context.recordRequest(plan, nowNanos);
     }
@@ -173,7 +176,7 @@
       Attempt ended = source.or(attempts::latest).orElseThrow();
       ended.cancel(AttemptOutcome.INCONCLUSIVE, now());
       attempts.removeEnded(ended);
-      recordPossibleExecution(ended, INTERNAL_ERROR, now());
+      failedAttempts.recordPossibleExecution(ended, INTERNAL_ERROR, now());
     } else {
       failOrAbort(ErrorCode.INTERNAL, INTERNAL_ERROR);
     }
@@ -188,17 +191,23 @@
     completion.abandon(retries.possibleExecutions(), progress.hasStarted());
   }
 
+  /** Returns what passes the call to peers. */
+  PeerPassing peerPassing() {
+    return peerPassing;
+  }
+
   /** Returns the tries of other endpoints while the call is at a silent or slow one. */
   OtherEndpointTries otherEndpoints() {
     return otherEndpoints;
   }
 
-  private void dispatch(long nowNanos) {
+  /** Sends the call, lets it wait, or gives it up. */
+  void dispatch(long nowNanos) {
     if (streamStart.isFindingOrigin() || rejectIfCrashing(nowNanos)) {
       return;
     }
-    if (context.peers().areNeeded()) {
-      passToPeer(nowNanos);
+    if (peerPassing.isNeeded()) {
+      peerPassing.pass(nowNanos);
       return;
     }
     switch (selection.choose(nowNanos)) {
@@ -235,47 +244,22 @@
 
   /** Sends the call to an endpoint; no other attempt is in progress. */
   private void send(EndpointChoice.Selected choice, long nowNanos) {
-    wait.sent(nowNanos);
-    state = State.SENT;
-    Attempt attempt = new Attempt(this, choice, false, nowNanos, progress.lastEvent());
-    attempts.add(attempt);
-    send(attempt, choice, nowNanos);
+    send(begin(choice, new AttemptTarget.OfEndpoint(this, choice), nowNanos), choice, nowNanos);
   }
 
-  /** Passes the call to a peer, since no endpoint is reached from here; or gives it up. */
-  private void passToPeer(long nowNanos) {
-    boolean passedOn = context.peers().isFromPeer(plan.request().headers(), plan.attemptId());
-    Optional<EndpointChoice.Selected> peer =
-        passedOn ? Optional.empty() : selection.choosePeer(nowNanos);
-    if (peer.isEmpty()) {
-      giveUp("no endpoint is reached", nowNanos);
-      return;
-    }
+  /** Begins the only attempt in progress. */
+  Attempt begin(EndpointChoice.Selected choice, AttemptTarget target, long nowNanos) {
     wait.sent(nowNanos);
     state = State.SENT;
-    Attempt attempt = new Attempt(this, peer.get(), true, nowNanos, progress.lastEvent());
+    Attempt attempt = new Attempt(this, choice, target, nowNanos, progress.lastEvent());
     attempts.add(attempt);
-    context.metrics().passedToPeers().inc();
-    log.passedToPeer(attempt.identity(), plan.timeRemaining(nowNanos));
-    attempt.send(selection.peerRequest(peer.get(), nowNanos));
-  }
-
-  /** Passes the call to a peer instead of its attempt at an endpoint that is silent. */
-  void passToPeer(Attempt silent, long nowNanos) {
-    if (attempts.isPair()
-        || !retries.allowsRetryInPlaceOfAttempt(progress.hasStarted(), nowNanos)) {
-      return;
-    }
-    silent.cancel(AttemptOutcome.INCONCLUSIVE, nowNanos);
-    String reason = "no endpoint is reached";
-    if (!retryIfAllowed(silent, reason, nowNanos)) {
-      failOrAbort(ErrorCode.UPSTREAM_FAILED, reason);
-    }
+    return attempt;
   }
 
   /** Sends the call to an endpoint beside its attempt in progress at a silent or slow one. */
   void sendBeside(EndpointChoice.Selected choice, long nowNanos) {
-    Attempt attempt = new Attempt(this, choice, false, nowNanos, progress.lastEvent());
+    AttemptTarget target = new AttemptTarget.OfEndpoint(this, choice);
+    Attempt attempt = new Attempt(this, choice, target, nowNanos, progress.lastEvent());
     attempts.addBeside(attempt);
     send(attempt, choice, nowNanos);
   }
@@ -298,77 +282,19 @@
     giveUp(reason, nowNanos);
   }
 
-  /**
-   * Handles an attempt that the endpoint states it did not execute.
-   *
-   * @param excludeEndpoint whether the endpoint is excluded from further attempts
-   */
-  void attemptNotExecuted(Attempt source, String reason, boolean excludeEndpoint, long nowNanos) {
-    // Beside a silent attempt, an endpoint that is full now may be asked again a little later.
-    if (excludeEndpoint && !attempts.isPair()) {
-      selection.tried().exclude(source.identity());
-    }
-    // What a peer rejects has reached no endpoint.
-    BooleanSupplier withinBudget = () -> source.isAtPeer() || retries.spendRetry(nowNanos);
-    retryOrGiveUp(source, reason, withinBudget, nowNanos);
+  /** Returns what follows attempts that fail. */
+  FailedAttempts failedAttempts() {
+    return failedAttempts;
   }
 
-  /** Handles an attempt that failed before any byte was sent. */
-  void attemptNotSent(Attempt source, String reason, long nowNanos) {
-    selection.tried().exclude(source.identity());
-    retryOrGiveUp(source, reason, () -> true, nowNanos);
-  }
-
-  private void retryOrGiveUp(
-      Attempt source, String reason, BooleanSupplier withinBudget, long nowNanos) {
-    retries.recordRefusal();
-    lastFailure = reason;
-    if (attempts.removeEnded(source)) {
-      log.goingOnAtOtherEndpoint(source.identity(), reason);
-      return;
-    }
-    state = State.WAITING;
-    if (withinBudget.getAsBoolean()
-        && retries.allowsRetryAfterRefusal(progress.hasStarted(), nowNanos)) {
-      logRetry(source, reason);
-      dispatch(nowNanos);
-    } else {
-      giveUp(reason, nowNanos);
-    }
-  }
-
-  /**
-   * Handles a failed attempt that may have been executed; returns whether the call goes on, with a
-   * retry or with another attempt in progress.
-   */
-  boolean retryIfAllowed(Attempt source, String reason, long nowNanos) {
-    recordPossibleExecution(source, reason, nowNanos);
-    if (attempts.removeEnded(source)) {
-      log.goingOnAtOtherEndpoint(source.identity(), reason);
-      return true;
-    }
-    // A peer makes all attempts that the call may have.
-    if (source.isAtPeer()
-        || !retries.allowsRetryAfterExecution(progress.hasStarted(), nowNanos)
-        || !retries.spendRetry(nowNanos)) {
-      return false;
-    }
-    logRetry(source, reason);
+  /** Lets the call wait until it is sent. */
+  void await() {
     state = State.WAITING;
-    dispatch(nowNanos);
-    return true;
   }
 
-  void recordPossibleExecution(Attempt source, String reason, long nowNanos) {
+  /** Starts the time anew that a wait may last. */
+  void restartWait(long nowNanos) {
     wait.restart(nowNanos);
-    retries.recordPossibleExecution();
-    lastFailure = reason;
-    selection.tried().exclude(source.identity());
-  }
-
-  void logRetry(Attempt source, String reason) {
-    context.metrics().retried().inc();
-    log.retrying(source.identity(), reason, retries, progress.lastEvent());
   }
 
   /** Returns what the first event of the call's stream waits for. */
@@ -398,7 +324,7 @@
     }
   }
 
-  private void giveUp(String reason, long nowNanos) {
+  void giveUp(String reason, long nowNanos) {
     giveUp(ErrorCode.MODEL_UNAVAILABLE, reason, nowNanos);
   }
 
@@ -421,9 +347,9 @@
    */
   void failOrAbort(ErrorCode code, String reason) {
     if (progress.hasStarted()) {
-      completion.abort(reason, lastFailure, progress.lastEvent());
+      completion.abort(reason, failedAttempts.lastFailure(), progress.lastEvent());
     } else {
-      completion.fail(code, reason, retries.possibleExecutions(), lastFailure);
+      completion.fail(code, reason, retries.possibleExecutions(), failedAttempts.lastFailure());
     }
   }
 
--- a/src/main/java/org/magnoliavale/internal/call/OtherEndpointTries.java
+++ b/src/main/java/org/magnoliavale/internal/call/OtherEndpointTries.java
@@ -51,7 +51,7 @@
         .ifPresent(
             choice -> {
               lastTryNanos = nowNanos;
-              call.logRetry(inProgress, reason);
+              call.failedAttempts().logRetry(inProgress, reason);
               call.sendBeside(choice, nowNanos);
             });
   }
@@ -59,7 +59,7 @@
   private void dropNewer(Attempt newer, String reason, long nowNanos) {
     if (retries.allowsRetryInPlaceOfPair(call.progress().hasStarted(), nowNanos)) {
       newer.cancel(AttemptOutcome.FAILED, nowNanos);
-      call.recordPossibleExecution(newer, reason, nowNanos);
+      call.failedAttempts().recordPossibleExecution(newer, reason, nowNanos);
       attempts.removeEnded(newer);
     }
   }
@@ -78,7 +78,8 @@
         .ifPresent(
             other -> {
               log.keptOneOfTwo(source.identity(), other.identity());
-              call.recordPossibleExecution(other, "another attempt made progress", nowNanos);
+              call.failedAttempts()
+                  .recordPossibleExecution(other, "another attempt made progress", nowNanos);
             });
   }
 }
--- a/src/main/java/org/magnoliavale/internal/call/StreamStart.java
+++ b/src/main/java/org/magnoliavale/internal/call/StreamStart.java
@@ -128,7 +128,7 @@
   /** Ends the call because it isn't certain where its stream would begin. */
   void endUnrecorded(Attempt source) {
     source.cancel(AttemptOutcome.INCONCLUSIVE, call.now());
-    call.recordPossibleExecution(source, NOT_RECORDED, call.now());
+    call.failedAttempts().recordPossibleExecution(source, NOT_RECORDED, call.now());
     call.failOrAbort(ErrorCode.UPSTREAM_FAILED, NOT_RECORDED);
   }
 
--- a/src/main/java/org/magnoliavale/internal/gateway/EndpointChanges.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/EndpointChanges.java
@@ -18,7 +18,7 @@
  */
 record EndpointChanges(
     EndpointPool endpoints,
-    ReachMonitor reach,
+    InstanceReach reach,
     RecordedOrigins origins,
     CrashDetector crashDetector,
     ResidencyController residency,
--- a/src/main/java/org/magnoliavale/internal/gateway/EndpointStatements.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/EndpointStatements.java
@@ -29,6 +29,12 @@
     }
   }
 
+  /** Applies what an endpoint has said in an answer to a command, sent some unknown time ago. */
+  void heardByControl(EndpointIdentity endpoint, EndpointStatement statement) {
+    long longestAgeNanos = GatewayClients.CONTROL_IDLE_TIMEOUT.toNanos();
+    heard(endpoint, statement, nanoClock.getAsLong() - longestAgeNanos);
+  }
+
   /** Returns whether peers have to be told at once of something that was heard. */
   boolean takeNews() {
     boolean limitChanged = limits.takeNews();
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.Random;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -13,13 +12,11 @@
 import org.magnoliavale.internal.call.CallMetrics;
 import org.magnoliavale.internal.call.CallRegistry;
 import org.magnoliavale.internal.call.CrashDetector;
-import org.magnoliavale.internal.call.EndpointProbe;
 import org.magnoliavale.internal.call.GracefulDrain;
 import org.magnoliavale.internal.call.ResponseMemory;
 import org.magnoliavale.internal.containment.CrashRegistry;
 import org.magnoliavale.internal.directory.EndpointDepartures;
 import org.magnoliavale.internal.directory.EndpointIdentity;
-import org.magnoliavale.internal.directory.EndpointStatement;
 import org.magnoliavale.internal.dispatch.EndpointPool;
 import org.magnoliavale.internal.dispatch.FleetRetryBudget;
 import org.magnoliavale.internal.http.HttpAddresses;
@@ -32,7 +29,6 @@
 import org.magnoliavale.internal.metrics.InstanceMetrics;
 import org.magnoliavale.internal.metrics.UnexpectedFailures;
 import org.magnoliavale.internal.origin.RecordedOrigins;
-import org.magnoliavale.internal.reach.EndpointReach;
 import org.magnoliavale.internal.residency.DelayingExecutor;
 import org.magnoliavale.internal.residency.FleetDemand;
 import org.magnoliavale.internal.residency.ResidencyController;
@@ -61,9 +57,8 @@
   private final FleetRetryBudget retryBudget;
   private final PlatformAdapters adapters;
   private final JettyTransport transport = new JettyTransport();
-  private final EndpointReach reach = new EndpointReach();
-  private final GatewayClients clients =
-      new GatewayClients(transport, address -> reach.connected(address, System.nanoTime()));
+  private final InstanceReach reach = new InstanceReach();
+  private final GatewayClients clients = new GatewayClients(transport, reach::connected);
   private final InstanceMetrics metrics = new InstanceMetrics();
   private final UnexpectedFailures failures =
       new UnexpectedFailures(metrics.counter("steps_failed_unexpectedly"), LOG);
@@ -82,8 +77,6 @@
   private final PeerLinks links;
   private final CommandLeaseManager lease;
   private final ResidencyController residency;
-  private final PeerForwarding peerForwarding;
-  private final ReachMonitor reachMonitor;
   private final CrashDetector crashDetector;
   private final GatewayHandler callerHandler;
   private final GatewayServers servers;
@@ -106,16 +99,20 @@
     retryBudget = settings.createRetryBudget(this::liveInstanceCount, System.nanoTime());
     String incarnation = settings.instanceId() + "/" + UUID.randomUUID().toString().substring(0, 8);
     adapters =
-        factory.create(clients.control(), settings, this::heardByControl).containing(failures);
+        factory
+            .create(clients.control(), settings, statements::heardByControl)
+            .containing(failures);
     configuration =
         ConfigurationReads.of(settings, adapters, this::isLargeFleet, this::announceLocalState);
     membership = Membership.ofRelayedHeartbeats();
-    registry = createRegistry();
+    registry = InstanceRegistry.of(settings, adapters.table(), this::linkAddress);
     endpoints =
         EndpointPools.create(
             settings, this::liveInstanceCount, departures, limits, configuration, metrics);
     CrashRegistry crashes = new CrashRegistry(incarnation, InstantSource.system());
-    crashDetector = new CrashDetector(crashes, createProbe());
+    crashDetector =
+        new CrashDetector(
+            crashes, reach.probe(commandExecutor, adapters.control(), this::endpointDown));
     ArtifactDemand demand = new ArtifactDemand(this::announceDemand);
     FleetDemand fleetDemand = new FleetDemand();
     quotas = QuotaKeeper.create(this::fleet, configuration::routes, settings.quotaBounds());
@@ -126,35 +123,10 @@
             this::isLeaseHeld,
             configuration,
             System::nanoTime);
-    peerForwarding =
-        new PeerForwarding(
-            settings,
-            reach,
-            this::callerAddress,
-            registry::lastInstances,
-            new Random(),
-            System::nanoTime);
-    reachMonitor =
-        new ReachMonitor(
-            reach,
-            peerForwarding,
-            endpoints,
-            adapters.control(),
-            commandExecutor,
-            new Random(),
-            System::nanoTime);
+    reach.initialize(
+        settings, endpoints, adapters.control(), commandExecutor, registry, this::callerAddress);
     calls = new CallRegistry(createCallContext(demand), ThreadLocalRandom.current());
-    peerState =
-        new PeerStateExchange(
-            settings.instanceId(),
-            membership,
-            crashes,
-            demand,
-            fleetDemand,
-            endpoints,
-            departures,
-            limits,
-            System::nanoTime);
+    peerState = createPeerState(crashes, demand, fleetDemand);
     lease =
         CommandLeaseManager.of(
             incarnation,
@@ -188,6 +160,20 @@
         settings.instanceId(), membership.peers(nowNanos), registry.lastInstances());
   }
 
+  private PeerStateExchange createPeerState(
+      CrashRegistry crashes, ArtifactDemand demand, FleetDemand fleetDemand) {
+    return new PeerStateExchange(
+        settings.instanceId(),
+        membership,
+        crashes,
+        demand,
+        fleetDemand,
+        endpoints,
+        departures,
+        limits,
+        System::nanoTime);
+  }
+
   private PeerLinks createLinks(String incarnation) {
     return new PeerLinks(
         settings.peers(),
@@ -207,7 +193,7 @@
         retryBudget,
         demand,
         crashDetector,
-        peerForwarding,
+        reach.calls(),
         configuration::routes,
         configuration.keys(),
         origins,
@@ -241,7 +227,7 @@
         configuration::routes,
         new EndpointChanges(
             endpoints,
-            reachMonitor,
+            reach,
             origins,
             crashDetector,
             residency,
@@ -256,34 +242,12 @@
     return HttpAddresses.format(settings.callerAddress(), callerPort());
   }
 
-  private InstanceRegistry createRegistry() {
-    String id = settings.instanceId();
-    return new InstanceRegistry(
-        adapters.table(),
-        id,
-        () -> settings.listed(HttpAddresses.format(links.address())),
-        System::nanoTime);
-  }
-
-  private void registerMetrics() {
-    new InstanceGauges(metrics.registry())
-        .number("calls_in_progress", calls::size)
-        .number("calls_waiting", calls::waiting)
-        .number("requests_in_progress", callerHandler::requestsInProgress)
-        .number("instances", this::liveInstanceCount)
-        .number("link_bytes_sent", links::bytesSent)
-        .number("configuration_version", configuration::version);
-  }
-
-  private EndpointProbe createProbe() {
-    return new BackgroundEndpointProbe(
-        commandExecutor, adapters.control(), System::nanoTime, this::endpointDown);
+  private String linkAddress() {
+    return HttpAddresses.format(links.address());
   }
 
   private void endpointDown(EndpointIdentity endpoint, long nowNanos) {
-    if (!reach.isDoubtful()) {
-      crashDetector.endpointDown(endpoint, nowNanos);
-    }
+    crashDetector.endpointDown(endpoint, nowNanos);
   }
 
   private int liveInstanceCount() {
@@ -323,11 +287,12 @@
 
   @Override
   public void start() {
-    registerMetrics();
+    new InstanceGauges(metrics.registry())
+        .ofInstance(calls, callerHandler, this::liveInstanceCount, links, configuration);
     quotas.start(new InstanceGauges(metrics.registry()), peerState);
     peerState.add(configuration);
     peerState.add(directory);
-    peerState.add(peerForwarding);
+    peerState.add(reach.heartbeatPart());
     clients.start();
     servers.start();
     configuration.start();
@@ -344,11 +309,6 @@
         settings.storeAddress());
   }
 
-  private void heardByControl(EndpointIdentity endpoint, EndpointStatement statement) {
-    statements.heard(
-        endpoint, statement, System.nanoTime() - GatewayClients.CONTROL_IDLE_TIMEOUT.toNanos());
-  }
-
   /** Takes over the grace period and the limits of the retry budget from changed settings. */
   public void reload(GatewaySettings changed) {
     gracePeriod = changed.gracePeriod();
@@ -361,9 +321,7 @@
   }
 
   private void tick() {
-    failures.contain(
-        "The reach of endpoints could not be decided.",
-        () -> reachMonitor.tick(this::onReachChanged));
+    failures.contain("Reach could not be decided.", () -> reach.tick(this::onReachChanged));
     calls.tick();
     directory.checkDue();
     configuration.checkDue();
--- a/src/main/java/org/magnoliavale/internal/gateway/InstanceRegistry.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/InstanceRegistry.java
@@ -82,6 +82,12 @@
     this.startNanos = nanoClock.getAsLong();
   }
 
+  /** Returns the registry of an instance; {@code linkAddress} is where others link to it. */
+  static InstanceRegistry of(GatewaySettings settings, Table table, Supplier<String> linkAddress) {
+    return new InstanceRegistry(
+        table, settings.instanceId(), () -> settings.listed(linkAddress.get()), System::nanoTime);
+  }
+
   @Override
   public Optional<List<ListedInstance>> read() {
     long now = nanoClock.getAsLong();
