Give nothing back to a quota at a peer that rejects a call which it has not counted

A call that a peer passes on is counted where its caller sent it. A peer that rejected it gave its units back all the same, so a tenant could use more than its quota, the more the more often peers reject. Found by reading.

--- a/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallCompletion.java
@@ -45,7 +45,7 @@
   void reject(Rejection rejection, long nowNanos) {
     context.metrics().rejected().inc();
     log.rejected(rejection, nowNanos);
-    plan.giveBackQuota(context.quota(), nowNanos);
+    context.giveBackQuota(plan, nowNanos);
     respondWithProblem(
         ErrorCode.MODEL_UNAVAILABLE,
         MagnoliavaleException.of(rejection.code(), rejection.reason())
--- a/src/main/java/org/magnoliavale/internal/call/CallContext.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallContext.java
@@ -126,6 +126,18 @@
     metrics.failures().contain("Waiting calls could not be sent.", () -> queue.serve(nanoClock));
   }
 
+  /** Returns whether a peer has passed a call to this instance, and counted it in its quota. */
+  boolean isFromPeer(CallPlan plan) {
+    return peers.isFromPeer(plan.request().headers(), plan.attemptId());
+  }
+
+  /** Takes back what this instance has counted a call for in its tenant's quota. */
+  void giveBackQuota(CallPlan plan, long nowNanos) {
+    if (!isFromPeer(plan)) {
+      plan.giveBackQuota(quota, nowNanos);
+    }
+  }
+
   /** Records a new call, for the budget of retries and the demand for its artifact. */
   void recordRequest(CallPlan plan, long nowNanos) {
     retryBudget.recordRequest(plan.service(), nowNanos);
--- a/src/main/java/org/magnoliavale/internal/call/CallEntry.java
+++ b/src/main/java/org/magnoliavale/internal/call/CallEntry.java
@@ -89,8 +89,7 @@
 
   private Result checkQuota(CallPlan plan) {
     Optional<Tenant> tenant = plan.caller().knownTenant();
-    boolean counted = context.peers().isFromPeer(plan.request().headers(), plan.attemptId());
-    if (tenant.isEmpty() || counted) {
+    if (tenant.isEmpty() || context.isFromPeer(plan)) {
       return new Result.Passed(plan);
     }
     context.metrics().ofTenant(tenant.get().id()).inc();
@@ -146,7 +145,7 @@
 
   /** Takes back what a call was counted for that passed all steps and has not been executed. */
   void giveBack(CallPlan plan) {
-    plan.giveBackQuota(context.quota(), now());
+    context.giveBackQuota(plan, now());
   }
 
   private static Result rejected(ErrorCode code, String reason) {
--- a/src/main/java/org/magnoliavale/internal/call/PeerPassing.java
+++ b/src/main/java/org/magnoliavale/internal/call/PeerPassing.java
@@ -30,8 +30,7 @@
   /** Passes the call to a peer, or gives it up if there is none or it came from one. */
   void pass(long nowNanos) {
     CallPlan plan = call.plan();
-    boolean passedBefore =
-        call.context().peers().isFromPeer(plan.request().headers(), plan.attemptId());
+    boolean passedBefore = call.context().isFromPeer(plan);
     Optional<EndpointChoice.Selected> peer =
         passedBefore ? Optional.empty() : selection.choosePeer(nowNanos);
     if (peer.isEmpty()) {
--- a/src/test/java/org/magnoliavale/internal/call/CutOffInstanceTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/CutOffInstanceTest.java
@@ -2,81 +2,19 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
-import org.magnoliavale.internal.dispatch.EndpointChoice;
 import org.magnoliavale.internal.dispatch.TestEntries;
-import org.magnoliavale.internal.identifier.ServiceId;
 
 /** Calls at an instance that reaches no endpoint, while its peers do. */
 class CutOffInstanceTest extends CallFixture {
-  private boolean cutOff;
-  private final Set<String> peerNames = new HashSet<>(Set.of("peer-1", "peer-2"));
-  private final Set<EndpointIdentity> refusing = new HashSet<>();
+  private final ScriptedPeers peers = new ScriptedPeers();
 
   @Override
   PeerCalls peers() {
-    return new PeerCalls() {
-      @Override
-      public boolean areNeeded() {
-        return cutOff;
-      }
-
-      @Override
-      public boolean isReachDoubtful() {
-        return cutOff;
-      }
-
-      @Override
-      public void heardEndpoint(long nowNanos) {}
-
-      @Override
-      public void connectFailed(EndpointIdentity endpoint, long nowNanos) {
-        refusing.add(endpoint);
-      }
-
-      @Override
-      public Optional<EndpointChoice.Selected> choose(
-          Set<EndpointIdentity> excluded, long nowNanos) {
-        return peerNames.stream()
-            .sorted()
-            .filter(name -> !excluded.contains(new EndpointIdentity(name, 0)))
-            .findFirst()
-            .map(name -> EndpointChoice.Selected.untracked(peer(name), nowNanos));
-      }
-
-      @Override
-      public String proof(String attemptId) {
-        return "self:" + attemptId;
-      }
-
-      @Override
-      public boolean isFromPeer(HttpFields fromCaller, String attemptId) {
-        return ("other:" + attemptId).equals(fromCaller.get(PROOF_HEADER));
-      }
-    };
-  }
-
-  private static DirectoryEntry peer(String name) {
-    return new DirectoryEntry(
-        new EndpointIdentity(name, 0),
-        new ServiceId("instances"),
-        new InetSocketAddress("127.0.0.1", 1),
-        "east",
-        false,
-        0,
-        0,
-        Map.of(),
-        Set.of(),
-        Set.of());
+    return peers;
   }
 
   private void rejectAtPeer(int status) {
@@ -97,7 +35,7 @@
   class NewCalls {
     @Test
     void areServedThroughAPeerAsTheirCallerSentThem() {
-      cutOff = true;
+      peers.cutOff(true);
       call("/unsafe/x", "X-Other", "kept", "Connection", "keep-alive");
       assertThat(endpoints()).containsExactly("peer-1");
       assertThat(header("X-Request-Attempt-Id")).isEqualTo("id-1");
@@ -116,7 +54,7 @@
 
     @Test
     void thatAreStreamsGetTheirEventsThroughAPeer() {
-      cutOff = true;
+      peers.cutOff(true);
       call("/stream/x");
       connector.last().beginChunked();
       connector.last().content("id: 1\ndata: a\n\n");
@@ -127,7 +65,7 @@
 
     @Test
     void thatTakeAStreamUpAreLeftToThePeerWithTheirHeaders() {
-      cutOff = true;
+      peers.cutOff(true);
       call("/stream/x", "Last-Event-Id", "7", "Resumes", "id-0");
       assertThat(endpoints()).containsExactly("peer-1");
       assertThat(header("Last-Event-Id")).isEqualTo("7");
@@ -136,8 +74,8 @@
 
     @Test
     void goToAnotherPeerIfOneRejectsThemOrCannotBeReached() {
-      peerNames.add("peer-3");
-      cutOff = true;
+      peers.add("peer-3");
+      peers.cutOff(true);
       call("/unsafe/x");
       rejectAtPeer(503);
       connector.last().failBeforeSend();
@@ -148,7 +86,7 @@
 
     @Test
     void areRejectedAtOnceIfNoPeerTakesThem() {
-      cutOff = true;
+      peers.cutOff(true);
       call("/unsafe/x");
       rejectAtPeer(503);
       rejectAtPeer(429);
@@ -158,7 +96,7 @@
 
     @Test
     void thatComeFromAPeerAreNotPassedOnAgain() {
-      cutOff = true;
+      peers.cutOff(true);
       call("/unsafe/x", PeerCalls.PROOF_HEADER, "other:id-1");
       assertThat(connector.sent()).isEmpty();
       assertThat(caller.status()).isEqualTo(503);
@@ -166,9 +104,9 @@
 
     @Test
     void goToEndpointsAgainWhenTheseAreReached() {
-      cutOff = true;
+      peers.cutOff(true);
       call("/safe/x");
-      cutOff = false;
+      peers.cutOff(false);
       rejectAtPeer(503);
       assertThat(endpoints().getFirst()).isEqualTo("peer-1");
       assertThat(endpoints().getLast()).doesNotStartWith("peer");
@@ -180,7 +118,7 @@
     @Test
     void areNeverSentAgain() {
       for (String path : new String[] {"/unsafe/x", "/safe/x"}) {
-        cutOff = true;
+        peers.cutOff(true);
         connector.sent().clear();
         RecordingCaller own = new RecordingCaller();
         caller = own;
@@ -193,7 +131,7 @@
 
     @Test
     void countNoCrashAgainstThePeer() {
-      cutOff = true;
+      peers.cutOff(true);
       call("/unsafe/x");
       connector.last().failAfterSend();
       assertThat(probed).isEmpty();
@@ -201,7 +139,7 @@
 
     @Test
     void endWithThePeersOwnFailure() {
-      cutOff = true;
+      peers.cutOff(true);
       call("/unsafe/x");
       connector
           .last()
@@ -221,7 +159,7 @@
     void goOnThroughAPeerIfTheyMayBeRepeated() {
       updateEndpoints(TestEntries.entry("a", 1, "m"));
       call("/safe/x");
-      cutOff = true;
+      peers.cutOff(true);
       advance(500);
       assertThat(endpoints()).containsExactly("a", "peer-1");
       assertThat(connector.sent().getFirst().isCancelled()).isTrue();
@@ -233,7 +171,7 @@
       call("/stream/x");
       connector.last().beginChunked();
       connector.last().content("id: 1\ndata: a\n\n");
-      cutOff = true;
+      peers.cutOff(true);
       advance(1_300);
       assertThat(endpoints()).containsExactly("a", "peer-1");
       assertThat(header("Last-Event-Id")).isEqualTo("1");
@@ -251,7 +189,7 @@
       call("/stream/x");
       connector.last().beginChunked();
       connector.last().content("id: 1\ndata: a\n\n");
-      cutOff = true;
+      peers.cutOff(true);
       advance(900);
       connector.last().content("id: 2\ndata: b\n\n");
       advance(900);
@@ -262,7 +200,7 @@
     void stayIfTheyMayNotBeRepeated() {
       updateEndpoints(TestEntries.entry("a", 1, "m"));
       call("/unsafe/x");
-      cutOff = true;
+      peers.cutOff(true);
       advance(3_000);
       assertThat(endpoints()).containsExactly("a");
     }
@@ -272,9 +210,9 @@
   void endpointsThatRefuseConnectionsInACutCountAsNoCrash() {
     updateEndpoints(TestEntries.entry("a", 1, "m"));
     call("/unsafe/x");
-    cutOff = true;
+    peers.cutOff(true);
     connector.last().failBeforeSend();
-    assertThat(refusing).extracting(EndpointIdentity::id).containsExactly("a");
+    assertThat(peers.refusing()).extracting(EndpointIdentity::id).containsExactly("a");
     assertThat(endpoints()).containsExactly("a", "peer-1");
   }
 }
