Log what requests wait for whose models no endpoint holds

The log had no line for a load that is not ordered, so it could not tell whether models lie on no disk, only on endpoints that are busy, or are not worth a place. No change of what it plans.

--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -13,6 +13,7 @@
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.directory.DirectoryEntry;
 import org.magnoliavale.internal.directory.EndpointIdentity;
+import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.lease.Epochs;
 import org.magnoliavale.internal.logging.Logs;
 import org.magnoliavale.internal.route.EngineSpecification;
@@ -49,6 +50,7 @@
   private final Map<EndpointIdentity, EndpointTracker> trackers = new HashMap<>();
   private final Map<EndpointIdentity, DirectoryEntry> entries = new HashMap<>();
   private final PlanningPace pace = new PlanningPace();
+  private final WaitingModelsLog waitingModelsLog = new WaitingModelsLog();
   private final Set<EndpointIdentity> endpointsInUse = new HashSet<>();
 
   /** Endpoints that have rejected the present fencing token. */
@@ -220,10 +222,12 @@
     engines.forEach(
         (identity, engine) ->
             views.add(trackers.get(identity).view(engine, health.saturation(identity), now)));
+    Map<Artifact, ArtifactUse> uses = demand.total(now);
+    waitingModelsLog.log(views, uses, now);
     boolean allowed = storeLoadLimit.allows(loadsPerSecond, now);
     for (ResidencyPlanner.Step step :
         ResidencyPlanner.plan(
-            views, demand.total(now), demand.delayTolerantModels(), demand.phase(now), allowed)) {
+            views, uses, demand.delayTolerantModels(), demand.phase(now), allowed)) {
       execute(step, loadsPerSecond, now);
     }
   }
--- a/src/test/java/org/magnoliavale/internal/residency/PlannerFixture.java
+++ b/src/test/java/org/magnoliavale/internal/residency/PlannerFixture.java
@@ -135,6 +135,10 @@
         .toList();
   }
 
+  WaitingModels waitingModels() {
+    return WaitingModels.of(views, uses);
+  }
+
   List<String> plan() {
     return plan(true);
   }
