Keep endpoints free for short loads that calls wait for

Only loads for delay-tolerant models were bounded. Class: work that can wait takes a serial resource from work that can't.

Loads from the store that no urgent request depends on (another replica serves, or all requests are delay-tolerant) now share one bound: one endpoint in eight. Local loads, and models that urgent requests have nowhere, are not bounded.

--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -42,8 +42,8 @@
   /** Factor by which a gain must exceed the loss from evicted models, to avoid oscillation. */
   private static final double HYSTERESIS_FACTOR = 1.3;
 
-  /** Endpoints per concurrent load from the weight store for delay-tolerant requests. */
-  private static final int ENDPOINTS_PER_DELAY_TOLERANT_LOAD = 5;
+  /** Endpoints per concurrent load from the weight store that no urgent request waits for. */
+  private static final int ENDPOINTS_PER_DEFERRABLE_LOAD = 8;
 
   /** Fixed cost of a change of models, in requests. */
   private static final double CHANGE_COST = 0.6;
@@ -59,7 +59,7 @@
   private final ReplicaValue value;
   private final boolean storeLoadAllowed;
   private final DemandPhase phase;
-  private int delayTolerantStoreLoads;
+  private int deferrableStoreLoads;
   private final Set<String> plannedEndpoints = new HashSet<>();
   private final List<Step> steps = new ArrayList<>();
 
@@ -75,7 +75,7 @@
     this.value = new ReplicaValue(this.views, uses, replicas, delayTolerantModels, phase);
     this.storeLoadAllowed = storeLoadAllowed;
     this.phase = phase;
-    this.delayTolerantStoreLoads = countDelayTolerantStoreLoads();
+    this.deferrableStoreLoads = countDeferrableStoreLoads();
   }
 
   /**
@@ -175,8 +175,8 @@
       return;
     }
     plannedEndpoints.add(best.id());
-    if (!best.isLocallyAvailable(model) && value.hasNoUrgentDemand(model)) {
-      delayTolerantStoreLoads++;
+    if (!best.isLocallyAvailable(model) && isDeferrable(model, 0)) {
+      deferrableStoreLoads++;
     }
     String reason =
         "rate "
@@ -233,16 +233,27 @@
 
   /**
    * Returns whether another load of a model from the weight store may start. An endpoint accepts no
-   * other command during it, so only some endpoints may be occupied for delay-tolerant requests.
+   * other command during it, so only some endpoints may be occupied by loads that can be deferred;
+   * the others stay free for models that requests wait for, most of which load from a local copy.
    */
   private boolean mayLoadFromStore(Artifact model) {
-    int maximum = Math.max(1, views.size() / ENDPOINTS_PER_DELAY_TOLERANT_LOAD);
+    int maximum = Math.max(1, views.size() / ENDPOINTS_PER_DEFERRABLE_LOAD);
     return phase == DemandPhase.NO_REQUESTS
-        || !value.hasNoUrgentDemand(model)
-        || delayTolerantStoreLoads < maximum;
+        || !isDeferrable(model, 0)
+        || deferrableStoreLoads < maximum;
   }
 
-  private int countDelayTolerantStoreLoads() {
+  /**
+   * Returns whether the load of a model can be deferred: another replica serves its requests, or
+   * none of them is urgent.
+   *
+   * @param underWay replicas that are being loaded or planned and count as replicas already
+   */
+  private boolean isDeferrable(Artifact model, int underWay) {
+    return replicas.getOrDefault(model, 0) > underWay || value.hasNoUrgentDemand(model);
+  }
+
+  private int countDeferrableStoreLoads() {
     int count = 0;
     for (EndpointView view : views) {
       boolean loads =
@@ -250,15 +261,13 @@
               .anyMatch(
                   artifact ->
                       artifact.adapter().isEmpty()
-                          && value.hasNoUrgentDemand(artifact)
+                          && isDeferrable(artifact, 1)
                           && !view.hasLocalCopy(artifact));
       boolean makesRoom =
           view.pendingModel()
               .filter(
                   pendingModel ->
-                      value.hasNoUrgentDemand(pendingModel)
-                          && !view.isLocallyAvailable(pendingModel))
-              .filter(pendingModel -> !view.artifacts().contains(pendingModel))
+                      isDeferrable(pendingModel, 1) && !view.isLocallyAvailable(pendingModel))
               .isPresent();
       count += loads || makesRoom ? 1 : 0;
     }
