Load models that are on no endpoint sooner, and wait for a copy instead

Cause: the one bound on deferrable loads is shared by further replicas, by models whose copy is on a busy endpoint, and by models that nobody has. The last ones can only come from the store.

A model that calls wait for and that is on no endpoint may now occupy one endpoint in five. One whose copy lies on another endpoint waits for that endpoint, until three calls wait.

--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -45,6 +45,12 @@
   /** Endpoints per concurrent load from the weight store that no urgent request waits for. */
   private static final int ENDPOINTS_PER_DEFERRABLE_LOAD = 8;
 
+  /** The same for a model that requests wait for and whose weights are on no endpoint. */
+  private static final int ENDPOINTS_PER_LOAD_WITHOUT_COPY = 5;
+
+  /** Waiting requests for which a model is loaded from the store although a copy is elsewhere. */
+  private static final int REQUESTS_PER_LOAD_BESIDE_COPY = 3;
+
   /** Fixed cost of a change of models, in requests. */
   private static final double CHANGE_COST = 0.6;
 
@@ -146,6 +152,7 @@
     EndpointView best = null;
     List<Artifact> bestVictims = List.of();
     double bestGain = 0;
+    boolean fromStore = storeLoadAllowed && mayLoadFromStore(model);
     for (EndpointView view : views) {
       if (view.busy() || plannedEndpoints.contains(view.id()) || view.artifacts().contains(model)) {
         continue;
@@ -154,7 +161,7 @@
         // At most one change per endpoint, which must be free when requests arrive.
         continue;
       }
-      if (!view.isLocallyAvailable(model) && !(storeLoadAllowed && mayLoadFromStore(model))) {
+      if (!fromStore && !view.isLocallyAvailable(model)) {
         continue;
       }
       List<Artifact> victims = victims(view, model);
@@ -237,10 +244,21 @@
    * the others stay free for models that requests wait for, most of which load from a local copy.
    */
   private boolean mayLoadFromStore(Artifact model) {
-    int maximum = Math.max(1, views.size() / ENDPOINTS_PER_DEFERRABLE_LOAD);
-    return phase == DemandPhase.NO_REQUESTS
-        || !isDeferrable(model, 0)
-        || deferrableStoreLoads < maximum;
+    if (phase == DemandPhase.NO_REQUESTS || !isDeferrable(model, 0)) {
+      return true;
+    }
+    int waiting = value.use(model).waiting();
+    boolean served = replicas.getOrDefault(model, 0) > 0;
+    boolean copied = views.stream().anyMatch(view -> view.hasLocalCopy(model));
+    if (!served && copied && waiting < REQUESTS_PER_LOAD_BESIDE_COPY) {
+      // The endpoint with the copy loads it sooner once it is free.
+      return false;
+    }
+    int endpointsPerLoad =
+        served || copied || waiting == 0
+            ? ENDPOINTS_PER_DEFERRABLE_LOAD
+            : ENDPOINTS_PER_LOAD_WITHOUT_COPY;
+    return deferrableStoreLoads < Math.max(1, views.size() / endpointsPerLoad);
   }
 
   /**
--- a/src/test/java/org/magnoliavale/internal/residency/CachingEngine.java
+++ b/src/test/java/org/magnoliavale/internal/residency/CachingEngine.java
@@ -69,6 +69,20 @@
     keepCopy(model);
   }
 
+  /** Loses what it holds in memory, and its copies on disk too if it is a new machine. */
+  void restart(boolean newMachine) {
+    models.clear();
+    loadedMs.clear();
+    memory.clear();
+    callEndsMs.clear();
+    change = Optional.empty();
+    pendingModel = Optional.empty();
+    sequence = 0;
+    if (newMachine) {
+      disk.clear();
+    }
+  }
+
   /** Ends the calls and the command that are due. */
   void advance(int nowMs) {
     callEndsMs.removeIf(end -> end <= nowMs);
--- a/src/test/java/org/magnoliavale/internal/residency/DelayTolerantCallsStarvedTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/DelayTolerantCallsStarvedTest.java
@@ -2,8 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.List;
-import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliavale.internal.Seeds;
 
@@ -12,30 +11,51 @@
   private static final double LARGEST_GAP_OF_IN_TIME_SHARES = 0.15;
   private static final double LARGEST_GAP_OF_SERVED_SHARES = 0.05;
 
-  private static final SimulatedPlacement.Outcome URGENT = new SimulatedPlacement.Outcome();
-  private static final SimulatedPlacement.Outcome TOLERANT = new SimulatedPlacement.Outcome();
+  /** The outcomes of all days. */
+  private record Days(SimulatedPlacement.Outcome urgent, SimulatedPlacement.Outcome tolerant) {
+    static Days play(boolean losesEndpoints) {
+      Days days = new Days(new SimulatedPlacement.Outcome(), new SimulatedPlacement.Outcome());
+      for (int seed : Seeds.upTo(10)) {
+        SimulatedPlacement day = SimulatedPlacement.play(seed, losesEndpoints);
+        days.urgent.add(day.urgent());
+        days.tolerant.add(day.tolerant());
+      }
+      return days;
+    }
+
+    double servedGap() {
+      return urgent.servedShare() - tolerant.servedShare();
+    }
 
-  @BeforeAll
-  static void playDays() {
-    List<Integer> seeds = Seeds.upTo(10);
-    for (int seed : seeds) {
-      SimulatedPlacement day = SimulatedPlacement.play(seed);
-      URGENT.add(day.urgent());
-      TOLERANT.add(day.tolerant());
+    double inTimeGap() {
+      return urgent.inTimeShare() - tolerant.inTimeShare();
     }
   }
 
-  @Test
-  void endpointsAreFreeToLoadLocalCopiesForCallsThatWait() {
-    assertThat(URGENT.inTimeShare() - TOLERANT.inTimeShare())
-        .as("urgent %s, tolerant %s", URGENT, TOLERANT)
-        .isLessThanOrEqualTo(LARGEST_GAP_OF_IN_TIME_SHARES);
+  @Nested
+  class WhileEndpointsStay {
+    private static final Days DAYS = Days.play(false);
+
+    @Test
+    void endpointsAreFreeToLoadLocalCopiesForCallsThatWait() {
+      assertThat(DAYS.inTimeGap())
+          .as("%s", DAYS)
+          .isLessThanOrEqualTo(LARGEST_GAP_OF_IN_TIME_SHARES);
+    }
+
+    @Test
+    void callThatWaitsCountsAsMuchAsAnUrgentOne() {
+      assertThat(DAYS.servedGap()).as("%s", DAYS).isLessThanOrEqualTo(LARGEST_GAP_OF_SERVED_SHARES);
+    }
   }
 
-  @Test
-  void callThatWaitsCountsAsMuchAsAnUrgentOne() {
-    assertThat(URGENT.servedShare() - TOLERANT.servedShare())
-        .as("urgent %s, tolerant %s", URGENT, TOLERANT)
-        .isLessThanOrEqualTo(LARGEST_GAP_OF_SERVED_SHARES);
+  @Nested
+  class WhileEndpointsAreLost {
+    private static final Days DAYS = Days.play(true);
+
+    @Test
+    void modelsWithoutACopyAreLoadedFromTheStoreForCallsThatWait() {
+      assertThat(DAYS.servedGap()).as("%s", DAYS).isLessThanOrEqualTo(LARGEST_GAP_OF_SERVED_SHARES);
+    }
   }
 }
--- a/src/test/java/org/magnoliavale/internal/residency/SimulatedPlacement.java
+++ b/src/test/java/org/magnoliavale/internal/residency/SimulatedPlacement.java
@@ -38,6 +38,11 @@
   private static final List<Integer> SHIFTS_MS = List.of(1_000, 13_000, 24_000);
   private static final double SHIFTED_SHARE = 0.4;
   private static final int CALL_MS = 1_300;
+  private static final int CRASH_MS = 4_400;
+  private static final int CRASHED_ENDPOINTS = 4;
+  private static final int REMOVAL_MS = 17_000;
+  private static final int REMOVED_ENDPOINTS = 3;
+  private static final List<Integer> REPLACEMENTS_MS = List.of(17_200, 21_200, 25_200);
   private static final double DECAY_S = 3;
   private static final double LOADS_PER_S = 4.3;
 
@@ -86,6 +91,7 @@
   private static final EngineSpecification ENGINE = engine();
 
   private final Random random;
+  private final boolean losesEndpoints;
   private final List<CachingEngine> endpoints = new ArrayList<>();
   private final List<Call> waiting = new ArrayList<>();
   private final Map<Artifact, Double> rates = new HashMap<>();
@@ -95,17 +101,22 @@
   private List<Integer> shiftedTo = List.of();
   private int nowMs = START_MS;
 
-  private SimulatedPlacement(int seed) {
+  private SimulatedPlacement(int seed, boolean losesEndpoints) {
     random = new Random(seed);
+    this.losesEndpoints = losesEndpoints;
     for (CallerKind kind : CallerKind.values()) {
       outcomes.put(kind, new Outcome());
     }
     placeByOperator();
   }
 
-  /** Plays a day. */
-  static SimulatedPlacement play(int seed) {
-    SimulatedPlacement placement = new SimulatedPlacement(seed);
+  /**
+   * Plays a day.
+   *
+   * @param losesEndpoints whether some endpoints crash, others are removed, and others are replaced
+   */
+  static SimulatedPlacement play(int seed, boolean losesEndpoints) {
+    SimulatedPlacement placement = new SimulatedPlacement(seed, losesEndpoints);
     placement.run();
     return placement;
   }
@@ -160,6 +171,9 @@
       for (CachingEngine endpoint : endpoints) {
         endpoint.advance(nowMs);
       }
+      if (losesEndpoints) {
+        loseEndpoints();
+      }
       rates.replaceAll((artifact, rate) -> rate * Math.exp(-STEP_MS / 1_000.0 / DECAY_S));
       if (nowMs >= 0 && nowMs < LAST_ARRIVAL_MS) {
         shiftDemand();
@@ -173,6 +187,18 @@
     }
   }
 
+  private void loseEndpoints() {
+    if (nowMs == CRASH_MS) {
+      endpoints.subList(0, CRASHED_ENDPOINTS).forEach(endpoint -> endpoint.restart(false));
+    }
+    if (nowMs == REMOVAL_MS) {
+      endpoints.subList(0, REMOVED_ENDPOINTS).clear();
+    }
+    if (REPLACEMENTS_MS.contains(nowMs)) {
+      endpoints.get(REPLACEMENTS_MS.indexOf(nowMs)).restart(true);
+    }
+  }
+
   private void shiftDemand() {
     if (SHIFTS_MS.contains(nowMs)) {
       List<Integer> others = new ArrayList<>();
