Don't repeat an unload that an endpoint answers as done

Cause: the answer "done" ended the command and left the artifact in what the last entry and report show, so the next round planned the same unload. It now stays pending, like an accepted one, until the entry shows its effect; the endpoint's sequence is not advanced, since nothing was accepted.

EndpointTrackerTest.unloadOfAModelThatIsGoneIsNotPlannedAgainFromTheOldEntry fails before. Unloads of adapters that are answered as done are no such case: an endpoint answers so when it has just unloaded.

--- a/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
@@ -226,7 +226,8 @@
 
   /**
    * Records that a command's effect already holds. An adapter is unloaded immediately, which
-   * advances the endpoint's sequence like an accepted command.
+   * advances the endpoint's sequence like an accepted command. A command for a model stays pending
+   * until the entry shows its effect, else it would be planned again from the old entry.
    */
   void markDone(EndpointCommand command, long nowNanos) {
     boolean adapterUnloaded =
@@ -234,6 +235,12 @@
             && command.artifact().adapter().isPresent();
     if (adapterUnloaded) {
       markAccepted(command, nowNanos);
+    } else if (command.artifact().adapter().isEmpty()) {
+      if (command.operation() == EndpointCommand.Operation.UNLOAD) {
+        removeUnloaded(command.artifact());
+      }
+      pending.replaceAll(
+          known -> known.command().equals(command) ? known.confirm(nowNanos) : known);
     } else {
       removePending(command);
     }
--- a/src/test/java/org/magnoliavale/internal/residency/EndpointTrackerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/EndpointTrackerTest.java
@@ -60,6 +60,19 @@
     now += TimeUnit.MILLISECONDS.toNanos(milliseconds);
   }
 
+  @Test
+  void unloadOfAModelThatIsGoneIsNotPlannedAgainFromTheOldEntry() {
+    EndpointCommand command = command(Operation.UNLOAD, "m");
+    tracker.addPending(command, now);
+    tracker.markDone(command, now);
+    advance(100);
+    assertThat(view().busy()).isTrue();
+    assertThat(view().sequence()).isEqualTo(5);
+    tracker.update(entry(4), now);
+    assertThat(view().busy()).isFalse();
+    assertThat(view().artifacts()).isEmpty();
+  }
+
   private EndpointView view() {
     return tracker.view(ENGINE, 0, now);
   }
