Read each event of a stream at once again

Why events came late: each read returns one chunk, which is one event, so a stream whose events come faster than the reads falls behind (by reading; not measured). Reading on until nothing is left would mend that, but there is nothing to gain by it.

--- a/src/main/java/org/magnoliavale/internal/call/Attempt.java
+++ b/src/main/java/org/magnoliavale/internal/call/Attempt.java
@@ -199,7 +199,7 @@
       demand.run();
       return;
     }
-    call.context().endpoints().recordEvents(choice, events.lastCount(), lastActivityNanos);
+    call.context().endpoints().recordEvent(choice, lastActivityNanos);
     lastEventNanos = lastActivityNanos;
     writing = true;
     call.streamStart().whenCertain(certain -> write(completeEvents, certain, demand));
@@ -237,7 +237,7 @@
         return;
       }
     }
-    call.context().connector().readOn(contained.step("read", demand));
+    demand.run();
   }
 
   @Override
--- a/src/main/java/org/magnoliavale/internal/call/EndpointConnector.java
+++ b/src/main/java/org/magnoliavale/internal/call/EndpointConnector.java
@@ -10,13 +10,4 @@
 
   /** Sends a request; the listener may be called before this method returns. */
   Handle send(OutgoingRequest request, AttemptListener listener);
-
-  /**
-   * Receives more of a stream whose last events have been passed on, now or a little later.
-   *
-   * @param demand what asks for more; it does not throw
-   */
-  default void readOn(Runnable demand) {
-    demand.run();
-  }
 }
--- a/src/main/java/org/magnoliavale/internal/call/EventSplitter.java
+++ b/src/main/java/org/magnoliavale/internal/call/EventSplitter.java
@@ -25,7 +25,6 @@
   private Optional<Long> lastId = Optional.empty();
   private Optional<Long> previousId;
   private boolean outOfOrder;
-  private int lastCount;
 
   /**
    * Returns a splitter of a stream that goes on after an event.
@@ -47,18 +46,12 @@
     int end = endOfCompleteEvents(all);
     pending.reset();
     pending.write(all, end, all.length - end);
-    lastCount = 0;
     if (end > 0) {
-      readEvents(new String(all, 0, end, StandardCharsets.UTF_8));
+      readIds(new String(all, 0, end, StandardCharsets.UTF_8));
     }
     return ByteBuffer.wrap(all, 0, end);
   }
 
-  /** Returns the number of events that the last {@link #append} returned. */
-  int lastCount() {
-    return lastCount;
-  }
-
   /** Returns whether an incomplete event is buffered. */
   boolean hasPartialEvent() {
     return pending.size() > 0;
@@ -103,12 +96,8 @@
     return next + 1;
   }
 
-  private void readEvents(String events) {
-    boolean withinEvent = false;
+  private void readIds(String events) {
     for (String line : events.split("\n")) {
-      boolean blank = line.isBlank();
-      lastCount += withinEvent && blank ? 1 : 0;
-      withinEvent = !blank;
       if (line.startsWith(ID_FIELD)) {
         try {
           readId(Long.parseLong(line.substring(ID_FIELD.length()).strip()));
@@ -118,8 +107,6 @@
         }
       }
     }
-    // The blank line after the last event is no element of the split text.
-    lastCount += withinEvent ? 1 : 0;
   }
 
   private void readId(long id) {
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointPool.java
@@ -176,13 +176,13 @@
   }
 
   /** Records an event of the stream that answers a request. */
-  public synchronized void recordEvents(EndpointChoice.Selected choice, int events, long nowNanos) {
+  public synchronized void recordEvent(EndpointChoice.Selected choice, long nowNanos) {
     if (!choice.request().hasBegun()) {
       double firstEventMs =
           (double) (nowNanos - choice.request().sentNanos()) / TimeUnit.MILLISECONDS.toNanos(1);
       forecastErrors.accept(Math.abs(firstEventMs - choice.forecast().firstEventMs()));
     }
-    find(choice).ifPresent(state -> state.recordEvents(choice.request(), events, nowNanos));
+    find(choice).ifPresent(state -> state.recordEvent(choice.request(), nowNanos));
   }
 
   private Optional<EndpointState> find(EndpointChoice.Selected choice) {
--- a/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
+++ b/src/main/java/org/magnoliavale/internal/dispatch/EndpointState.java
@@ -195,10 +195,10 @@
   }
 
   /** Records an event of a stream. */
-  void recordEvents(SentRequest request, int events, long nowNanos) {
+  void recordEvent(SentRequest request, long nowNanos) {
     Optional<Long> previous = request.recordEvent(nowNanos);
     if (previous.isPresent()) {
-      recordEventInterval(milliseconds(nowNanos - previous.get()) / events, nowNanos);
+      recordEventInterval(milliseconds(nowNanos - previous.get()), nowNanos);
     } else {
       outstanding.promptRead(request);
       recordFirstEvent(request, nowNanos);
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayClients.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayClients.java
@@ -38,13 +38,9 @@
     return JsonClient.of(control);
   }
 
-  /**
-   * Returns what sends attempts of calls.
-   *
-   * @param streamReadInterval longest time that streams wait to be read together
-   */
-  JettyEndpointConnector connector(Duration streamReadInterval) {
-    return new JettyEndpointConnector(endpoints, transport.createStreamReads(streamReadInterval));
+  /** Returns what sends attempts of calls. */
+  JettyEndpointConnector connector() {
+    return new JettyEndpointConnector(endpoints);
   }
 
   @Override
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewayInstance.java
@@ -187,7 +187,7 @@
   private CallContext createCallContext(ArtifactDemand demand) {
     return new CallContext(
         adapters.protocol(),
-        clients.connector(settings.streamReadInterval()),
+        clients.connector(),
         endpoints,
         statements,
         retryBudget,
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettings.java
@@ -23,8 +23,6 @@
  * @param storeAddress address of the platform's store
  * @param leaseDuration duration of the command lease
  * @param gracePeriod time from the stop signal until the process is killed
- * @param longestEventDelay longest time in which an event of a stream must have been passed on;
- *     zero if it is not stated
  * @param retryRatio retries per request that the fleet may send
  * @param retryReserve retries that the fleet may send in a window regardless of requests
  * @param retryWindow window in which requests and retries are counted
@@ -44,7 +42,6 @@
     InetSocketAddress storeAddress,
     Duration leaseDuration,
     Duration gracePeriod,
-    Duration longestEventDelay,
     double retryRatio,
     double retryReserve,
     Duration retryWindow,
@@ -52,9 +49,6 @@
     TenantSettings tenants,
     QuotaBounds quotaBounds,
     String logLevel) {
-  /** Reads of a stream in the longest delay of its events. */
-  private static final int STREAM_READS_PER_LONGEST_DELAY = 4;
-
   /** Returns settings that state nothing of callers' keys. */
   public GatewaySettings(
       String instanceId,
@@ -82,7 +76,6 @@
         storeAddress,
         leaseDuration,
         gracePeriod,
-        Duration.ZERO,
         retryRatio,
         retryReserve,
         retryWindow,
@@ -92,11 +85,6 @@
         logLevel);
   }
 
-  /** Returns the longest time that events of streams wait to be read together. */
-  Duration streamReadInterval() {
-    return longestEventDelay.dividedBy(STREAM_READS_PER_LONGEST_DELAY);
-  }
-
   /** Returns this instance's entry in the instance list; other instances link to the address. */
   ListedInstance listed(String peerAddress) {
     return ListedInstance.live(instanceId, peerAddress, dataCentre, processorPercent);
--- a/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/GatewaySettingsReader.java
@@ -76,15 +76,7 @@
                           SECONDS,
                           "seconds",
                           "8",
-                          "Time from the stop signal until the process is killed."),
-                      optional(
-                          "event-delay-ms",
-                          OPTIONAL_MILLISECONDS,
-                          "milliseconds",
-                          "",
-                          "Time within which each event of a stream must be passed on. Events"
-                              + " wait up to a quarter of it to be read together; if it is empty"
-                              + " or 0, each is read at once."))),
+                          "Time from the stop signal until the process is killed."))),
               new SectionDefinition(
                   "peers",
                   false,
@@ -246,7 +238,6 @@
         sections.get("store").address("address"),
         Duration.ofMillis(commands.number("lease-ms")),
         Duration.ofSeconds(callers.number("grace-period-s")),
-        Duration.ofMillis(callers.number("event-delay-ms")),
         retries.decimal("ratio"),
         retries.decimal("reserve"),
         Duration.ofSeconds(retries.number("window-s")),
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyEndpointConnector.java
@@ -114,16 +114,9 @@
   private static final long IDLE_TIMEOUT_S = 60;
 
   private final HttpClient client;
-  private final StreamReads reads;
 
-  JettyEndpointConnector(HttpClient client, StreamReads reads) {
+  JettyEndpointConnector(HttpClient client) {
     this.client = client;
-    this.reads = reads;
-  }
-
-  @Override
-  public void readOn(Runnable demand) {
-    reads.add(demand);
   }
 
   @Override
--- a/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
+++ b/src/main/java/org/magnoliavale/internal/gateway/JettyTransport.java
@@ -80,11 +80,6 @@
     return server;
   }
 
-  /** Returns what reads streams together after at most {@code interval}. */
-  StreamReads createStreamReads(Duration interval) {
-    return new StreamReads(scheduler, interval);
-  }
-
   /** Returns a client for short requests; it is not started. */
   HttpClient createClient(
       String name, int maximumConnections, Duration connectTimeout, Duration idleTimeout) {
--- a/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
+++ b/src/test/java/org/magnoliavale/internal/call/ScriptedConnector.java
@@ -96,7 +96,6 @@
 
   private final List<Sent> sent = new ArrayList<>();
   private final Set<String> failing = new HashSet<>();
-  private final List<Runnable> waitingReads = new ArrayList<>();
   private boolean failingCancels;
 
   /** From now on the sending of a request with this path and query throws. */
@@ -116,13 +115,6 @@
     }
   }
 
-  /** Makes the reads of streams that wait to be made together. */
-  void readStreams() {
-    List<Runnable> due = List.copyOf(waitingReads);
-    waitingReads.clear();
-    due.forEach(Runnable::run);
-  }
-
   List<Sent> sent() {
     return sent;
   }
@@ -131,11 +123,6 @@
     return sent.getLast();
   }
 
-  @Override
-  public void readOn(Runnable demand) {
-    waitingReads.add(demand);
-  }
-
   @Override
   public Handle send(OutgoingRequest request, AttemptListener listener) {
     if (failing.contains(request.pathQuery())) {
--- a/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
+++ b/src/test/java/org/magnoliavale/internal/call/StreamCallTest.java
@@ -2,8 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayList;
-import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -26,28 +24,6 @@
       assertThat(caller.ending()).isEqualTo("finished");
     }
 
-    @Test
-    void areReadTogetherAfterTheirFirstEvents() {
-      List<String> demands = new ArrayList<>();
-      for (String path : List.of("/once/x", "/once/y")) {
-        call(path);
-        connector.last().begin(200);
-        connector.last().content(EVENT_ONE, () -> demands.add(path));
-      }
-      assertThat(demands).isEmpty();
-      connector.readStreams();
-      assertThat(demands).containsExactly("/once/x", "/once/y");
-    }
-
-    @Test
-    void areReadAtOnceWithinAnEvent() {
-      List<String> demands = new ArrayList<>();
-      call("/once/x");
-      connector.last().begin(200);
-      connector.last().content("id: 1\nda", () -> demands.add("rest"));
-      assertThat(demands).containsExactly("rest");
-    }
-
     @Test
     void resumeAfterTheLastCompleteEventAtAnotherEndpoint() {
       call("/stream/x");
--- a/src/test/java/org/magnoliavale/internal/dispatch/EndpointSpeedTest.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/EndpointSpeedTest.java
@@ -33,9 +33,9 @@
     void ofTheFirstEventIsComparedWithItsForecast() {
       EndpointChoice.Selected choice = select(prompt(0, 100));
       advance(300);
-      pool.recordEvents(choice, 1, now);
+      pool.recordEvent(choice, now);
       advance(50);
-      pool.recordEvents(choice, 1, now);
+      pool.recordEvent(choice, now);
       assertThat(errors)
           .singleElement()
           .satisfies(
@@ -53,12 +53,6 @@
       assertThat(forecast(A).timeFactor()).isGreaterThan(2 * forecast(B).timeFactor());
     }
 
-    @Test
-    void isTheSameIfEventsAreReadTogether() {
-      answer(100, 120, 40, 3);
-      assertThat(forecast(A).timeFactor()).isGreaterThan(2 * forecast(B).timeFactor());
-    }
-
     @Test
     void isForgottenWithoutNewWork() {
       answer(100, 120, 40);
--- a/src/test/java/org/magnoliavale/internal/dispatch/ForecastFixture.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/ForecastFixture.java
@@ -101,19 +101,14 @@
 
   /** Lets requests be answered, one after the other, with some events each. */
   void answer(int requests, long slowMs, long fastMs) {
-    answer(requests, slowMs, fastMs, 1);
-  }
-
-  /** As {@link #answer(int, long, long)}, with a number of events that are read together. */
-  void answer(int requests, long slowMs, long fastMs, int readTogether) {
     for (int i = 0; i < requests; i++) {
       EndpointChoice.Selected choice = select(prompt(0, 100));
       boolean slow = choice.endpoint().identity().equals(A);
       for (int event = 0; event < 10; event++) {
-        advance((slow ? slowMs : fastMs) * readTogether);
+        advance(slow ? slowMs : fastMs);
         pool.recordActivity(choice.endpoint().identity(), now);
         pool.recordLoad(choice.endpoint().identity(), new ReportedLoad(1, 0, SLOTS), now);
-        pool.recordEvents(choice, readTogether, now);
+        pool.recordEvent(choice, now);
       }
       pool.attemptEnded(choice, AttemptOutcome.ANSWERED, now);
     }
--- a/src/test/java/org/magnoliavale/internal/dispatch/ForecastSelection.java
+++ b/src/test/java/org/magnoliavale/internal/dispatch/ForecastSelection.java
@@ -91,7 +91,7 @@
   @Override
   public void event(LoadedFleet.Request request, long nowNanos) {
     pool.recordActivity(identity(request.endpoint), nowNanos);
-    pool.recordEvents((EndpointChoice.Selected) request.handle, 1, nowNanos);
+    pool.recordEvent((EndpointChoice.Selected) request.handle, nowNanos);
   }
 
   @Override
--- a/src/test/java/org/magnoliavale/internal/gateway/EndpointAnswerFixture.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/EndpointAnswerFixture.java
@@ -142,7 +142,7 @@
     attempt = new Recording();
     OutgoingRequest request =
         new OutgoingRequest(entry, method, "/x", HttpFields.EMPTY, new byte[bodyBytes], use);
-    handle = new JettyEndpointConnector(client, StreamReads.atOnce()).send(request, attempt);
+    handle = new JettyEndpointConnector(client).send(request, attempt);
     return endpoint.accept();
   }
 }
--- a/src/test/java/org/magnoliavale/internal/gateway/GatewaySettingsReaderTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/GatewaySettingsReaderTest.java
@@ -26,7 +26,6 @@
     assertThat(settings.instanceId()).isEqualTo("front-1");
     assertThat(settings.leaseDuration()).isEqualTo(Duration.ofSeconds(3));
     assertThat(settings.retryRatio()).isEqualTo(0.2);
-    assertThat(settings.streamReadInterval()).isEqualTo(Duration.ofMillis(30));
   }
 
   private static String example(String field) {
@@ -37,7 +36,6 @@
       case "listen.front", "listen.ready", "platform.address" -> "10.1.0.38:8149";
       case "internal-ports.0", "internal-ports.1" -> "7380";
       case "bounds.lease-ms" -> "3000";
-      case "bounds.pass-ms" -> "120";
       case "bounds.budget-ratio" -> "0.2";
       case "bounds.strict-revoke" -> "false";
       default -> "8";
--- a/src/test/java/org/magnoliavale/internal/gateway/ResetDetectionTest.java
+++ b/src/test/java/org/magnoliavale/internal/gateway/ResetDetectionTest.java
@@ -90,7 +90,7 @@
     OutgoingRequest attempt =
         new OutgoingRequest(
             endpoint, "GET", "/x", HttpFields.EMPTY, new byte[0], ConnectionUse.POOLED);
-    new JettyEndpointConnector(client, StreamReads.atOnce())
+    new JettyEndpointConnector(client)
         .send(
             attempt,
             new AttemptListener() {
