Plan a large fleet without reading the demand for each pair of endpoint and model

A round that takes longer than 28 ms is followed by a pause of 250 ms at most, so long rounds exceed their share, and what calls wait for is planned late.

Cause: for each pair of a model and an endpoint, the planner went over the demand for all adapters to find what a load would block there, and computed the losses of the endpoint's models anew for each comparison.

What a load blocks is now computed once for each endpoint, and a loss once for each model, until a step changes the replicas; models whose gain can't exceed the cost of a change are left out.

--- a/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
@@ -84,6 +84,7 @@
   private final Map<Artifact, ReadyReplicas> readyReplicas;
   private final Map<Artifact, Double> localCopyValues = new HashMap<>();
   private final Map<Artifact, Integer> replicas;
+  private final Map<Artifact, Double> losses = new HashMap<>();
   private final Map<String, Boolean> delayTolerantModels;
   private final DemandPhase phase;
 
@@ -163,8 +164,17 @@
     return phase == DemandPhase.NO_REQUESTS ? value + IDLE_LOAD_VALUE : value;
   }
 
+  /** Must be called after a change of the replicas. */
+  void replicasChanged() {
+    losses.clear();
+  }
+
   /** Returns the requests that are lost or slowed down if a model loses one replica. */
   double lossOfRemoving(Artifact model) {
+    return losses.computeIfAbsent(model, this::computeLossOfRemoving);
+  }
+
+  private double computeLossOfRemoving(Artifact model) {
     ArtifactUse use = use(model);
     double rate = use.perSecond();
     int count =
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -67,6 +68,10 @@
   private final DemandPhase phase;
   private int deferrableStoreLoads;
   private final Set<String> plannedEndpoints = new HashSet<>();
+
+  /** Blocked adapter requests per second by endpoint, while the replicas stay the same. */
+  private final Map<String, Double> blockedAdapterRates = new HashMap<>();
+
   private final List<Step> steps = new ArrayList<>();
 
   private ResidencyPlanner(
@@ -112,9 +117,11 @@
     for (EndpointView view : views) {
       view.engine().modelNames().forEach(name -> models.add(new Artifact(name, Optional.empty())));
     }
+    Map<Artifact, Double> gains = new HashMap<>();
+    models.forEach(model -> gains.put(model, value.gainOfAdding(model, 0)));
     List<Artifact> wanted = new ArrayList<>(models);
     wanted.sort(
-        Comparator.comparingDouble((Artifact model) -> -value.gainOfAdding(model, 0))
+        Comparator.comparingDouble((Artifact model) -> -gains.get(model))
             .thenComparing(Artifact::toString));
     wanted.forEach(this::place);
   }
@@ -149,6 +156,10 @@
   }
 
   private void place(Artifact model) {
+    if (value.gainOfAdding(model, 0) <= CHANGE_COST) {
+      // A load that takes time gains less.
+      return;
+    }
     EndpointView best = null;
     List<Artifact> bestVictims = List.of();
     double bestGain = 0;
@@ -196,6 +207,8 @@
             + rounded(bestGain);
     replicas.merge(model, 1, Integer::sum);
     bestVictims.forEach(victim -> replicas.merge(victim, -1, Integer::sum));
+    value.replicasChanged();
+    blockedAdapterRates.clear();
     steps.add(step(best, model, bestVictims, reason));
   }
 
@@ -225,17 +238,21 @@
 
   /** Returns the requests whose adapters can't be loaded while the endpoint loads a model. */
   private double blockedAdapterRequests(EndpointView view, double seconds) {
-    double requests = 0;
+    return seconds * blockedAdapterRates.computeIfAbsent(view.id(), id -> blockedRate(view));
+  }
+
+  private double blockedRate(EndpointView view) {
+    double perSecond = 0;
     for (Map.Entry<Artifact, ArtifactUse> entry : uses.entrySet()) {
       Artifact artifact = entry.getKey();
       if (artifact.adapter().isPresent() && view.isReady(artifact.baseModel())) {
         int holders = replicas.getOrDefault(artifact.baseModel(), 1);
         boolean loadedHere = view.isReady(artifact);
         double share = loadedHere ? LOADED_ADAPTER_MISS_SHARE : UNLOADED_ADAPTER_MISS_SHARE;
-        requests += entry.getValue().perSecond() * seconds * share / holders;
+        perSecond += entry.getValue().perSecond() * share / holders;
       }
     }
-    return requests;
+    return perSecond;
   }
 
   /**
