--- a/src/main/java/org/magnoliavale/internal/residency/WaitingModelsLog.java
+++ b/src/main/java/org/magnoliavale/internal/residency/WaitingModelsLog.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import org.magnoliavale.internal.dispatch.Artifact;
@@ -13,14 +14,14 @@
 
   private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-  private long loggedNanos;
+  private OptionalLong loggedNanos = OptionalLong.empty();
 
   /** Logs a line if one is due and requests wait. */
   void log(List<EndpointView> views, Map<Artifact, ArtifactUse> uses, long nowNanos) {
-    if (nowNanos - loggedNanos < INTERVAL_NANOS) {
+    if (loggedNanos.isPresent() && nowNanos - loggedNanos.getAsLong() < INTERVAL_NANOS) {
       return;
     }
-    loggedNanos = nowNanos;
+    loggedNanos = OptionalLong.of(nowNanos);
     WaitingModels waiting = WaitingModels.of(views, uses);
     if (waiting.models() > 0) {
       LOG.infof(
