--- a/src/test/java/org/magnoliavale/internal/residency/PlanOfLargeFleetTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/PlanOfLargeFleetTest.java
@@ -25,6 +25,9 @@
   private static final int MODELS_PER_ENDPOINT = 3;
   private static final int ADAPTERS = 3;
 
+  /** Steps after which the replicas have changed; loads that can wait occupy one in eight. */
+  private static final int MAXIMUM_STEPS = ENDPOINTS / 8;
+
   /** Passes over the demand that a round needs besides one for each endpoint. */
   private static final int FURTHER_PASSES = 10;
 
@@ -93,7 +96,6 @@
       demand.uses.put(Artifact.parse("m" + i + "/a0"), new ArtifactUse(3, 0, false));
     }
     ResidencyPlanner.plan(views, demand, Map.of(), DemandPhase.KNOWN, true);
-    int steps = Math.max(1, ENDPOINTS / 8);
-    assertThat(demand.passes).isLessThanOrEqualTo((steps + 1) * ENDPOINTS + FURTHER_PASSES);
+    assertThat(demand.passes).isLessThanOrEqualTo((MAXIMUM_STEPS + 1) * ENDPOINTS + FURTHER_PASSES);
   }
 }
--- a/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/ResidencyPlannerTest.java
@@ -169,6 +169,37 @@
     assertThat(plan()).hasSize(1);
   }
 
+  @Test
+  void furtherReplicasAndDelayTolerantModelsShareTheEndpointsForLoadsThatCanWait() {
+    delayTolerant.put("rare", true);
+    use("rare", 0.3, 3);
+    use("busy", 12, 0);
+    endpoint("a", "busy").saturation(1).add();
+    endpoint("b").add();
+    endpoint("c").add();
+    assertThat(plan()).hasSize(1);
+  }
+
+  @Test
+  void oneCallWaitsForTheEndpointWithACopyOfItsModel() {
+    delayTolerant.put("rare", true);
+    use("rare", 0.1, 1);
+    use("busy", 3, 0);
+    endpoint("a", "busy").onDisk("rare", "busy").busy().add();
+    endpoint("b", "busy").onDisk("busy").add();
+    assertThat(plan()).noneMatch(step -> step.contains("LOAD rare"));
+  }
+
+  @Test
+  void severalCallsAreWorthALoadBesideACopyOfTheirModel() {
+    delayTolerant.put("rare", true);
+    use("rare", 0.3, 3);
+    use("busy", 3, 0);
+    endpoint("a", "busy").onDisk("rare", "busy").busy().add();
+    endpoint("b", "busy").onDisk("busy").add();
+    assertThat(plan()).containsExactly("b " + Operation.LOAD + " rare");
+  }
+
   @Test
   void delayTolerantModelIsEvictedBeforeOneThatUrgentDemandMayShiftTo() {
     delayTolerant.put("rare", true);
