Say once what a load from the store, a confirmed command and demand by model are

- Step.loadsFromStore is asked by the controller and the simulation, which both put it together from loadsModel and the copies.
- EndpointTracker confirms a command in one method; markDone reads by kind of artifact.
- WaitingModels sums demand by model with ReplicaValue.sumByModel.
- mayLoadFromStore asks for copies only of models that nothing serves, and each of its cases stands by itself.

--- a/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
+++ b/src/main/java/org/magnoliavale/internal/residency/EndpointTracker.java
@@ -185,6 +185,10 @@
         known ->
             known.artifact().equals(command.artifact())
                 && known.command().expectedSequence() < command.expectedSequence());
+    confirm(command, nowNanos);
+  }
+
+  private void confirm(EndpointCommand command, long nowNanos) {
     pending.replaceAll(known -> known.command().equals(command) ? known.confirm(nowNanos) : known);
   }
 
@@ -230,17 +234,15 @@
    * until the entry shows its effect, else it would be planned again from the old entry.
    */
   void markDone(EndpointCommand command, long nowNanos) {
-    boolean adapterUnloaded =
-        command.operation() == EndpointCommand.Operation.UNLOAD
-            && command.artifact().adapter().isPresent();
-    if (adapterUnloaded) {
-      markAccepted(command, nowNanos);
-    } else if (command.artifact().adapter().isEmpty()) {
-      if (command.operation() == EndpointCommand.Operation.UNLOAD) {
+    boolean model = command.artifact().adapter().isEmpty();
+    boolean unload = command.operation() == EndpointCommand.Operation.UNLOAD;
+    if (model) {
+      if (unload) {
         removeUnloaded(command.artifact());
       }
-      pending.replaceAll(
-          known -> known.command().equals(command) ? known.confirm(nowNanos) : known);
+      confirm(command, nowNanos);
+    } else if (unload) {
+      markAccepted(command, nowNanos);
     } else {
       removePending(command);
     }
--- a/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ReplicaValue.java
@@ -102,7 +102,8 @@
     this.phase = phase;
   }
 
-  private static Map<Artifact, ArtifactUse> sumByModel(Map<Artifact, ArtifactUse> uses) {
+  /** Returns the demand for each model and all its adapters. */
+  static Map<Artifact, ArtifactUse> sumByModel(Map<Artifact, ArtifactUse> uses) {
     Map<Artifact, ArtifactUse> sums = new HashMap<>();
     uses.forEach((artifact, use) -> sums.merge(artifact.baseModel(), use, ArtifactUse::plus));
     return sums;
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyController.java
@@ -288,7 +288,7 @@
       return;
     }
     boolean load = step.operation() == EndpointCommand.Operation.LOAD;
-    boolean fromStore = step.loadsModel() && !view.hasLocalCopy(step.artifact());
+    boolean fromStore = step.loadsFromStore();
     if (fromStore) {
       if (!storeLoadLimit.allows(loadsPerSecond, now)) {
         endpointsInUse.remove(identity);
--- a/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
+++ b/src/main/java/org/magnoliavale/internal/residency/ResidencyPlanner.java
@@ -34,9 +34,11 @@
       Artifact artifact,
       Optional<Artifact> pendingModel,
       String reason) {
-    /** Returns whether the step loads the weights of a model. */
-    boolean loadsModel() {
-      return operation == EndpointCommand.Operation.LOAD && artifact.adapter().isEmpty();
+    /** Returns whether the step loads the weights of a model from the weight store. */
+    boolean loadsFromStore() {
+      return operation == EndpointCommand.Operation.LOAD
+          && artifact.adapter().isEmpty()
+          && !view.hasLocalCopy(artifact);
     }
   }
 
@@ -264,17 +266,20 @@
     if (phase == DemandPhase.NO_REQUESTS || !isDeferrable(model, 0)) {
       return true;
     }
+    if (replicas.getOrDefault(model, 0) > 0) {
+      return isBelowBound(ENDPOINTS_PER_DEFERRABLE_LOAD);
+    }
     int waiting = value.use(model).waiting();
-    boolean served = replicas.getOrDefault(model, 0) > 0;
-    boolean copied = views.stream().anyMatch(view -> view.hasLocalCopy(model));
-    if (!served && copied && waiting < REQUESTS_PER_LOAD_BESIDE_COPY) {
+    if (views.stream().anyMatch(view -> view.hasLocalCopy(model))) {
       // The endpoint with the copy loads it sooner once it is free.
-      return false;
+      return waiting >= REQUESTS_PER_LOAD_BESIDE_COPY
+          && isBelowBound(ENDPOINTS_PER_DEFERRABLE_LOAD);
     }
-    int endpointsPerLoad =
-        served || copied || waiting == 0
-            ? ENDPOINTS_PER_DEFERRABLE_LOAD
-            : ENDPOINTS_PER_LOAD_WITHOUT_COPY;
+    return isBelowBound(
+        waiting > 0 ? ENDPOINTS_PER_LOAD_WITHOUT_COPY : ENDPOINTS_PER_DEFERRABLE_LOAD);
+  }
+
+  private boolean isBelowBound(int endpointsPerLoad) {
     return deferrableStoreLoads < Math.max(1, views.size() / endpointsPerLoad);
   }
 
--- a/src/main/java/org/magnoliavale/internal/residency/WaitingModels.java
+++ b/src/main/java/org/magnoliavale/internal/residency/WaitingModels.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.magnoliavale.internal.dispatch.Artifact;
 
 /**
@@ -28,14 +27,8 @@
   /** Returns the state of the models that requests wait for. */
   static WaitingModels of(List<EndpointView> views, Map<Artifact, ArtifactUse> uses) {
     List<EndpointView> usable = views.stream().filter(EndpointView::isUsable).toList();
-    Map<Artifact, Integer> waiting =
-        uses.entrySet().stream()
-            .filter(entry -> entry.getValue().waiting() > 0)
-            .collect(
-                Collectors.toMap(
-                    entry -> entry.getKey().baseModel(),
-                    entry -> entry.getValue().waiting(),
-                    Integer::sum));
+    Map<Artifact, ArtifactUse> waiting = ReplicaValue.sumByModel(uses);
+    waiting.values().removeIf(use -> use.waiting() == 0);
     waiting.keySet().removeIf(model -> usable.stream().anyMatch(view -> view.isReady(model)));
     Set<Artifact> expected = EndpointView.countReplicas(views).keySet();
     int underWay = 0;
@@ -53,7 +46,7 @@
     }
     return new WaitingModels(
         waiting.size(),
-        waiting.values().stream().mapToInt(Integer::intValue).sum(),
+        waiting.values().stream().mapToInt(ArtifactUse::waiting).sum(),
         underWay,
         withoutCopy,
         withBusyEndpoints,
--- a/src/test/java/org/magnoliavale/internal/residency/SimulatedPlacement.java
+++ b/src/test/java/org/magnoliavale/internal/residency/SimulatedPlacement.java
@@ -155,8 +155,7 @@
     for (int i = 0; i < ENDPOINTS; i++) {
       CachingEngine endpoint = new CachingEngine("e" + i, ENGINE, random);
       for (int place = 0; place < 3; place++) {
-        String name = next.next();
-        endpoint.hold(name);
+        endpoint.hold(next.next());
       }
       endpoints.add(endpoint);
     }
@@ -278,7 +277,7 @@
   }
 
   private void execute(CachingEngine endpoint, ResidencyPlanner.Step step) {
-    if (step.loadsModel() && !step.view().hasLocalCopy(step.artifact())) {
+    if (step.loadsFromStore()) {
       storeLoads.recordStart(nowNanos());
     }
     endpoint.execute(step, CALL_MS, nowMs);
