Make the models of placement tests in one place

EngineCapacityFleetTest, PlanOfLargeFleetTest and PlannerFixture each spelled out the same model. SimulatedPlacement keeps its own, whose load times differ. Expectations are unchanged.

--- a/src/test/java/org/magnoliavale/internal/residency/EngineCapacityFleetTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/EngineCapacityFleetTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -19,7 +18,6 @@
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.TestEntries;
 import org.magnoliavale.internal.route.EngineSpecification;
-import org.magnoliavale.internal.route.ModelSpecification;
 import org.magnoliavale.internal.route.RouteTable;
 import org.magnoliavale.internal.route.ServiceSpecification;
 
@@ -76,20 +74,8 @@
   private int commandsSent;
 
   private static EngineSpecification specification() {
-    Map<String, ModelSpecification> models = new LinkedHashMap<>();
-    for (int i = 0; i < MODELS; i++) {
-      models.put(
-          "m" + i,
-          new ModelSpecification(
-              "m" + i,
-              70,
-              Duration.ofSeconds(8),
-              Duration.ofMillis(1_600),
-              Duration.ofMillis(800),
-              ADAPTERS_PER_MODEL,
-              1));
-    }
-    return new EngineSpecification(8, 1_000, 150, 4, 2, models);
+    return new EngineSpecification(
+        8, 1_000, 150, 4, 2, TestModels.numbered(MODELS, ADAPTERS_PER_MODEL));
   }
 
   private void runLater(long delayMs, Runnable action) {
--- a/src/test/java/org/magnoliavale/internal/residency/PlanOfLargeFleetTest.java
+++ b/src/test/java/org/magnoliavale/internal/residency/PlanOfLargeFleetTest.java
@@ -2,12 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
 import java.util.AbstractMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,7 +14,6 @@
 import org.magnoliavale.internal.dispatch.Artifact;
 import org.magnoliavale.internal.dispatch.TestEntries;
 import org.magnoliavale.internal.route.EngineSpecification;
-import org.magnoliavale.internal.route.ModelSpecification;
 
 /** What a round of the planner reads in a fleet of many endpoints and models. */
 class PlanOfLargeFleetTest {
@@ -49,20 +46,7 @@
   }
 
   private static EngineSpecification engine() {
-    Map<String, ModelSpecification> models = new LinkedHashMap<>();
-    for (int i = 0; i < MODELS; i++) {
-      models.put(
-          "m" + i,
-          new ModelSpecification(
-              "m" + i,
-              70,
-              Duration.ofSeconds(8),
-              Duration.ofMillis(1_600),
-              Duration.ofMillis(800),
-              ADAPTERS,
-              1));
-    }
-    return new EngineSpecification(16, 1_000, 230, 8, 13, models);
+    return new EngineSpecification(16, 1_000, 230, 8, 13, TestModels.numbered(MODELS, ADAPTERS));
   }
 
   private static EndpointView view(int index, EngineSpecification engine) {
--- a/src/test/java/org/magnoliavale/internal/residency/PlannerFixture.java
+++ b/src/test/java/org/magnoliavale/internal/residency/PlannerFixture.java
@@ -1,6 +1,5 @@
 package org.magnoliavale.internal.residency;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,16 +26,7 @@
   private static EngineSpecification engine(String... names) {
     Map<String, ModelSpecification> models = new LinkedHashMap<>();
     for (String name : names) {
-      models.put(
-          name,
-          new ModelSpecification(
-              name,
-              70,
-              Duration.ofSeconds(8),
-              Duration.ofMillis(1_600),
-              Duration.ofMillis(800),
-              10,
-              1));
+      models.put(name, TestModels.model(name, 10));
     }
     return new EngineSpecification(8, 1_000, 143, 2, 1, models);
   }
